--- /dev/null
+++ b/pumicenotch/__init__.py
@@ -0,0 +1,1 @@
+"""Admission and scheduling for servers behind balancers that cannot be changed."""
--- /dev/null
+++ b/pumicenotch/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts controls on a wire; it decides nothing."""
--- /dev/null
+++ b/pumicenotch/adapter/codec.py
@@ -0,0 +1,196 @@
+"""The frames of the wire: events are decoded straight into calls, actions encoded as they come."""
+
+import struct
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from pumicenotch.interface import Outcome
+
+OUTCOMES = {
+    0: Outcome.OK, 13: Outcome.ERROR, 8: Outcome.FULL, 4: Outcome.TIMEOUT,
+    14: Outcome.UNREACHED, 10: Outcome.RESET, 1: Outcome.CANCELLED, 9: Outcome.MOOT,
+}  # fmt: skip
+
+HEADER = struct.Struct(">IQ")
+LENGTH = struct.Struct(">I")
+CODE = struct.Struct(">H")
+FOR = struct.Struct(">H")
+ATTACH = struct.Struct(">QI")
+WORK_ITEM = struct.Struct(">QIIfBQQQHIIf")
+HANDLE = struct.Struct(">Q")
+RESULT = struct.Struct(">QBI")
+DEP_REPLY = struct.Struct(">QIB")
+RING = struct.Struct(">QB")
+
+OUT_BY = struct.Struct(">HH")
+OUT_HANDLE = struct.Struct(">HQ")
+OUT_SHED = struct.Struct(">HQBI")
+OUT_HANDLE_TIME = struct.Struct(">HQI")
+OUT_READINESS = struct.Struct(">HBB")
+OUT_STAMP = struct.Struct(">Hf")
+OUT_IDLE = struct.Struct(">HI")
+OUT_WAKE = struct.Struct(">HIQ")
+OUT_TEXT = struct.Struct(">HH")
+
+
+class BadFrame(ValueError):
+    """A frame that cannot be read; the text says what and where."""
+
+
+def us(ms: float) -> int:
+    return min(max(0, round(ms * 1000.0)), 0xFFFFFFFF)
+
+
+class Reply:
+    """The reply in the making, and the instance that its latest records belong to."""
+
+    def __init__(self) -> None:
+        self.records = bytearray()
+        self.who: int | None = None
+
+
+class Encoder:
+    """The actions of one instance, written behind a `by` record wherever another's came before."""
+
+    def __init__(self, who: int, reply: Reply) -> None:
+        self.who = who
+        self.reply = reply
+        self.by = OUT_BY.pack(1150, who)
+
+    def write(self, record: bytes) -> None:
+        if self.reply.who != self.who:
+            self.reply.who = self.who
+            self.reply.records += self.by
+        self.reply.records += record
+
+    def run(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1000, task))
+
+    def reject(self, task: int, last: bool, stay_away_ms: float) -> None:
+        self.write(OUT_SHED.pack(1010, task, last, us(stay_away_ms)))
+
+    def abandon(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1020, task))
+
+    def halt(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1030, task))
+
+    def call(self, task: int, give_up_ms: float) -> None:
+        self.write(OUT_HANDLE_TIME.pack(1040, task, us(give_up_ms)))
+
+    def skip_call(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1050, task))
+
+    def keep(self, task: int, for_ms: float) -> None:
+        self.write(OUT_HANDLE_TIME.pack(1060, task, us(for_ms)))
+
+    def forget(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1070, task))
+
+    def reuse(self, task: int) -> None:
+        self.write(OUT_HANDLE.pack(1080, task))
+
+    def health(self, good: bool, stored: bool) -> None:
+        self.write(OUT_READINESS.pack(1090, good, stored))
+
+    def say(self, value: float) -> None:
+        self.write(OUT_STAMP.pack(1100, value))
+
+    def close_idle(self, after_ms: float) -> None:
+        self.write(OUT_IDLE.pack(1110, us(after_ms)))
+
+    def wake(self, after_ms: float) -> None:
+        self.write(OUT_WAKE.pack(1120, us(after_ms), 0))
+
+    def log(self, text: str) -> None:
+        self.text(1130, text)
+
+    def fault(self, text: str) -> None:
+        self.text(1140, text)
+
+    def text(self, code: int, text: str) -> None:
+        data = text.encode()[:0xFFFF]
+        self.write(OUT_TEXT.pack(code, len(data)) + data)
+
+
+def events(frame: bytes) -> Iterator[tuple[str, tuple[Any, ...]]]:
+    """Each record of a batch: the name of the call it becomes, and that call's arguments after the time."""
+    at, end = 0, len(frame)
+    while at < end:
+        start = at
+        try:
+            (code,) = CODE.unpack_from(frame, at)
+            decode = DECODERS.get(code)
+            if decode is None:
+                raise BadFrame(f"unknown event code {code} at byte {start} of the batch")
+            name, arguments, at = decode(frame, at + CODE.size)
+        except (struct.error, UnicodeDecodeError):
+            raise BadFrame(f"truncated or malformed event at byte {start} of the batch") from None
+        yield name, arguments
+
+
+Decoded = tuple[str, tuple[Any, ...], int]
+
+
+def plain(name: str, form: struct.Struct) -> Callable[[bytes, int], Decoded]:
+    def decode(frame: bytes, at: int) -> Decoded:
+        return name, form.unpack_from(frame, at), at + form.size
+
+    return decode
+
+
+def counted(frame: bytes, at: int, length: int) -> bytes:
+    if at + length > len(frame):
+        raise struct.error("count past the end")
+    return frame[at : at + length]
+
+
+def attach(frame: bytes, at: int) -> Decoded:
+    seed, length = ATTACH.unpack_from(frame, at)
+    at += ATTACH.size
+    return "attach", (seed, counted(frame, at, length).decode()), at + length
+
+
+def work_item(frame: bytes, at: int) -> Decoded:
+    task, work, waited, rank, flags, limit, _, same, stage, caller, tenant, kb = WORK_ITEM.unpack_from(
+        frame, at
+    )
+    hint = work / 1000.0 if flags & 1 else None
+    arguments = (task, stage, tenant, caller, waited / 1000.0, limit / 1000.0 or None, hint, kb, rank,
+                 same or None, bool(flags & 2))  # fmt: skip
+    return "task", arguments, at + WORK_ITEM.size
+
+
+def outcome(code: int, at: int) -> Outcome:
+    if code not in OUTCOMES:
+        raise BadFrame(f"unknown outcome {code} at byte {at} of the batch")
+    return OUTCOMES[code]
+
+
+def result(frame: bytes, at: int) -> Decoded:
+    task, code, _ = RESULT.unpack_from(frame, at)
+    return "ended", (task, outcome(code, at)), at + RESULT.size
+
+
+def dep_reply(frame: bytes, at: int) -> Decoded:
+    task, took, code = DEP_REPLY.unpack_from(frame, at)
+    return "call_ended", (task, outcome(code, at), took / 1000.0), at + DEP_REPLY.size
+
+
+def retire_soon(frame: bytes, at: int) -> Decoded:
+    (stop,) = HANDLE.unpack_from(frame, at)
+    return "leave", (stop / 1000.0,), at + HANDLE.size
+
+
+def ring(frame: bytes, at: int) -> Decoded:
+    _, count = RING.unpack_from(frame, at)
+    at += RING.size
+    values = struct.unpack(f">{count}f", counted(frame, at, 4 * count))
+    return "tick", (values,), at + 4 * count
+
+
+DECODERS: dict[int, Callable[[bytes, int], Decoded]] = {
+    1000: ring, 1010: plain("caller_gone", HANDLE), 1020: plain("crash_now", struct.Struct(">")),
+    1030: plain("for", FOR), 1040: result, 1050: attach, 1060: retire_soon, 1070: dep_reply,
+    1080: work_item, 1090: plain("at_call", HANDLE),
+}  # fmt: skip
--- /dev/null
+++ b/pumicenotch/adapter/start.py
@@ -0,0 +1,100 @@
+"""Turns the pairs that a server is started with into keyword arguments: times in ms, absent keys left out."""
+
+from collections.abc import Callable
+from typing import Any
+
+from pumicenotch.interface import Below, Effect, Halt, Signal, Stage, Tenant
+
+EFFECTS = {"repeatable": Effect.RESTARTABLE, "by_key": Effect.FINGERPRINTED, "once": Effect.SIDE_EFFECTING}
+HALTS = {"off": Halt.NONE, "drop": Halt.DROP, "pause": Halt.PAUSE}
+SIGNALS = {"off": Signal.NONE, "min_rank": Signal.LEVEL, "tokens": Signal.CREDIT, "bias": Signal.WEIGHT}
+BELOWS = {"off": Below.NONE, "common": Below.SHARED, "next_hop": Below.TIER}
+TRUTHS = {"true": True, "false": False}
+
+
+def ms(text: str) -> float:
+    return float(text) / 1000.0
+
+
+def floats(text: str) -> list[float]:
+    return [float(part) for part in text.split(",")]
+
+
+# Path on the wire -> keyword of the control and how the text is read.
+KEYWORDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    "caps.max-retry-after": ("stay_away_most_ms", ms),
+    "caps.retry-after": ("stay_away_passed", TRUTHS.__getitem__),
+    "family-info.below": ("below", BELOWS.__getitem__),
+    "family-info.call-share": ("call_share", float),
+    "family-info.callers": ("callers", int),
+    "family-info.cold": ("cold", TRUTHS.__getitem__),
+    "family-info.cores": ("cores", int),
+    "family-info.dep-window": ("call_window_ms", ms),
+    "family-info.entry-kb": ("entry_kb", float),
+    "family-info.halt": ("halt", HALTS.__getitem__),
+    "family-info.memory-kb": ("memory_kb", float),
+    "family-info.run-factor": ("run_factor", float),
+    "family-info.signal": ("signal", SIGNALS.__getitem__),
+    "family-info.stays-for": ("linger_ms", ms),
+    "rules.cold-share": ("cold_share", float),
+    "rules.fall-multiple": ("crowd_multiple", float),
+    "rules.stop-sending-within": ("drain_grace_ms", ms),
+    "rules.warm-after": ("warm_ms", ms),
+    "servers": ("servers", int),
+}
+
+
+class BadStart(ValueError):
+    """A start value that cannot be read; the text names its path."""
+
+
+def read(path: str, pairs: dict[str, str], kind: Callable[[str], Any], absent: Any) -> Any:
+    if path not in pairs:
+        return absent
+    try:
+        return kind(pairs[path])
+    except (ValueError, KeyError):
+        raise BadStart(f"malformed start value {path}={pairs[path]!r}") from None
+
+
+def keywords(text: str) -> dict[str, Any]:
+    pairs: dict[str, str] = {}
+    for line in text.splitlines():
+        if line.strip():
+            path, equals, value = line.partition("=")
+            if not equals:
+                raise BadStart(f"malformed start value {line!r}: no '='")
+            pairs[path.strip()] = value.strip()
+    found = {word: read(path, pairs, kind, None) for path, (word, kind) in KEYWORDS.items() if path in pairs}
+    skips = read(
+        "family-info.class-skip-worth", pairs, lambda value: [float(part) for part in value.split(",")], []
+    )
+    found["stages"] = [stage(pairs, at, skips) for at in range(read("classes.count", pairs, int, 0))]
+    found["tenants"] = [tenant(pairs, at) for at in range(read("tenants.count", pairs, int, 0))]
+    meters = pairs.get("family-info.meters", "")
+    found["gauges"] = meters.split(",") if meters else []
+    return found
+
+
+def stage(pairs: dict[str, str], at: int, skips: list[float]) -> Stage:
+    prefix = f"classes.{at}."
+    limit_ms = read(prefix + "deadline", pairs, ms, None)
+    if limit_ms is None:
+        raise BadStart(f"missing start value {prefix}deadline")
+    return Stage(
+        due_ms=read(prefix + "target", pairs, ms, limit_ms),
+        due_stretch=read(prefix + "aim-stretch", pairs, float, 0.0),
+        limit_ms=limit_ms,
+        effect=read(prefix + "effect", pairs, EFFECTS.__getitem__, Effect.SIDE_EFFECTING),
+        window_ms=read(prefix + "memory-span", pairs, ms, 0.0),
+        utility=read(prefix + "worth", pairs, float, 1.0),
+        late_utility=read(prefix + "late-value", pairs, float, 0.0),
+        skip_utility=skips[at] if at < len(skips) else 0.0,
+    )
+
+
+def tenant(pairs: dict[str, str], at: int) -> Tenant:
+    return Tenant(
+        share=read(f"tenants.{at}.share", pairs, float, 1.0),
+        allowance_per_s=read(f"tenants.{at}.allowance-per-s", pairs, float, None),
+    )
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,19 @@
+from pathlib import Path
+
+import pytest
+
+from tests.play import Play
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    play = Play()
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        step = line.partition("#")[0].strip()
+        if step:
+            try:
+                play.line(step)
+            except AssertionError as error:
+                raise AssertionError(f"{path.name}:{number}: {step}: {error}") from None
