--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -406,7 +406,7 @@
         most = call_share if below is Below.SHARED else 16.0 * cores
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
         self.advice = Advice(actions, signal)
-        self.run_ms: dict[int, float] = {}  # stage -> recent time of a run, for each unit of work hinted at
+        self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
         self.slot_ms = 0.0  # recent time that a task keeps its place among those running; 0: none has ended
         self.ended_at = self.sampled_at = now
         self.responses = self.late = 0
@@ -426,9 +426,11 @@
         return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores) if self.limit.on_cores else seen
 
     def run_time(self, task: Task, now: float) -> float:
-        known = self.run_ms.get(task.stage_no)
-        unit = task.work or 1.0
-        return known * unit if known else max(self.slot(now), task.work or 0.0)
+        """What a run takes: the stage's mean, leaning to the hint by as much as hints and runs go together."""
+        if task.stage_no not in self.run_ms:
+            return max(self.slot(now), task.work or 0.0)
+        mean, work = self.run_ms[task.stage_no]
+        return mean * (0.3 + 0.7 * task.work / work) if task.work and work else mean
 
     # Events
 
@@ -490,11 +492,12 @@
         span = (task.due - task.arrived) / task.stage.utility**0.5
         task.key = task.arrived + (2.0 * span if over_share else span)
         ahead = sum(other < task for other in line.queue)
-        hope = (task.due - now) * (0.5 if over_share else 0.9)
+        left = task.due - now
         wait = 0.0 if self.limit.has_room(now) else (ahead + 1) * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
-        if full or wait + self.run_time(task, now) > hope:
-            self.advice.turned_away += 1
+        part = 1.3 if not wait else 0.5 if over_share else 0.9  # estimates are rough: with room, doubt runs
+        if full or wait + self.run_time(task, now) > part * left:
+            self.advice.turned_away += wait > 0.0
             self.reject(task, now, wait)
         else:
             insort(line.queue, task)
@@ -536,9 +539,8 @@
         ran = now - task.began
         slot = ran - task.off_ms
         self.slot_ms += 0.05 * (slot - self.slot_ms) if self.slot_ms else slot
-        unit = ran / (task.work or 1.0)
-        known = self.run_ms.get(task.stage_no, unit)
-        self.run_ms[task.stage_no] = known + 0.05 * (unit - known)
+        mean, work = self.run_ms.get(task.stage_no, (self.slot(now), task.work or 0.0))
+        self.run_ms[task.stage_no] = (mean + 0.05 * (ran - mean), work + 0.05 * ((task.work or 0.0) - work))
         self.ended_at = now
         self.responses += 1
         self.late += now > task.due
