--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -278,8 +278,10 @@
     """Calls below, paced by a rate that follows their recent time and kept within this server's share."""
 
     SHARE_USED = 0.9  # of the own share: what is given up lingers, and clocks differ by a batch
-    CROWDED = 2.0  # times the best time seen: what is below is crowded, and fewer calls get more done
+    CROWDED = 4.0  # times the best mean seen, which chance halves: what is below is crowded, fewer do more
     CUT, RISE = 0.8, 1.1  # a sample: a crowd below clears within a few, and room is found again in seconds
+    LEAST = 0.2  # of the own share: so little crowds nothing, and less would starve this server for good
+    PATIENCE = 5.0  # times the recent time: hardly any call that comes back at all takes longer
     TRIES = 3  # of one call: the third time, what is below is failing and not merely full
 
     def __init__(
@@ -289,7 +291,7 @@
         self.agenda, self.actions, self.jitter = agenda, actions, chance.uniform
         self.window_ms, self.linger_ms = window_ms, linger_ms
         self.most = self.SHARE_USED * most
-        self.depth = 0.5 * self.most  # calls in hand that the pace aims at
+        self.depth = self.most  # calls in hand that the pace aims at
         self.waiting: list[Task] = []
         self.in_hand: dict[int, Task] = {}
         self.lingering = 0
@@ -333,8 +335,10 @@
             self.agenda.at(now + lingers, self.lingered, 1)
         if self.most < 1.0:
             self.free_at = task.call_at + (took + lingers) / self.most
-        if outcome not in NEVER_RAN:
-            self.recent_ms += 0.2 * (took - self.recent_ms) if self.recent_ms else took
+        # Times of calls given up or cut off are waits of ours: learnt from, they would slow the pace until
+        # nothing is called any more, long after a cut that they tell of is over.
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            self.recent_ms += 0.1 * (took - self.recent_ms) if self.recent_ms else took
 
     def lingered(self, now: float, calls: int) -> None:
         self.lingering -= calls
@@ -347,7 +351,7 @@
             return
         self.best_ms = min(self.best_ms * 1.01, self.recent_ms) if self.best_ms else self.recent_ms
         self.depth *= self.CUT if slow > self.CROWDED * self.best_ms else self.RISE
-        self.depth = min(self.most, max(min(1.0, 0.5 * self.most), self.depth))
+        self.depth = min(self.most, max(self.LEAST * self.most, self.depth))
 
 
 class Advice:
@@ -355,7 +359,7 @@
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample without rejections leaves this much of it
-    MOST = 0.9  # never wholly shut while serving: without tasks nothing would show that there is room
+    MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
 
     def __init__(self, actions: Actions, signal: Signal) -> None:
         self.actions, self.signal = actions, signal
@@ -381,6 +385,40 @@
             self.actions.say(value)
 
 
+class Health:
+    """A server that has become far slower than it was, or stands still, fails its checks for a while.
+
+    Guards against slow cores, a hang of the work and whatever else makes runs take many times their usual
+    time: the limit keeps that time steady under any load. What it could harm is a fleet that slows down as a
+    whole; each server therefore comes back after a rest, and is out for less time than it serves."""
+
+    SICK = 3.0  # times the usual: the least slowdown at which the others do better without this server
+    LEARNT = 0.03  # a sample: half a minute's mean, which a slowdown of some seconds hardly moves
+    ENOUGH = 50  # runs ended before a mean of theirs says anything: the first to end are the short ones
+    REST_MS = 3000.0  # a list of servers follows within a second or two; then there is time to clear the line
+
+    def __init__(self, actions: Actions) -> None:
+        self.actions = actions
+        self.usual_ms = self.until = 0.0
+        self.good = True
+
+    def sample(self, now: float, slot_ms: float, ended: int, leaving: bool) -> bool:
+        """Whether this server is back from a rest, its times to be learnt anew."""
+        if leaving or ended < self.ENOUGH:
+            return False
+        if self.good:
+            self.usual_ms += self.LEARNT * (slot_ms - self.usual_ms) if self.usual_ms else slot_ms
+            if slot_ms > self.SICK * self.usual_ms and now >= self.until + self.REST_MS:
+                self.good, self.until = False, now + self.REST_MS
+                self.actions.log(f"resting: a slot takes {slot_ms:.0f} ms, usually {self.usual_ms:.0f} ms")
+                self.actions.health(False, stored=True)
+        elif now >= self.until:
+            self.good = True
+            self.actions.health(True, stored=True)
+            return True
+        return False
+
+
 class Control:
     """One server's decisions: the chain of parts, and what each event does to a task."""
 
@@ -409,8 +447,9 @@
         self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
         self.slot_ms = 0.0  # recent time that a task keeps its place among those running; 0: none has ended
         self.ended_at = self.sampled_at = now
-        self.responses = self.late = 0
+        self.responses = self.late = self.learnt = 0
         self.due_ms = sum(stage.due_ms for stage in stages) / max(1, len(stages))
+        self.health = Health(actions)
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
         self.advice.sample(self.limit.speed(now), False, self.credit(now))
         actions.wake(TICK_MS)
@@ -426,7 +465,7 @@
         return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores) if self.limit.on_cores else seen
 
     def run_time(self, task: Task, now: float) -> float:
-        """What a run takes: the stage's mean, leaning to the hint by as much as hints and runs go together."""
+        """What a run takes: the stage's mean, leaning to the hint; the rest of a run is waits and chance."""
         if task.stage_no not in self.run_ms:
             return max(self.slot(now), task.work or 0.0)
         mean, work = self.run_ms[task.stage_no]
@@ -495,9 +534,10 @@
         left = task.due - now
         wait = 0.0 if self.limit.has_room(now) else (ahead + 1) * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
-        part = 1.3 if not wait else 0.5 if over_share else 0.9  # estimates are rough: with room, doubt runs
+        waited_long = now - task.arrived > 0.1 * (task.due - task.arrived)  # unread: reading is behind
+        part = 1.3 if not wait else 0.5 if over_share else 0.9  # estimates are rough: in doubt, room decides
         if full or wait + self.run_time(task, now) > part * left:
-            self.advice.turned_away += wait > 0.0
+            self.advice.turned_away += wait > 0.0 or waited_long
             self.reject(task, now, wait)
         else:
             insort(line.queue, task)
@@ -542,6 +582,7 @@
         mean, work = self.run_ms.get(task.stage_no, (self.slot(now), task.work or 0.0))
         self.run_ms[task.stage_no] = (mean + 0.05 * (ran - mean), work + 0.05 * ((task.work or 0.0) - work))
         self.ended_at = now
+        self.learnt += 1
         self.responses += 1
         self.late += now > task.due
         self.queues.lines[task.tenant].times.append(now - task.arrived)
@@ -566,7 +607,8 @@
             self.resume(task, now)
         elif not task.answered:
             tries = Calls.TRIES if task.stage.effect is Effect.RESTARTABLE else 0
-            if (outcome in NEVER_RAN or task.calls < tries) and now + 2.0 * self.calls.recent_ms < task.due:
+            again = outcome in NEVER_RAN or task.calls < tries
+            if again and now + max(TICK_MS, 2.0 * self.calls.recent_ms) < task.due:
                 later = self.calls.jitter(0.5, 1.5) * max(TICK_MS, 0.5 * self.calls.recent_ms)
                 self.agenda.at(now + later, self.calls.wait, task)
             elif task.stage.skip_utility > 0.0:
@@ -607,8 +649,8 @@
         self.work(now)
 
     def idle(self, gauges: dict[str, float]) -> bool:
-        wanted = gauges.get("on_cores")
-        return wanted < self.limit.cores if wanted is not None else gauges.get("core_use", 1.0) < 0.9
+        """Now, and over the last half second: tasks waiting for disk leave the cores free for a moment."""
+        return gauges.get("on_cores", 0.0) < self.limit.cores and gauges.get("core_use", 0.0) < 0.95
 
     def sample(self, now: float) -> None:
         self.sampled_at = now
@@ -620,7 +662,10 @@
             self.queues.rebuild(total)
         self.queues.sample(self.slot(now), self.due_ms)
         self.calls.sample(now)
-        self.advice.sample(self.limit.speed(now), self.duty.notice is not None, self.credit(now))
+        leaving = self.duty.notice is not None
+        if self.health.sample(now, self.slot(now), self.learnt, leaving):
+            self.slot_ms, self.ended_at = self.health.usual_ms, now
+        self.advice.sample(self.limit.speed(now), leaving or not self.health.good, self.credit(now))
 
     def work(self, now: float) -> None:
         """Sends the calls that the pace allows, then starts tasks."""
@@ -629,7 +674,12 @@
                 self.actions.skip_call(task.id)
                 self.resume(task, now)
             else:
-                self.calls.start(task, now, max(TICK_MS, task.limit - now))
+                patience = task.limit - now
+                if task.stage.skip_utility > 0.0 or task.stage.effect is Effect.RESTARTABLE:
+                    # Given up while there is time to call again or go on without: a cut or a hang below.
+                    enough = max(Calls.PATIENCE * self.calls.recent_ms, 0.25 * (task.due - now))
+                    patience = min(patience, enough)
+                self.calls.start(task, now, max(TICK_MS, patience))
         self.start(now)
 
     # Ends
