--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -133,6 +133,7 @@
 
     STEP = 0.25  # DESIGN's first value
     FACTOR = 0.5  # DESIGN's first value
+    CROWDED, GIVEN_BACK = 1.25, 0.9  # wanting a core, for each: more only stretches runs; a slot or so a sample
     MEMORY_USED = 0.94  # full is death; held tasks of one batch and rounding stay well inside the rest
     CROWD_USED = 0.8  # of the crowd survived; reading and checks crowd the cores as well
 
@@ -167,8 +168,8 @@
     def grow(self) -> None:
         self.limit += max(1.0, self.STEP * self.limit)
 
-    def shrink(self) -> None:
-        self.limit = max(float(self.cores), self.FACTOR * self.limit)
+    def shrink(self, factor: float) -> None:
+        self.limit = max(float(self.cores), factor * self.limit)
 
 
 class Line:
@@ -448,6 +449,7 @@
         self.slot_ms = 0.0  # recent time that a task keeps its place among those running; 0: none has ended
         self.ended_at = self.sampled_at = now
         self.responses = self.late = self.learnt = 0
+        self.wanted = 0.0  # mean of those wanting a core, over about a sample
         self.due_ms = sum(stage.due_ms for stage in stages) / max(1, len(stages))
         self.health = Health(actions)
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
@@ -641,6 +643,7 @@
         self.actions.wake(TICK_MS)
         gauges = dict(zip(self.gauges, values, strict=False))
         self.agenda.run(now)
+        self.wanted += 0.05 * (gauges.get("on_cores", 0.0) - self.wanted)
         waiting = any(line.queue for line in self.queues.lines)
         if waiting and self.limit.on_cores >= self.limit.total(now) and self.idle(gauges):
             self.limit.grow()
@@ -655,7 +658,9 @@
     def sample(self, now: float) -> None:
         self.sampled_at = now
         if self.late > 0.1 * self.responses:
-            self.limit.shrink()
+            self.limit.shrink(Limit.FACTOR)
+        elif self.wanted > Limit.CROWDED * self.limit.cores:
+            self.limit.shrink(Limit.GIVEN_BACK)
         self.responses = self.late = 0
         total = self.limit.total(now)
         if total != self.queues.total:
