--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -531,13 +531,13 @@
         line, slot = self.queues.lines[task.tenant], self.slot(now)
         over_share = line.over_share(now)
         span = (task.due - task.arrived) / task.stage.utility**0.5
-        task.key = task.arrived + (2.0 * span if over_share else span)
+        task.key = task.arrived + (4.0 * span if over_share else span)
         ahead = sum(other < task for other in line.queue)
         left = task.due - now
         wait = 0.0 if self.limit.has_room(now) else (ahead + 1) * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
         waited_long = now - task.arrived > 0.1 * (task.due - task.arrived)  # unread: reading is behind
-        part = 1.3 if not wait else 0.5 if over_share else 0.9  # estimates are rough: in doubt, room decides
+        part = 1.3 if not wait else 0.25 if over_share else 0.9  # estimates are rough: in doubt, room decides
         if full or wait + self.run_time(task, now) > part * left:
             self.advice.turned_away += wait > 0.0 or waited_long
             self.reject(task, now, wait)
