--- a/pumicenotch/adapter/codec.py
+++ b/pumicenotch/adapter/codec.py
@@ -152,12 +152,9 @@
 
 
 def work_item(frame: bytes, at: int) -> Decoded:
-    task, work, waited, rank, flags, limit, _, same, stage, caller, tenant, kb = WORK_ITEM.unpack_from(
-        frame, at
-    )
+    task, work, waited, _, flags, limit, _, same, stage, _, tenant, kb = WORK_ITEM.unpack_from(frame, at)
     hint = work / 1000.0 if flags & 1 else None
-    arguments = (task, stage, tenant, caller, waited / 1000.0, limit / 1000.0 or None, hint, kb, rank,
-                 same or None, bool(flags & 2))  # fmt: skip
+    arguments = (task, stage, tenant, waited / 1000.0, limit / 1000.0 or None, hint, kb, same or None)
     return "task", arguments, at + WORK_ITEM.size
 
 
@@ -173,8 +170,8 @@
 
 
 def dep_reply(frame: bytes, at: int) -> Decoded:
-    task, took, code = DEP_REPLY.unpack_from(frame, at)
-    return "call_ended", (task, outcome(code, at), took / 1000.0), at + DEP_REPLY.size
+    task, _, code = DEP_REPLY.unpack_from(frame, at)
+    return "call_ended", (task, outcome(code, at)), at + DEP_REPLY.size
 
 
 def retire_soon(frame: bytes, at: int) -> Decoded:
--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -7,45 +7,37 @@
 docs/design.md. Beside it stand these mechanisms:
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
   2. order: a tenant's queue goes by due time, nearer for more utility, later for what is beyond its share;
-  3. advice: the signal shuts as tasks are turned away, so that callers send less;
-  4. pace: calls below follow their recent time.
+  3. advice: the free value shuts as tasks are turned away, so that callers send less;
+  4. rest: a server far slower than it was fails its checks for a while;
+  5. pace: calls below follow their recent time;
+  6. giving back: the limit falls while more than the cores can serve want one.
 """
 
 import heapq
 import random
 from bisect import insort
 from collections.abc import Callable
-from enum import Enum, auto
+from itertools import count
 from math import exp, log
 from typing import Any
 
-from pumicenotch.interface import Actions, Below, Effect, Halt, Outcome, Signal, Stage, Tenant
+from pumicenotch.interface import Actions, Below, Effect, Halt, Outcome, Signal, Stage, State, Tenant
 
 TICK_MS = 25.0  # the one timer: half the least slack seen fit for an answer, and cheap in any language
 SAMPLE_MS = 1000.0  # the paper's 2 s halved: a surge of some seconds would be over before four long samples
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)  # outcomes that prove a call never took effect
 
 
-class State(Enum):
-    HELD = auto()  # read, not started
-    FOLLOWING = auto()  # a repeat of a task that is still held
-    REUSING = auto()  # a repeat served from the first try
-    RUNNING = auto()
-    CALLING = auto()  # off the cores, at a call below
-    OVER = auto()
-
-
 class Task:
     """One try as it was read, and how far it is."""
 
     def __init__(self, ident: int, stage_no: int, stage: Stage, tenant: int, arrived: float) -> None:
         self.id, self.stage_no, self.stage, self.tenant = ident, stage_no, stage, tenant
-        self.arrived = arrived
-        self.state, self.answered = State.HELD, False
+        self.arrived, self.state, self.answered = arrived, State.HELD, False
         self.due = self.limit = self.kb = 0.0
         self.work: float | None = None
-        self.first: Task | None = None
-        self.followers: list[Task] = []
+        self.first: Task | None = None  # that a repeat waits for
+        self.followers: list[Task] = []  # repeats that wait for this one
         self.key = self.began = self.call_at = self.off_ms = 0.0
         self.calls = 0
 
@@ -58,11 +50,10 @@
 
     def __init__(self) -> None:
         self.items: list[tuple[float, int, Callable[..., None], Any]] = []
-        self.count = 0
+        self.order = count()
 
     def at(self, when: float, do: Callable[[float, Any], None], what: Any) -> None:
-        self.count += 1
-        heapq.heappush(self.items, (when, self.count, do, what))
+        heapq.heappush(self.items, (when, next(self.order), do, what))
 
     def run(self, now: float) -> None:
         while self.items and self.items[0][0] <= now:
@@ -71,25 +62,21 @@
 
 
 class Duty:
-    """Rule 1 and rule 3: every task read gets one answer by its time limit, or before the process stops."""
+    """Rules 1 and 3: every task read gets one answer by its time limit, or before the process stops."""
 
     MARGIN_MS = TICK_MS + 10.0  # answered this long before the limit: a tick late still leaves time in hand
 
     def __init__(self, agenda: Agenda, drain_grace_ms: float, answer: Callable[[float, Task], None]) -> None:
         self.agenda, self.drain_grace_ms, self.answer = agenda, drain_grace_ms, answer
         self.tasks: dict[int, Task] = {}
-        self.notice: float | None = None
-        self.stop = float("inf")
+        self.last_arrival = self.stop = float("inf")
 
     def take(self, task: Task) -> None:
         self.tasks[task.id] = task
         self.agenda.at(min(task.limit, self.stop) - self.MARGIN_MS, self.answer, task)
 
-    def may_run(self, task: Task) -> bool:
-        return self.notice is None or task.arrived <= self.notice + self.drain_grace_ms
-
     def leave(self, now: float, stop: float) -> None:
-        self.notice, self.stop = now, stop
+        self.last_arrival, self.stop = now + self.drain_grace_ms, stop
         for task in self.tasks.values():
             self.agenda.at(stop - self.MARGIN_MS, self.answer, task)
 
@@ -100,8 +87,6 @@
     def __init__(self, agenda: Agenda, actions: Actions, entry_kb: float) -> None:
         self.agenda, self.actions, self.entry_kb = agenda, actions, entry_kb
         self.kept: set[int] = set()
-        self.unrun: set[int] = set()  # ended unrun in this batch: a repeat read with it is no repeat of a run
-        self.unrun_at = 0.0
 
     def keep(self, task: Task, now: float) -> None:
         # 20 ms beyond the window: the entry must outlast the last repeat by more than a batch.
@@ -114,11 +99,7 @@
         self.kept.discard(ident)
 
     def drop(self, task: Task, now: float) -> None:
-        """The task ended without having run: its entry goes, and a repeat of it is a first try."""
-        if now != self.unrun_at:
-            self.unrun.clear()
-            self.unrun_at = now
-        self.unrun.add(task.id)
+        """The task ended without having run: its entry goes, and what comes again is a first try."""
         if task.id in self.kept:
             self.expire(now, task.id)
             self.actions.forget(task.id)
@@ -131,26 +112,23 @@
 class Limit:
     """DESIGN's total limit, under the guards of rule 4: memory, and the crowd on the cores."""
 
-    STEP = 0.25  # DESIGN's first value
-    FACTOR = 0.5  # DESIGN's first value
-    CROWDED, GIVEN_BACK = 1.25, 0.9  # wanting a core, for each: more only stretches runs; a slot or so a sample
+    STEP, FACTOR, MISSES = 0.25, 0.5, 0.1  # DESIGN's first values, and its tenth of a sample's responses
+    CROWDED, GIVEN_BACK = 1.25, 0.9  # wanting a core, for each: more only stretches runs; a slot a sample
     MEMORY_USED = 0.94  # full is death; held tasks of one batch and rounding stay well inside the rest
     CROWD_USED = 0.8  # of the crowd survived; reading and checks crowd the cores as well
 
-    def __init__(
-        self, now: float, cores: int, memory_kb: float, run_factor: float, multiple: float, speed: float,
-        warm_ms: float,
-    ) -> None:  # fmt: skip
+    def __init__(self, now: float, cores: int, memory_kb: float, run_factor: float, multiple: float,
+                 speed: float, warm_ms: float) -> None:
         self.cores, self.memory_kb, self.run_factor, self.multiple = cores, memory_kb, run_factor, multiple
-        self.cold_share, self.warm_ms = speed, max(warm_ms, 1.0)
-        self.started = now
-        self.limit = float(cores)
-        self.used_kb = 0.0
+        self.started, self.cold_speed, self.warm_ms = now, speed, max(warm_ms, 1.0)
+        self.limit, self.used_kb = float(cores), 0.0
+        self.wanted = 0.0  # mean of those wanting a core, over about a sample
         self.on_cores = self.away = 0  # started tasks: wanting a core (or disk), and at a call
+        self.responses = self.late = 0
 
     def speed(self, now: float) -> float:
         """The share of its speed that the server has at the least."""
-        return min(1.0, self.cold_share + (1.0 - self.cold_share) * (now - self.started) / self.warm_ms)
+        return min(1.0, self.cold_speed + (1.0 - self.cold_speed) * (now - self.started) / self.warm_ms)
 
     def most(self, now: float) -> float:
         return self.CROWD_USED * self.cores * (1.0 + (self.multiple - 1.0) * self.speed(now))
@@ -162,53 +140,64 @@
         # Tasks away at calls come back on their own, so they count against the crowd though not the limit.
         return self.on_cores < self.total(now) and self.on_cores + self.away + 1 <= self.most(now)
 
-    def fits(self, extra_kb: float, entries_kb: float) -> bool:
-        return self.used_kb + entries_kb + extra_kb <= self.MEMORY_USED * self.memory_kb
-
-    def grow(self) -> None:
-        self.limit += max(1.0, self.STEP * self.limit)
-
-    def shrink(self, factor: float) -> None:
+    def fits(self, extra_kb: float) -> bool:
+        return self.used_kb + extra_kb <= self.MEMORY_USED * self.memory_kb
+
+    def takes(self, task: Task, entries_kb: float) -> bool:
+        """Sets aside the memory of a run, where there is room for it."""
+        extra = task.kb * (self.run_factor - 1.0)
+        fits = self.fits(extra + entries_kb)
+        self.used_kb += extra if fits else 0.0
+        return fits
+
+    def tick(self, now: float, waiting: bool, gauges: dict[str, float]) -> None:
+        """Grows while cores idle, now and over the last half second: waits for disk free them for moments."""
+        wanted = gauges.get("on_cores", 0.0)
+        self.wanted += TICK_MS / SAMPLE_MS * 2.0 * (wanted - self.wanted)
+        idle = wanted < self.cores and gauges.get("core_use", 0.0) < 0.95  # busy but for chance
+        if waiting and idle and self.on_cores >= self.total(now):
+            self.limit += max(1.0, self.STEP * self.limit)
+
+    def sample(self) -> None:
+        late, self.late, self.responses = self.late > self.MISSES * self.responses, 0, 0
+        factor = self.FACTOR if late else self.GIVEN_BACK if self.wanted > self.CROWDED * self.cores else 1.0
         self.limit = max(float(self.cores), factor * self.limit)
 
 
 class Line:
     """What is known of one tenant: its queue, its tasks at work, and its side of the control loop."""
 
-    def __init__(self, allowance: float | None) -> None:
+    SAVED_MS = 4000.0  # of the allowance: arrivals here are a random part of the tenant's, and come in clumps
+
+    def __init__(self, allowance_per_ms: float | None) -> None:
         self.queue: list[Task] = []
-        self.busy = 0
-        self.cap = 1.0
         self.times: list[float] = []  # response times of this sample
-        self.last_error = self.v = 0.0
-        self.above = self.below = 0
+        self.cap, self.error, self.v = 1.0, 0.0, 0.0
+        self.busy = self.above = self.below = 0
         self.marked = False
-        self.allowance = allowance  # tasks a ms that this server may expect within the tenant's share
-        self.tokens = self.filled_at = 0.0
+        self.rate, self.filled_at = allowance_per_ms, 0.0
+        self.tokens = self.most = max(4.0, self.SAVED_MS * (allowance_per_ms or 0.0))
 
     def over_share(self, now: float) -> bool:
-        """Takes a token for a task; without one the task is beyond the share. Arrivals here are a random part
-        of the tenant's, so some seconds' tokens may be saved: fewer would take chance for excess."""
-        if self.allowance is None:
+        """Takes a token for a task; without one the task is beyond the tenant's share."""
+        if self.rate is None:
             return False
-        most = max(4.0, 4000.0 * self.allowance)
-        gained = (now - self.filled_at) * self.allowance if self.filled_at else most
-        self.tokens = min(most, self.tokens + gained)
+        self.tokens = min(self.most, self.tokens + (now - self.filled_at) * self.rate)
         self.filled_at = now
-        if self.tokens < 1.0:
-            return True
-        self.tokens -= 1.0
-        return False
+        over = self.tokens < 1.0
+        self.tokens -= 0.0 if over else 1.0
+        return over
+
+
+def inverse(y: float) -> float:
+    return 7.48 * log(max(y, 1e-6)) - 0.08  # DESIGN's compensator of the output
 
 
 class Queues:
     """HWCS: a queue and a cap per tenant; floors reserved, the rest split by compensated PI."""
 
-    KP, KI = 0.47, 0.16  # DESIGN's
-    V_MOST = 6  # DESIGN's clamp
-    THRESHOLD = 0.66  # of the queue's length: DESIGN's 20 in 30
-    WINDOW = 4  # samples, DESIGN's
-    TILT = 3.0  # DESIGN's 1:3
+    KP, KI, V_MOST = 0.47, 0.16, 6  # DESIGN's gains and clamp
+    THRESHOLD, WINDOW, TILT = 0.66, 4, 3.0  # DESIGN's 20 in 30 of a queue's length, four samples, and 1:3
     LENGTH = 30  # DESIGN's q_len, the most that a queue may hold however fast it drains
     HOLD = 0.7  # of the due time may go by in a full queue: the rest is for the run and its calls
 
@@ -220,8 +209,7 @@
     def rebuild(self, total: int) -> None:
         """The table from v to S_i/S_{i-1}: even steps of its logarithm, up to what the floors leave."""
         n = len(self.lines)
-        self.total = total
-        self.floor = min(1.0, 0.5 * total / n)
+        self.total, self.floor = total, min(1.0, 0.5 * total / n)
         widest = log((total - (n - 1) * self.floor) / self.floor) if n > 1 else 0.0
         self.table = {v: exp(widest * v / self.V_MOST) for v in range(-self.V_MOST, self.V_MOST + 1)}
         self.split()
@@ -234,32 +222,25 @@
         for line, weight in zip(self.lines, weights, strict=True):
             line.cap = self.floor + rest * weight
 
-    def sample(self, slot_ms: float, due_ms: float) -> None:
-        marked = 0
+    def sample(self, total: int, slot_ms: float, due_ms: float) -> None:
+        if total != self.total:
+            self.rebuild(total)
         for line in self.lines:
             long = len(line.queue) > self.THRESHOLD * self.length(line, slot_ms, due_ms)
             line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
-            if line.above >= self.WINDOW:
-                line.marked = True
-            elif line.below >= self.WINDOW:
-                line.marked = False
-            marked += line.marked
-        even = marked in (0, len(self.lines))
+            line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
+        even = len({line.marked for line in self.lines}) == 1
         for before, line in zip(self.lines, self.lines[1:], strict=False):
             if before.times and line.times:
                 y = (sum(line.times) / len(line.times)) / (sum(before.times) / len(before.times))
                 r = 1.0 if even else self.TILT ** (line.marked - before.marked)
-                error = self.inverse(y) - self.inverse(r)
-                v = line.v + (self.KP + self.KI) * error - self.KP * line.last_error
-                line.v, line.last_error = max(-self.V_MOST, min(self.V_MOST, v)), error
+                error = inverse(y) - inverse(r)
+                v = line.v + (self.KP + self.KI) * error - self.KP * line.error
+                line.v, line.error = max(-self.V_MOST, min(self.V_MOST, v)), error
         for line in self.lines:
             line.times.clear()
         self.split()
 
-    @staticmethod
-    def inverse(y: float) -> float:
-        return 7.48 * log(max(y, 1e-6)) - 0.08
-
     def part(self, line: Line) -> float:
         """The slots that the tenant's cap comes to, with those of tenants that have nothing waiting."""
         waiting = sum(other.cap for other in self.lines if other.queue or other is line)
@@ -285,14 +266,11 @@
     PATIENCE = 5.0  # times the recent time: hardly any call that comes back at all takes longer
     TRIES = 3  # of one call: the third time, what is below is failing and not merely full
 
-    def __init__(
-        self, agenda: Agenda, actions: Actions, chance: random.Random, most: float, window_ms: float,
-        linger_ms: float,
-    ) -> None:  # fmt: skip
+    def __init__(self, agenda: Agenda, actions: Actions, chance: random.Random, most: float,
+                 window_ms: float, linger_ms: float) -> None:
         self.agenda, self.actions, self.jitter = agenda, actions, chance.uniform
         self.window_ms, self.linger_ms = window_ms, linger_ms
-        self.most = self.SHARE_USED * most
-        self.depth = self.most  # calls in hand that the pace aims at
+        self.depth = self.most = self.SHARE_USED * most  # calls in hand: that the pace aims at, and at most
         self.waiting: list[Task] = []
         self.in_hand: dict[int, Task] = {}
         self.lingering = 0
@@ -305,26 +283,26 @@
 
     def next(self, now: float) -> Task | None:
         """The next waiting task that may call now."""
-        if self.recent_ms:
-            gained = (now - self.filled_at) * self.depth / self.recent_ms
-            self.tokens = min(max(1.0, 0.25 * self.depth), self.tokens + gained)
-        else:
-            self.tokens = 1.0
+        gained = (now - self.filled_at) * self.depth / self.recent_ms if self.recent_ms else 1.0
+        self.tokens = min(max(1.0, 0.25 * self.depth), self.tokens + gained)
         self.filled_at = now
         hand = len(self.in_hand) + self.lingering
         if not self.waiting or self.tokens < 1.0 or now < self.free_at or hand + 1 > max(1.0, self.most):
             return None
         return self.waiting.pop(0)
 
-    def start(self, task: Task, now: float, give_up_ms: float) -> None:
+    def start(self, task: Task, now: float) -> None:
+        give_up_ms = task.limit - now
+        if task.stage.effect is Effect.RESTARTABLE or task.stage.skip_utility > 0.0:
+            # Given up while there is time to call again or go on without: a cut or a hang below.
+            give_up_ms = min(give_up_ms, max(self.PATIENCE * self.recent_ms, 0.25 * (task.due - now)))
         if self.most < 1.0:
             # One call may not hold the only place for more than half of what the window allows.
-            give_up_ms = min(give_up_ms, max(20.0, 0.5 * self.most * self.window_ms - self.linger_ms))
+            give_up_ms = min(give_up_ms, 0.5 * self.most * self.window_ms - self.linger_ms)
         self.tokens -= 1.0
-        task.calls += 1
-        task.call_at = now
+        task.calls, task.call_at = task.calls + 1, now
         self.in_hand[task.id] = task
-        self.actions.call(task.id, give_up_ms)
+        self.actions.call(task.id, max(TICK_MS, give_up_ms))
 
     def end(self, task: Task, now: float, outcome: Outcome) -> None:
         if self.in_hand.pop(task.id, None) is None:
@@ -332,8 +310,8 @@
         took = now - task.call_at
         lingers = self.linger_ms if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) else 0.0
         if lingers:
-            self.lingering += 1
-            self.agenda.at(now + lingers, self.lingered, 1)
+            self.linger(now, 1)
+            self.agenda.at(now + lingers, self.linger, -1)
         if self.most < 1.0:
             self.free_at = task.call_at + (took + lingers) / self.most
         # Times of calls given up or cut off are waits of ours: learnt from, they would slow the pace until
@@ -341,100 +319,93 @@
         if outcome in (Outcome.OK, Outcome.ERROR):
             self.recent_ms += 0.1 * (took - self.recent_ms) if self.recent_ms else took
 
-    def lingered(self, now: float, calls: int) -> None:
-        self.lingering -= calls
+    def linger(self, now: float, calls: int) -> None:
+        self.lingering += calls
 
     def sample(self, now: float) -> None:
         """The depth falls while calls, those still out among them, take far longer than at their best."""
-        oldest = max((now - task.call_at for task in self.in_hand.values()), default=0.0)
-        slow = max(self.recent_ms, 0.5 * oldest)
-        if not self.recent_ms:
-            return
-        self.best_ms = min(self.best_ms * 1.01, self.recent_ms) if self.best_ms else self.recent_ms
-        self.depth *= self.CUT if slow > self.CROWDED * self.best_ms else self.RISE
-        self.depth = min(self.most, max(self.LEAST * self.most, self.depth))
+        if self.recent_ms:
+            oldest = max((now - task.call_at for task in self.in_hand.values()), default=0.0)
+            self.best_ms = min(self.best_ms * 1.01, self.recent_ms) if self.best_ms else self.recent_ms
+            crowded = max(self.recent_ms, 0.5 * oldest) > self.CROWDED * self.best_ms
+            self.depth *= self.CUT if crowded else self.RISE
+            self.depth = min(self.most, max(self.LEAST * self.most, self.depth))
+
 
+class Signals:
+    """What callers are told. The free value shuts while tasks are turned away for want of room.
 
-class Advice:
-    """What callers are told: the free value shuts while tasks are turned away for want of room."""
+    A server far slower than it was, or at a standstill, fails its checks for a rest: a guard against slow
+    cores, hung work and all else that makes runs take many times their usual time, which the limit keeps
+    steady under load. It could harm a fleet slowed as a whole: each serves at least as long as it rests."""
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample without rejections leaves this much of it
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
+    SICK = 3.0  # times the usual: the least slowdown at which the others do better without this server
+    LEARNT = 0.03  # a sample: half a minute's mean, which a slowdown of some seconds hardly moves
+    ENOUGH = 50  # runs ended before a mean of theirs says anything: the first to end are the short ones
+    REST_MS = 3000.0  # a list of servers follows within a second or two; then there is time to clear the line
 
-    def __init__(self, actions: Actions, signal: Signal) -> None:
-        self.actions, self.signal = actions, signal
-        self.shut = 0.0
-        self.said: float | None = None
+    def __init__(self, actions: Actions, signal: Signal, speed: float, credit: float) -> None:
+        self.actions, self.signal, self.credit = actions, signal, credit
         self.read = self.turned_away = 0
+        self.shut = self.usual_ms = self.until = 0.0
+        self.good, self.said = True, -1.0
+        actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
+        self.say(speed)
+
+    def leave(self) -> None:
+        self.good, self.until = False, float("inf")
+        self.actions.health(False, stored=True)
+        self.say(0.0)
 
-    def sample(self, speed: float, leaving: bool, credit: float) -> None:
+    def sample(self, speed: float) -> None:
         away = self.turned_away / self.read if self.read else 0.0
         self.read = self.turned_away = 0
         self.shut += self.GAIN * away * (self.MOST - self.shut) if away else (self.OPEN - 1.0) * self.shut
-        shut = 1.0 if leaving else self.shut
-        if self.signal is Signal.LEVEL:
-            self.say(shut)
-        elif self.signal is Signal.WEIGHT:
-            self.say((1.0 - shut) * speed)  # a cold server asks for what it can do
-        elif self.signal is Signal.CREDIT:
-            self.say(credit * (1.0 - shut))
-
-    def say(self, value: float) -> None:
-        if value != self.said:
+        self.say(speed)  # a cold server asks for what it can do
+
+    def say(self, speed: float) -> None:
+        shut = self.shut if self.good else 1.0
+        open_ = speed if self.signal is Signal.WEIGHT else self.credit
+        value = shut if self.signal is Signal.LEVEL else open_ * (1.0 - shut)
+        if self.signal is not Signal.NONE and value != self.said:
             self.said = value
             self.actions.say(value)
 
-
-class Health:
-    """A server that has become far slower than it was, or stands still, fails its checks for a while.
-
-    Guards against slow cores, a hang of the work and whatever else makes runs take many times their usual
-    time: the limit keeps that time steady under any load. What it could harm is a fleet that slows down as a
-    whole; each server therefore comes back after a rest, and is out for less time than it serves."""
-
-    SICK = 3.0  # times the usual: the least slowdown at which the others do better without this server
-    LEARNT = 0.03  # a sample: half a minute's mean, which a slowdown of some seconds hardly moves
-    ENOUGH = 50  # runs ended before a mean of theirs says anything: the first to end are the short ones
-    REST_MS = 3000.0  # a list of servers follows within a second or two; then there is time to clear the line
-
-    def __init__(self, actions: Actions) -> None:
-        self.actions = actions
-        self.usual_ms = self.until = 0.0
-        self.good = True
-
-    def sample(self, now: float, slot_ms: float, ended: int, leaving: bool) -> bool:
+    def rest(self, now: float, slot_ms: float, ended: int) -> bool:
         """Whether this server is back from a rest, its times to be learnt anew."""
-        if leaving or ended < self.ENOUGH:
-            return False
-        if self.good:
+        if not self.good and now >= self.until:
+            self.good = True
+            self.actions.health(True, stored=True)
+            return True
+        if self.good and ended >= self.ENOUGH:
             self.usual_ms += self.LEARNT * (slot_ms - self.usual_ms) if self.usual_ms else slot_ms
             if slot_ms > self.SICK * self.usual_ms and now >= self.until + self.REST_MS:
                 self.good, self.until = False, now + self.REST_MS
                 self.actions.log(f"resting: a slot takes {slot_ms:.0f} ms, usually {self.usual_ms:.0f} ms")
                 self.actions.health(False, stored=True)
-        elif now >= self.until:
-            self.good = True
-            self.actions.health(True, stored=True)
-            return True
         return False
 
 
 class Control:
     """One server's decisions: the chain of parts, and what each event does to a task."""
 
-    def __init__(
-        self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
-        gauges: list[str], cores: int = 1, memory_kb: float = float("inf"), run_factor: float = 1.0,
-        entry_kb: float = 0.0, cold: bool = False, cold_share: float = 1.0, warm_ms: float = 0.0,
-        crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
-        stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
-        signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
-        call_window_ms: float = 0.0, linger_ms: float = 0.0,
-    ) -> None:  # fmt: skip
+    # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
+    ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
+    BEHIND = 4.0  # times the span in the order, for what is beyond the share: its worth is small on all sites
+    UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
+
+    def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
+                 gauges: list[str], cores: int = 1, memory_kb: float = float("inf"), run_factor: float = 1.0,
+                 entry_kb: float = 0.0, cold: bool = False, cold_share: float = 1.0, warm_ms: float = 0.0,
+                 crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
+                 stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
+                 signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
+                 call_window_ms: float = 0.0, linger_ms: float = 0.0) -> None:
         self.actions, self.stages, self.gauges, self.halts = actions, stages, gauges, halt is not Halt.NONE
         self.stay_away_most_ms = stay_away_most_ms if stay_away_passed else 0.0
-        self.callers = max(1, callers)
         self.agenda = Agenda()
         self.duty = Duty(self.agenda, drain_grace_ms, self.give_up)
         self.repeats = Repeats(self.agenda, actions, entry_kb)
@@ -444,27 +415,17 @@
         # A tier guards itself: there the pace alone bounds the calls, and this many are never in hand.
         most = call_share if below is Below.SHARED else 16.0 * cores
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
-        self.advice = Advice(actions, signal)
+        self.signals = Signals(actions, signal, speed, 2.0 * cores / max(1, callers))  # one running, one held
         self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
-        self.slot_ms = 0.0  # recent time that a task keeps its place among those running; 0: none has ended
+        self.slot_ms, self.learnt = 0.0, 0  # recent time in a place among those running; runs that ended
         self.ended_at = self.sampled_at = now
-        self.responses = self.late = self.learnt = 0
-        self.wanted = 0.0  # mean of those wanting a core, over about a sample
         self.due_ms = sum(stage.due_ms for stage in stages) / max(1, len(stages))
-        self.health = Health(actions)
-        actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
-        self.advice.sample(self.limit.speed(now), False, self.credit(now))
         actions.wake(TICK_MS)
 
-    # Estimates
-
-    def credit(self, now: float) -> float:
-        return 2.0 * self.limit.total(now) / self.callers
-
     def slot(self, now: float) -> float:
         """Time a task keeps its place. With none ending it grows by itself, whatever holds the cores up."""
         seen = self.slot_ms or 0.125 * self.due_ms  # until one has ended: eight in a row finish in time
-        return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores) if self.limit.on_cores else seen
+        return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores)
 
     def run_time(self, task: Task, now: float) -> float:
         """What a run takes: the stage's mean, leaning to the hint; the rest of a run is waits and chance."""
@@ -473,73 +434,74 @@
         mean, work = self.run_ms[task.stage_no]
         return mean * (0.3 + 0.7 * task.work / work) if task.work and work else mean
 
-    # Events
+    def learn(self, task: Task, now: float) -> None:
+        ran, slot = now - task.began, now - task.began - task.off_ms
+        self.slot_ms += 0.05 * (slot - self.slot_ms) if self.slot_ms else slot
+        mean, work = self.run_ms.get(task.stage_no, (self.slot(now), task.work or 0.0))
+        self.run_ms[task.stage_no] = (mean + 0.05 * (ran - mean), work + 0.05 * ((task.work or 0.0) - work))
+        self.ended_at, self.learnt = now, self.learnt + 1
+        self.limit.responses += 1
+        self.limit.late += now > task.due
+        self.queues.lines[task.tenant].times.append(now - task.arrived)
 
-    def task(
-        self, now: float, ident: int, stage_no: int, tenant: int, caller: int, waited: float,
-        limit: float | None, work: float | None, kb: float, rank: float, same: int | None, again: bool,
-    ) -> None:  # fmt: skip
+    def task(self, now: float, ident: int, stage_no: int, tenant: int, waited: float, limit: float | None,
+             work: float | None, kb: float, same: int | None) -> None:
         stage = self.stages[stage_no]
         task = Task(ident, stage_no, stage, tenant if tenant < len(self.queues.lines) else 0, now - waited)
         task.kb, task.work = kb, work
         task.limit = max(now, limit if limit is not None else task.arrived + stage.limit_ms)
         task.due = min(task.limit, task.arrived + stage.due_ms + stage.due_stretch * (work or 0.0))
-        self.advice.read += 1
+        self.signals.read += 1
         self.limit.used_kb += kb
         self.duty.take(task)
-        if stage.effect is not Effect.FINGERPRINTED or not same or not self.follow(task, same, now):
+        if same and stage.effect is Effect.FINGERPRINTED:
+            self.follow(task, same, now)
+        else:
             self.admit(task, now)
         self.start(now)
 
-    def admit(self, task: Task, now: float) -> None:
-        """A first try goes to its tenant's queue, once what must be kept of it has found room."""
-        keyed = task.stage.effect is Effect.FINGERPRINTED
-        fits = self.limit.fits(self.repeats.entry_kb if keyed else 0.0, self.repeats.kb)
-        if not fits or not self.duty.may_run(task):
-            self.reject(task, now)
-            return
-        if keyed:
-            self.repeats.keep(task, now)
-        self.queue(task, now)
-
-    def follow(self, task: Task, same: int, now: float) -> bool:
+    def follow(self, task: Task, same: int, now: float) -> None:
         """A repeat of a fingerprinted task is served from the first try, which it waits for while held."""
         first = self.duty.tasks.get(same)
-        if first is None and same in self.repeats.unrun:
-            return False
-        while first is not None and first.first is not None:
-            first = first.first
-        if first is not None and first.state is State.HELD and self.limit.fits(0.0, self.repeats.kb):
+        first = first.first if first and first.first else first
+        if first and first.state is State.HELD and self.limit.fits(self.repeats.kb):
             task.state, task.first = State.FOLLOWING, first
             first.followers.append(task)
         else:
             self.reuse(task, now)
-        return True
 
     def reuse(self, task: Task, now: float) -> None:
         # It may need a run's memory as soon as the first try ends, so that is set aside now or not at all.
-        extra = task.kb * (self.limit.run_factor - 1.0)
-        if not self.limit.fits(extra, self.repeats.kb):
+        if self.limit.takes(task, self.repeats.kb):
+            task.state = State.REUSING
+            self.actions.reuse(task.id)
+        else:
             self.abandon(task, now)
-            return
-        self.limit.used_kb += extra
-        task.state = State.REUSING
-        self.actions.reuse(task.id)
+
+    def admit(self, task: Task, now: float) -> None:
+        """A first try goes to its tenant's queue, once what must be kept of it has found room."""
+        keyed = task.stage.effect is Effect.FINGERPRINTED
+        fits = self.limit.fits(self.repeats.kb + (self.repeats.entry_kb if keyed else 0.0))
+        if not fits or task.arrived > self.duty.last_arrival:
+            self.reject(task, now)
+        else:
+            if keyed:
+                self.repeats.keep(task, now)
+            self.queue(task, now)
 
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
-        line, slot = self.queues.lines[task.tenant], self.slot(now)
+        line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
         over_share = line.over_share(now)
         span = (task.due - task.arrived) / task.stage.utility**0.5
-        task.key = task.arrived + (4.0 * span if over_share else span)
-        ahead = sum(other < task for other in line.queue)
-        left = task.due - now
-        wait = 0.0 if self.limit.has_room(now) else (ahead + 1) * slot / self.queues.part(line)
+        task.key = task.arrived + (self.BEHIND * span if over_share else span)
+        ahead = 1 + sum(other < task for other in line.queue)
+        wait = 0.0 if self.limit.has_room(now) else ahead * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
-        waited_long = now - task.arrived > 0.1 * (task.due - task.arrived)  # unread: reading is behind
-        part = 1.3 if not wait else 0.25 if over_share else 0.9  # estimates are rough: in doubt, room decides
+        part = self.DOUBT if not wait else self.OVER_SHARE if over_share else self.ROOM
         if full or wait + self.run_time(task, now) > part * left:
-            self.advice.turned_away += wait > 0.0 or waited_long
+            unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
+            self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
         else:
             insort(line.queue, task)
@@ -548,65 +510,46 @@
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
         while self.limit.has_room(now) and (task := self.queues.next()) is not None:
-            line = self.queues.lines[task.tenant]
-            if now + 0.5 * self.run_time(task, now) > min(task.due, self.duty.stop):
+            if now + 0.5 * self.run_time(task, now) > min(task.due, self.duty.stop):  # half: a rough estimate
                 self.reject(task, now)
                 continue
-            extra = task.kb * (self.limit.run_factor - 1.0)
-            if not self.limit.fits(extra, self.repeats.kb):
+            if not self.limit.takes(task, self.repeats.kb):
                 return
+            line = self.queues.lines[task.tenant]
             line.queue.pop(0)
             line.busy += 1
-            self.limit.used_kb += extra
             self.limit.on_cores += 1
             task.state, task.began = State.RUNNING, now
             self.actions.run(task.id)
-            for follower in task.followers:
+            followers, task.followers = task.followers, []
+            for follower in followers:
                 self.reuse(follower, now)
-            task.followers = []
 
     def ended(self, now: float, ident: int, outcome: Outcome) -> None:
         task = self.duty.tasks.get(ident)
-        if task is None:
-            return
-        if task.state in (State.RUNNING, State.CALLING):
+        if task is not None:
             self.calls.end(task, now, Outcome.CANCELLED)
-            if outcome in (Outcome.OK, Outcome.ERROR):
+            if task.state is State.RUNNING and outcome in (Outcome.OK, Outcome.ERROR):
                 self.learn(task, now)
-        task.answered = True
-        self.over(task, now)
-        self.work(now)
-
-    def learn(self, task: Task, now: float) -> None:
-        ran = now - task.began
-        slot = ran - task.off_ms
-        self.slot_ms += 0.05 * (slot - self.slot_ms) if self.slot_ms else slot
-        mean, work = self.run_ms.get(task.stage_no, (self.slot(now), task.work or 0.0))
-        self.run_ms[task.stage_no] = (mean + 0.05 * (ran - mean), work + 0.05 * ((task.work or 0.0) - work))
-        self.ended_at = now
-        self.learnt += 1
-        self.responses += 1
-        self.late += now > task.due
-        self.queues.lines[task.tenant].times.append(now - task.arrived)
+            task.answered = True
+            self.over(task, now)
+            self.work(now)
 
     def at_call(self, now: float, ident: int) -> None:
         task = self.duty.tasks.get(ident)
-        if task is None or task.state is not State.RUNNING:
-            return
-        task.state, task.call_at, task.calls = State.CALLING, now, 0
-        task.off_ms -= now
-        self.limit.on_cores -= 1
-        self.limit.away += 1
-        self.calls.wait(now, task)
-        self.work(now)
+        if task is not None and task.state is State.RUNNING:
+            self.move(task, State.CALLING, now)
+            task.calls = 0
+            self.calls.wait(now, task)
+            self.work(now)
 
-    def call_ended(self, now: float, ident: int, outcome: Outcome, took: float) -> None:
+    def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
         task = self.duty.tasks.get(ident)
         if task is None or task.state is not State.CALLING:
             return
         self.calls.end(task, now, outcome)
         if outcome is Outcome.OK:
-            self.resume(task, now)
+            self.move(task, State.RUNNING, now)
         elif not task.answered:
             tries = Calls.TRIES if task.stage.effect is Effect.RESTARTABLE else 0
             again = outcome in NEVER_RAN or task.calls < tries
@@ -614,108 +557,80 @@
                 later = self.calls.jitter(0.5, 1.5) * max(TICK_MS, 0.5 * self.calls.recent_ms)
                 self.agenda.at(now + later, self.calls.wait, task)
             elif task.stage.skip_utility > 0.0:
-                self.actions.skip_call(ident)
-                self.resume(task, now)
+                self.skip(task, now)
             else:
                 self.abandon(task, now)
         self.work(now)
 
-    def resume(self, task: Task, now: float) -> None:
-        task.state = State.RUNNING
-        task.off_ms += now
-        self.limit.away -= 1
-        self.limit.on_cores += 1
+    def move(self, task: Task, state: State, now: float) -> None:
+        """Off the cores to a call, or back."""
+        task.state, step = state, 1 if state is State.CALLING else -1
+        task.off_ms -= step * now
+        self.limit.away, self.limit.on_cores = self.limit.away + step, self.limit.on_cores - step
+
+    def skip(self, task: Task, now: float) -> None:
+        self.actions.skip_call(task.id)
+        self.move(task, State.RUNNING, now)
+
+    def work(self, now: float) -> None:
+        """Sends the calls that the pace allows, then starts tasks."""
+        while (task := self.calls.next(now)) is not None:
+            if task.stage.skip_utility > 0.0 and task.due - now < 2.0 * self.calls.recent_ms:
+                self.skip(task, now)
+            else:
+                self.calls.start(task, now)
+        self.start(now)
 
     def caller_gone(self, now: float, ident: int) -> None:
         task = self.duty.tasks.get(ident)
         if task is not None and not task.answered:
-            task.answered = True
             self.let_go(task, now)
             self.work(now)
 
     def leave(self, now: float, stop: float) -> None:
         self.duty.leave(now, stop)
-        self.actions.health(False, stored=True)
-        self.advice.sample(self.limit.speed(now), True, 0.0)
+        self.signals.leave()
         self.actions.log(f"leaving in {stop - now:.0f} ms with {len(self.duty.tasks)} tasks in hand")
 
     def tick(self, now: float, values: tuple[float, ...]) -> None:
         self.actions.wake(TICK_MS)
-        gauges = dict(zip(self.gauges, values, strict=False))
         self.agenda.run(now)
-        self.wanted += 0.05 * (gauges.get("on_cores", 0.0) - self.wanted)
         waiting = any(line.queue for line in self.queues.lines)
-        if waiting and self.limit.on_cores >= self.limit.total(now) and self.idle(gauges):
-            self.limit.grow()
+        self.limit.tick(now, waiting, dict(zip(self.gauges, values, strict=False)))
         if now - self.sampled_at >= SAMPLE_MS:
-            self.sample(now)
+            self.sampled_at = now
+            self.limit.sample()
+            self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
+            self.calls.sample(now)
+            if self.signals.rest(now, self.slot(now), self.learnt):
+                self.slot_ms, self.ended_at = self.signals.usual_ms, now
+            self.signals.sample(self.limit.speed(now))
         self.work(now)
 
-    def idle(self, gauges: dict[str, float]) -> bool:
-        """Now, and over the last half second: tasks waiting for disk leave the cores free for a moment."""
-        return gauges.get("on_cores", 0.0) < self.limit.cores and gauges.get("core_use", 0.0) < 0.95
-
-    def sample(self, now: float) -> None:
-        self.sampled_at = now
-        if self.late > 0.1 * self.responses:
-            self.limit.shrink(Limit.FACTOR)
-        elif self.wanted > Limit.CROWDED * self.limit.cores:
-            self.limit.shrink(Limit.GIVEN_BACK)
-        self.responses = self.late = 0
-        total = self.limit.total(now)
-        if total != self.queues.total:
-            self.queues.rebuild(total)
-        self.queues.sample(self.slot(now), self.due_ms)
-        self.calls.sample(now)
-        leaving = self.duty.notice is not None
-        if self.health.sample(now, self.slot(now), self.learnt, leaving):
-            self.slot_ms, self.ended_at = self.health.usual_ms, now
-        self.advice.sample(self.limit.speed(now), leaving or not self.health.good, self.credit(now))
-
-    def work(self, now: float) -> None:
-        """Sends the calls that the pace allows, then starts tasks."""
-        while (task := self.calls.next(now)) is not None:
-            if task.stage.skip_utility > 0.0 and task.due - now < 2.0 * self.calls.recent_ms:
-                self.actions.skip_call(task.id)
-                self.resume(task, now)
-            else:
-                patience = task.limit - now
-                if task.stage.skip_utility > 0.0 or task.stage.effect is Effect.RESTARTABLE:
-                    # Given up while there is time to call again or go on without: a cut or a hang below.
-                    enough = max(Calls.PATIENCE * self.calls.recent_ms, 0.25 * (task.due - now))
-                    patience = min(patience, enough)
-                self.calls.start(task, now, max(TICK_MS, patience))
-        self.start(now)
-
-    # Ends
-
     def give_up(self, now: float, task: Task) -> None:
         """The last time for an answer, whatever the task is doing."""
-        if task.state is State.HELD:
-            self.reject(task, now)
-        elif not task.answered:
-            self.abandon(task, now)
+        if not task.answered:
+            (self.reject if task.state is State.HELD else self.abandon)(task, now)
 
     def too_late(self, now: float, task: Task) -> None:
         """Past its due time, what is held or kept from its call has nothing to gain: it is told at once."""
         waits = task.state is State.HELD or task in self.calls.waiting
-        if waits and not task.answered and task.stage.late_utility <= 0.0:
+        if waits and task.stage.late_utility <= 0.0:
             self.give_up(now, task)
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run."""
-        most = self.stay_away_most_ms
-        self.actions.reject(task.id, False, most if self.duty.notice is not None else min(stay_away, most))
-        task.answered = True
+        stay_away = float("inf") if self.duty.stop < float("inf") else stay_away
+        self.actions.reject(task.id, False, min(stay_away, self.stay_away_most_ms))
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
         self.actions.abandon(task.id)
-        task.answered = True
         self.let_go(task, now)
 
     def let_go(self, task: Task, now: float) -> None:
-        """Nobody waits for the task now. What has not started is over; what runs ends with its result."""
+        """No answer is owed any more. What has not started is over; what runs ends with its result."""
+        task.answered = True
         if task.state in (State.HELD, State.FOLLOWING, State.REUSING):
             self.over(task, now)
         elif task in self.calls.waiting:
@@ -727,20 +642,17 @@
         """The task is gone from the server: its memory and places are free, and a follower takes its turn."""
         state, task.state = task.state, State.OVER
         line = self.queues.lines[task.tenant]
-        kb = task.kb
         if state is State.HELD:
-            if task in line.queue:
-                line.queue.remove(task)
+            line.queue = [other for other in line.queue if other is not task]
             if task.stage.effect is Effect.FINGERPRINTED:
                 self.repeats.drop(task, now)
         elif state is State.FOLLOWING and task.first:
             task.first.followers.remove(task)
-        elif state is not State.FOLLOWING:
-            kb *= self.limit.run_factor
         line.busy -= state in (State.RUNNING, State.CALLING)
         self.limit.on_cores -= state is State.RUNNING
         self.limit.away -= state is State.CALLING
-        self.limit.used_kb -= kb
+        held = state in (State.HELD, State.FOLLOWING)
+        self.limit.used_kb -= task.kb * (1.0 if held else self.limit.run_factor)
         del self.duty.tasks[task.id]
         if task.followers:  # none of them has run: the next in line becomes the first try
             heir, *rest = task.followers
--- a/pumicenotch/interface.py
+++ b/pumicenotch/interface.py
@@ -40,6 +40,17 @@
     MOOT = auto()
 
 
+class State(Enum):
+    """How far a task is."""
+
+    HELD = auto()  # read, not started
+    FOLLOWING = auto()  # a repeat of a task that is still held
+    REUSING = auto()  # a repeat served from the first try
+    RUNNING = auto()
+    CALLING = auto()  # off the cores, at a call below
+    OVER = auto()
+
+
 class Stage(NamedTuple):
     due_ms: float
     due_stretch: float
--- a/tests/play.py
+++ b/tests/play.py
@@ -4,7 +4,7 @@
     stage NAME due=.. limit=.. effect=.. [window= utility= late= skip=]
     tenant NAME [share= allowance=]
     at MS                         moves the clock, with ticks on the way and the gauges of the last `gauge`
-    task ID STAGE [TENANT] [waited= limit= work= kb= rank= same=]      several as 1..9
+    task ID STAGE [TENANT] [waited= limit= work= kb= same=]      several as 1..9
     end ID OUTCOME | call ID | back ID OUTCOME | gone ID | leave STOP
     expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH | value LOW HIGH
     forget-seen                   what was asked for so far counts no more
@@ -100,9 +100,8 @@
         for ident in numbers(plain[:1]):
             self.control.task(
                 self.now, ident, list(self.stages).index(plain[1]),
-                tenants.index(plain[2]) if plain[2:] else 0, 0, pairs.get("waited", 0.0),
-                pairs.get("limit"), pairs.get("work"), pairs.get("kb", 1.0),
-                pairs.get("rank", 0.5), pairs.get("same"), False)  # fmt: skip
+                tenants.index(plain[2]) if plain[2:] else 0, pairs.get("waited", 0.0), pairs.get("limit"),
+                pairs.get("work"), pairs.get("kb", 1.0), pairs.get("same"))  # fmt: skip
 
     def do_end(self, plain: list[str], pairs: dict[str, Any]) -> None:
         for ident in numbers(plain[:1]):
@@ -113,7 +112,7 @@
             self.control.at_call(self.now, ident)
 
     def do_back(self, plain: list[str], pairs: dict[str, Any]) -> None:
-        self.control.call_ended(self.now, int(plain[0]), Outcome[plain[1]], pairs.get("took", 0.0))
+        self.control.call_ended(self.now, int(plain[0]), Outcome[plain[1]])
 
     def do_gone(self, plain: list[str], pairs: dict[str, Any]) -> None:
         self.control.caller_gone(self.now, int(plain[0]))
