Ask callers not to try elsewhere after a rejection for want of room

Cause: callers that walk their list have every server read a task that none has room for; a read costs up to a quarter of a run. It could harm where one server is crowded and the rest are not; the stay-away time that goes with it is short then.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -619,9 +619,10 @@
             self.give_up(now, task)
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
-        """Final answer to a task that has not run."""
-        stay_away = float("inf") if self.duty.stop < float("inf") else stay_away
-        self.actions.reject(task.id, False, min(stay_away, self.stay_away_most_ms))
+        """Final answer to a task that has not run. Where it is for want of room, another server is hardly
+        better off and would only read it once more; from a server that leaves, callers do well to move on."""
+        last, wait = (stay_away > 0.0, stay_away) if self.duty.stop == float("inf") else (False, float("inf"))
+        self.actions.reject(task.id, last, min(wait, self.stay_away_most_ms))
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
