--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -340,7 +340,7 @@
     steady under load. It could harm a fleet slowed as a whole: each serves at least as long as it rests."""
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
-    OPEN = 0.8  # a sample without rejections leaves this much of it
+    OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
     SICK = 3.0  # times the usual: the least slowdown at which the others do better without this server
     LEARNT = 0.03  # a sample: half a minute's mean, which a slowdown of some seconds hardly moves
@@ -363,7 +363,7 @@
     def sample(self, speed: float) -> None:
         away = self.turned_away / self.read if self.read else 0.0
         self.read = self.turned_away = 0
-        self.shut += self.GAIN * away * (self.MOST - self.shut) if away else (self.OPEN - 1.0) * self.shut
+        self.shut = self.OPEN * self.shut + self.GAIN * away * (self.MOST - self.shut)
         self.say(speed)  # a cold server asks for what it can do
 
     def say(self, speed: float) -> None:
