--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -8,9 +8,8 @@
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
   2. order: a tenant's queue goes by due time, nearer for more utility, later for what is beyond its share;
   3. advice: the free value shuts as tasks are turned away, so that callers send less;
-  4. rest: a server far slower than it was fails its checks for a while;
-  5. pace: calls below follow their recent time;
-  6. giving back: the limit falls while more than the cores can serve want one.
+  4. pace: calls below follow their recent time;
+  5. giving back: the limit falls while more than the cores can serve want one.
 """
 
 import heapq
@@ -333,30 +332,21 @@
 
 
 class Signals:
-    """What callers are told. The free value shuts while tasks are turned away for want of room.
-
-    A server far slower than it was, or at a standstill, fails its checks for a rest: a guard against slow
-    cores, hung work and all else that makes runs take many times their usual time, which the limit keeps
-    steady under load. It could harm a fleet slowed as a whole: each serves at least as long as it rests."""
+    """What callers are told: the free value shuts while tasks are turned away for want of room."""
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
-    SICK = 3.0  # times the usual: the least slowdown at which the others do better without this server
-    LEARNT = 0.03  # a sample: half a minute's mean, which a slowdown of some seconds hardly moves
-    ENOUGH = 50  # runs ended before a mean of theirs says anything: the first to end are the short ones
-    REST_MS = 3000.0  # a list of servers follows within a second or two; then there is time to clear the line
 
     def __init__(self, actions: Actions, signal: Signal, speed: float, credit: float) -> None:
         self.actions, self.signal, self.credit = actions, signal, credit
         self.read = self.turned_away = 0
-        self.shut = self.usual_ms = self.until = 0.0
-        self.good, self.said = True, -1.0
+        self.shut, self.said, self.leaving = 0.0, -1.0, False
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
         self.say(speed)
 
     def leave(self) -> None:
-        self.good, self.until = False, float("inf")
+        self.leaving = True
         self.actions.health(False, stored=True)
         self.say(0.0)
 
@@ -367,27 +357,13 @@
         self.say(speed)  # a cold server asks for what it can do
 
     def say(self, speed: float) -> None:
-        shut = self.shut if self.good else 1.0
+        shut = 1.0 if self.leaving else self.shut
         open_ = speed if self.signal is Signal.WEIGHT else self.credit
         value = shut if self.signal is Signal.LEVEL else open_ * (1.0 - shut)
         if self.signal is not Signal.NONE and value != self.said:
             self.said = value
             self.actions.say(value)
 
-    def rest(self, now: float, slot_ms: float, ended: int) -> bool:
-        """Whether this server is back from a rest, its times to be learnt anew."""
-        if not self.good and now >= self.until:
-            self.good = True
-            self.actions.health(True, stored=True)
-            return True
-        if self.good and ended >= self.ENOUGH:
-            self.usual_ms += self.LEARNT * (slot_ms - self.usual_ms) if self.usual_ms else slot_ms
-            if slot_ms > self.SICK * self.usual_ms and now >= self.until + self.REST_MS:
-                self.good, self.until = False, now + self.REST_MS
-                self.actions.log(f"resting: a slot takes {slot_ms:.0f} ms, usually {self.usual_ms:.0f} ms")
-                self.actions.health(False, stored=True)
-        return False
-
 
 class Control:
     """One server's decisions: the chain of parts, and what each event does to a task."""
@@ -417,7 +393,7 @@
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
         self.signals = Signals(actions, signal, speed, 2.0 * cores / max(1, callers))  # one running, one held
         self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
-        self.slot_ms, self.learnt = 0.0, 0  # recent time in a place among those running; runs that ended
+        self.slot_ms = 0.0  # recent time in a place among those running
         self.ended_at = self.sampled_at = now
         self.due_ms = sum(stage.due_ms for stage in stages) / max(1, len(stages))
         actions.wake(TICK_MS)
@@ -439,7 +415,7 @@
         self.slot_ms += 0.05 * (slot - self.slot_ms) if self.slot_ms else slot
         mean, work = self.run_ms.get(task.stage_no, (self.slot(now), task.work or 0.0))
         self.run_ms[task.stage_no] = (mean + 0.05 * (ran - mean), work + 0.05 * ((task.work or 0.0) - work))
-        self.ended_at, self.learnt = now, self.learnt + 1
+        self.ended_at = now
         self.limit.responses += 1
         self.limit.late += now > task.due
         self.queues.lines[task.tenant].times.append(now - task.arrived)
@@ -602,8 +578,6 @@
             self.limit.sample()
             self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
             self.calls.sample(now)
-            if self.signals.rest(now, self.slot(now), self.learnt):
-                self.slot_ms, self.ended_at = self.signals.usual_ms, now
             self.signals.sample(self.limit.speed(now))
         self.work(now)
 
