--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -486,7 +486,7 @@
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
         while self.limit.has_room(now) and (task := self.queues.next()) is not None:
-            if now + 0.5 * self.run_time(task, now) > min(task.due, self.duty.stop):  # half: a rough estimate
+            if now + 0.8 * self.run_time(task, now) > min(task.due, self.duty.stop):  # a rough estimate
                 self.reject(task, now)
                 continue
             if not self.limit.takes(task, self.repeats.kb):
