--- a/tests/play.py
+++ b/tests/play.py
@@ -6,7 +6,7 @@
     at MS                         moves the clock, with ticks on the way and the gauges of the last `gauge`
     task ID STAGE [TENANT] [waited= limit= work= kb= same=]      several as 1..9
     end ID OUTCOME | call ID | back ID OUTCOME | gone ID | leave STOP
-    expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH | value LOW HIGH
+    expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH | value LOW HIGH | cap TENANT LOW HIGH
     forget-seen                   what was asked for so far counts no more
 """
 
@@ -138,5 +138,10 @@
         said = self.seen.ids("say")[-1]
         assert float(plain[0]) <= said <= float(plain[1]), f"said {said} at {self.now}"
 
+    def do_cap(self, plain: list[str], pairs: dict[str, Any]) -> None:
+        lines = self.control.queues.lines
+        cap = lines[list(self.tenants).index(plain[0])].cap
+        assert float(plain[1]) <= cap <= float(plain[2]), f"cap {cap} of {[line.cap for line in lines]}"
+
     def do_forget_seen(self, plain: list[str], pairs: dict[str, Any]) -> None:
         self.seen.made.clear()
