--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -17,7 +17,8 @@
 
 
 def serve(data: bytes) -> tuple[int, bytes, str]:
-    done = subprocess.run([sys.executable, "-m", "pumicenotch.adapter"], input=data, capture_output=True, timeout=20)
+    command = [sys.executable, "-m", "pumicenotch.adapter"]
+    done = subprocess.run(command, input=data, capture_output=True, timeout=20, check=False)
     return done.returncode, done.stdout, done.stderr.decode()
 
 
