--- a/pumicenotch/adapter/start.py
+++ b/pumicenotch/adapter/start.py
@@ -40,6 +40,7 @@
     "rules.fall-multiple": ("crowd_multiple", float),
     "rules.stop-sending-within": ("drain_grace_ms", ms),
     "rules.warm-after": ("warm_ms", ms),
+    "servers": ("servers", int),
 }
 
 
--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -6,7 +6,7 @@
 end runs back the other way. Which tenant's task starts next, and which is rejected, is HWCS as in
 docs/design.md. Beside it stand these mechanisms:
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
-  2. order: a tenant's queue goes by due time, nearer for more utility;
+  2. order: a tenant's queue goes by due time, nearer for more utility, later for what is beyond its share;
   3. advice: the free value shuts as tasks are turned away, so that callers send less;
   4. pace: calls below follow their recent time;
   5. giving back: the limit falls while more than the cores can serve want one.
@@ -166,12 +166,26 @@
 class Line:
     """What is known of one tenant: its queue, its tasks at work, and its side of the control loop."""
 
-    def __init__(self) -> None:
+    SAVED_MS = 4000.0  # of the allowance: arrivals here are a random part of the tenant's, and come in clumps
+
+    def __init__(self, allowance_per_ms: float | None) -> None:
         self.queue: list[Task] = []
         self.times: list[float] = []  # response times of this sample
         self.cap, self.error, self.v = 1.0, 0.0, 0.0
         self.busy = self.above = self.below = 0
         self.marked = False
+        self.rate, self.filled_at = allowance_per_ms, 0.0
+        self.tokens = self.most = max(4.0, self.SAVED_MS * (allowance_per_ms or 0.0))
+
+    def over_share(self, now: float) -> bool:
+        """Takes a token for a task; without one the task is beyond the tenant's share."""
+        if self.rate is None:
+            return False
+        self.tokens = min(self.most, self.tokens + (now - self.filled_at) * self.rate)
+        self.filled_at = now
+        over = self.tokens < 1.0
+        self.tokens -= 0.0 if over else 1.0
+        return over
 
 
 def inverse(y: float) -> float:
@@ -186,8 +200,9 @@
     LENGTH = 30  # DESIGN's q_len, the most that a queue may hold however fast it drains
     HOLD = 0.7  # of the due time may go by in a full queue: the rest is for the run and its calls
 
-    def __init__(self, tenants: int, total: int) -> None:
-        self.lines = [Line() for _ in range(max(1, tenants))]
+    def __init__(self, tenants: list[Tenant], servers: int, total: int) -> None:
+        rates = [tenant.allowance_per_s for tenant in tenants] or [None]
+        self.lines = [Line(rate / 1000.0 / max(1, servers) if rate else None) for rate in rates]
         self.rebuild(total)
 
     def rebuild(self, total: int) -> None:
@@ -353,13 +368,15 @@
 class Control:
     """One server's decisions: the chain of parts, and what each event does to a task."""
 
-    ROOM, DOUBT = 0.9, 1.3  # of the time left, what wait and run, or a run at once, may take by estimate
+    # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
+    ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
+    BEHIND = 4.0  # times the span in the order, for what is beyond the share: its worth is small on all sites
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
     def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
                  gauges: list[str], cores: int = 1, memory_kb: float = float("inf"), run_factor: float = 1.0,
                  entry_kb: float = 0.0, cold: bool = False, cold_share: float = 1.0, warm_ms: float = 0.0,
-                 crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, callers: int = 1,
+                 crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
                  stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
                  signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
                  call_window_ms: float = 0.0, linger_ms: float = 0.0) -> None:
@@ -370,7 +387,7 @@
         self.repeats = Repeats(self.agenda, actions, entry_kb)
         speed = cold_share if cold else 1.0
         self.limit = Limit(now, cores, memory_kb, run_factor, crowd_multiple, speed, warm_ms)
-        self.queues = Queues(len(tenants), self.limit.total(now))
+        self.queues = Queues(tenants, servers, self.limit.total(now))
         # A tier guards itself: there the pace alone bounds the calls, and this many are never in hand.
         most = call_share if below is Below.SHARED else 16.0 * cores
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
@@ -451,11 +468,13 @@
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
         line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
-        task.key = task.arrived + (task.due - task.arrived) / task.stage.utility**0.5
+        over_share = line.over_share(now)
+        span = (task.due - task.arrived) / task.stage.utility**0.5
+        task.key = task.arrived + (self.BEHIND * span if over_share else span)
         ahead = 1 + sum(other < task for other in line.queue)
         wait = 0.0 if self.limit.has_room(now) else ahead * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
-        part = self.ROOM if wait else self.DOUBT
+        part = self.DOUBT if not wait else self.OVER_SHARE if over_share else self.ROOM
         if full or wait + self.run_time(task, now) > part * left:
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
