--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -6,7 +6,7 @@
 end runs back the other way. Which tenant's task starts next, and which is rejected, is HWCS as in
 docs/design.md. Beside it stand these mechanisms:
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
-  2. order: a tenant's queue goes by due time, nearer for more utility, later for what is beyond its share;
+  2. order: a tenant's queue goes by latest start, nearer for more utility, later for what is beyond its share;
   3. advice: the free value shuts as tasks are turned away, so that callers send less;
   4. pace: calls below follow their recent time;
   5. giving back: the limit falls while more than the cores can serve want one.
@@ -469,13 +469,14 @@
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
         line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
         over_share = line.over_share(now)
-        span = (task.due - task.arrived) / task.stage.utility**0.5
+        run = self.run_time(task, now)
+        span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
         ahead = 1 + sum(other < task for other in line.queue)
         wait = 0.0 if self.limit.has_room(now) else ahead * slot / self.queues.part(line)
         full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
         part = self.DOUBT if not wait else self.OVER_SHARE if over_share else self.ROOM
-        if full or wait + self.run_time(task, now) > part * left:
+        if full or wait + run > part * left:
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
