--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -6,7 +6,7 @@
 end runs back the other way. Which tenant's task starts next, and which is rejected, is HWCS as in
 docs/design.md. Beside it stand these mechanisms:
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
-  2. order: a tenant's queue goes by latest start, nearer for more utility, later for what is beyond its share;
+  2. order: a tenant's queue goes by latest start, nearer for more utility, later beyond the tenant's share;
   3. advice: the free value shuts as tasks are turned away, so that callers send less;
   4. pace: calls below follow their recent time;
   5. giving back: the limit falls while more than the cores can serve want one.
@@ -518,6 +518,8 @@
             self.move(task, State.CALLING, now)
             task.calls = 0
             self.calls.wait(now, task)
+            if task.stage.skip_utility > 0.0:  # in time for the rest of the run, half of it on the mean
+                self.agenda.at(task.due - 0.5 * self.run_time(task, now), self.go_without, task)
             self.work(now)
 
     def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
@@ -560,6 +562,13 @@
         self.actions.skip_call(task.id)
         self.move(task, State.RUNNING, now)
 
+    def go_without(self, now: float, task: Task) -> None:
+        """A call that waits for its turn until the run could not end in time is left out. Guards against all
+        that keeps calls waiting; could harm only where the call would have gone in the last moment."""
+        if task in self.calls.waiting:
+            self.calls.waiting.remove(task)
+            self.skip(task, now)
+
     def work(self, now: float) -> None:
         """Sends the calls that the pace allows, then starts tasks."""
         while (task := self.calls.next(now)) is not None:
