--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -357,9 +357,8 @@
         self.say(speed)  # a cold server asks for what it can do
 
     def say(self, speed: float) -> None:
-        shut = 1.0 if self.leaving else self.shut
-        open_ = speed if self.signal is Signal.WEIGHT else self.credit
-        value = shut if self.signal is Signal.LEVEL else open_ * (1.0 - shut)
+        share = 0.0 if self.leaving else speed * (1.0 - self.shut)
+        value = {Signal.LEVEL: 1.0 - share, Signal.WEIGHT: share}.get(self.signal, self.credit * share)
         if self.signal is not Signal.NONE and value != self.said:
             self.said = value
             self.actions.say(value)
