--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -369,7 +369,7 @@
 
     # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
     ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
-    BEHIND = 4.0  # times the span in the order, for what is beyond the share: small utility wherever one is given
+    BEHIND = 4.0  # times the span in the order, beyond the share: of little utility wherever one is given
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
     def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
