--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -30,8 +30,8 @@
     assert out.endswith(struct.pack(">IHHHQ", 14, 1150, 7, 1000, 9))
 
 
-def test_an_exception_in_the_decisions_goes_out_as_a_fault() -> None:
-    task = struct.pack(">HQIIfBQQQHIIf", 1080, 9, 0, 0, 0.5, 0, 0, 0, 0, 3, 0, 0, 1.0)  # a stage beyond the list
+def test_an_exception_over_a_stage_beyond_the_list_goes_out_as_a_fault() -> None:
+    task = struct.pack(">HQIIfBQQQHIIf", 1080, 9, 0, 0, 0.5, 0, 0, 0, 0, 3, 0, 0, 1.0)
     code, out, _ = serve(frame(attach(START)) + frame(FOR + task))
     assert code == 0
     assert struct.pack(">HHH", 1150, 7, 1140) in out
