Pace calls by those answered alone

The age of calls still out is gone from the crowd's measure: the bound on calls in hand covers a hang.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -271,7 +271,7 @@
         self.window_ms, self.linger_ms = window_ms, linger_ms
         self.depth = self.most = self.SHARE_USED * most  # calls in hand: that the pace aims at, and at most
         self.waiting: list[Task] = []
-        self.in_hand: dict[int, Task] = {}
+        self.in_hand: set[int] = set()
         self.lingering = 0
         self.recent_ms = self.best_ms = 0.0  # 0: no call has come back yet
         self.tokens, self.filled_at, self.free_at = 1.0, 0.0, 0.0
@@ -300,12 +300,13 @@
             give_up_ms = min(give_up_ms, 0.5 * self.most * self.window_ms - self.linger_ms)
         self.tokens -= 1.0
         task.calls, task.call_at = task.calls + 1, now
-        self.in_hand[task.id] = task
+        self.in_hand.add(task.id)
         self.actions.call(task.id, max(TICK_MS, give_up_ms))
 
     def end(self, task: Task, now: float, outcome: Outcome) -> None:
-        if self.in_hand.pop(task.id, None) is None:
+        if task.id not in self.in_hand:
             return
+        self.in_hand.remove(task.id)
         took = now - task.call_at
         lingers = self.linger_ms if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) else 0.0
         if lingers:
@@ -321,12 +322,11 @@
     def linger(self, now: float, calls: int) -> None:
         self.lingering += calls
 
-    def sample(self, now: float) -> None:
-        """The depth falls while calls, those still out among them, take far longer than at their best."""
+    def sample(self) -> None:
+        """The depth falls while calls take far longer than at their best."""
         if self.recent_ms:
-            oldest = max((now - task.call_at for task in self.in_hand.values()), default=0.0)
             self.best_ms = min(self.best_ms * 1.01, self.recent_ms) if self.best_ms else self.recent_ms
-            crowded = max(self.recent_ms, 0.5 * oldest) > self.CROWDED * self.best_ms
+            crowded = self.recent_ms > self.CROWDED * self.best_ms
             self.depth *= self.CUT if crowded else self.RISE
             self.depth = min(self.most, max(self.LEAST * self.most, self.depth))
 
@@ -598,7 +598,7 @@
             self.sampled_at = now
             self.limit.sample()
             self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
-            self.calls.sample(now)
+            self.calls.sample()
             self.signals.sample(self.limit.speed(now))
         self.work(now)
 
