Work out a tenant's part of the slots once an arrival

It was summed over the tenants twice for each task read. The mean of those wanting a core runs over half a sample, as its comment now says.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -121,7 +121,7 @@
         self.cores, self.memory_kb, self.run_factor, self.multiple = cores, memory_kb, run_factor, multiple
         self.started, self.cold_speed, self.warm_ms = now, speed, max(warm_ms, 1.0)
         self.limit, self.used_kb = float(cores), 0.0
-        self.wanted = 0.0  # mean of those wanting a core, over about a sample
+        self.wanted = 0.0  # mean of those wanting a core, over about half a sample
         self.on_cores = self.away = 0  # started tasks: wanting a core (or disk), and at a call
         self.responses = self.late = 0
 
@@ -225,7 +225,7 @@
         if total != self.total:
             self.rebuild(total)
         for line in self.lines:
-            long = len(line.queue) > self.THRESHOLD * self.length(line, slot_ms, due_ms)
+            long = len(line.queue) > self.THRESHOLD * self.length(self.part(line), slot_ms, due_ms)
             line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
             line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
         even = len({line.marked for line in self.lines}) == 1
@@ -245,9 +245,9 @@
         waiting = sum(other.cap for other in self.lines if other.queue or other is line)
         return self.total * line.cap / waiting
 
-    def length(self, line: Line, slot_ms: float, due_ms: float) -> float:
-        """q_len: what the tenant's slots get through in the part of a due time that may go by in a queue."""
-        return max(2.0, min(self.LENGTH, self.part(line) * self.HOLD * due_ms / slot_ms))
+    def length(self, slots: float, slot_ms: float, due_ms: float) -> float:
+        """q_len: what so many slots get through in the part of a due time that may go by in a queue."""
+        return max(2.0, min(self.LENGTH, slots * self.HOLD * due_ms / slot_ms))
 
     def next(self) -> Task | None:
         """Caps order the starts: the tenant least far into its cap goes first."""
@@ -467,13 +467,13 @@
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
         line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
-        over_share = line.over_share(now)
+        slots, over_share = self.queues.part(line), line.over_share(now)
         run = self.run_time(task, now)
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
         ahead = 1 + sum(other < task for other in line.queue)
-        wait = 0.0 if self.limit.has_room(now) else ahead * slot / self.queues.part(line)
-        full = len(line.queue) >= self.queues.length(line, slot, self.due_ms)
+        wait = 0.0 if self.limit.has_room(now) else ahead * slot / slots
+        full = len(line.queue) >= self.queues.length(slots, slot, self.due_ms)
         part = self.DOUBT if not wait else self.OVER_SHARE if over_share else self.ROOM
         if full or wait + run > part * left:
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
