--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -337,12 +337,14 @@
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
+    IDLE_MS = 4000.0
 
     def __init__(self, actions: Actions, signal: Signal, speed: float, credit: float) -> None:
         self.actions, self.signal, self.credit = actions, signal, credit
         self.read = self.turned_away = 0
         self.shut, self.said, self.leaving = 0.0, -1.0, False
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
+        actions.close_idle(self.IDLE_MS)
         self.say(speed)
 
     def leave(self) -> None:
