--- a/pumicenotch/adapter/start.py
+++ b/pumicenotch/adapter/start.py
@@ -32,6 +32,7 @@
     "family-info.dep-window": ("call_window_ms", ms),
     "family-info.entry-kb": ("entry_kb", float),
     "family-info.halt": ("halt", HALTS.__getitem__),
+    "family-info.idle": ("idle_ms", ms),
     "family-info.memory-kb": ("memory_kb", float),
     "family-info.run-factor": ("run_factor", float),
     "family-info.signal": ("signal", SIGNALS.__getitem__),
--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -337,14 +337,16 @@
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
-    IDLE_MS = 4000.0
+    LINKS = 20.0  # connections open for each core, beyond which idle ones are closed sooner
 
-    def __init__(self, actions: Actions, signal: Signal, speed: float, credit: float) -> None:
-        self.actions, self.signal, self.credit = actions, signal, credit
+    def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
+                 idle_ms: float) -> None:
+        self.actions, self.signal = actions, signal
+        self.credit, self.links = 2.0 * cores / max(1, callers), self.LINKS * cores
+        self.idle_ms = self.idle_most_ms = idle_ms
         self.read = self.turned_away = 0
         self.shut, self.said, self.leaving = 0.0, -1.0, False
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
-        actions.close_idle(self.IDLE_MS)
         self.say(speed)
 
     def leave(self) -> None:
@@ -352,11 +354,16 @@
         self.actions.health(False, stored=True)
         self.say(0.0)
 
-    def sample(self, speed: float) -> None:
+    def sample(self, speed: float, links: float) -> None:
         away = self.turned_away / self.read if self.read else 0.0
         self.read = self.turned_away = 0
         self.shut = self.OPEN * self.shut + self.GAIN * away * (self.MOST - self.shut)
         self.say(speed)  # a cold server asks for what it can do
+        idle = max(1000.0, 0.7 * self.idle_ms) if links > self.links else 1.1 * self.idle_ms
+        idle = min(self.idle_most_ms, idle)
+        if idle != self.idle_ms:
+            self.idle_ms = idle
+            self.actions.close_idle(idle)
 
     def say(self, speed: float) -> None:
         share = 0.0 if self.leaving else speed * (1.0 - self.shut)
@@ -380,7 +387,7 @@
                  crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
                  stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
                  signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
-                 call_window_ms: float = 0.0, linger_ms: float = 0.0) -> None:
+                 call_window_ms: float = 0.0, linger_ms: float = 0.0, idle_ms: float = 0.0) -> None:
         self.actions, self.stages, self.gauges, self.halts = actions, stages, gauges, halt is not Halt.NONE
         self.stay_away_most_ms = stay_away_most_ms if stay_away_passed else 0.0
         self.agenda = Agenda()
@@ -392,7 +399,7 @@
         # A tier guards itself: there the pace alone bounds the calls, and this many are never in hand.
         most = call_share if below is Below.SHARED else 16.0 * cores
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
-        self.signals = Signals(actions, signal, speed, 2.0 * cores / max(1, callers))  # one running, one held
+        self.signals = Signals(actions, signal, speed, cores, callers, idle_ms)
         self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
         self.slot_ms = 0.0  # recent time in a place among those running
         self.ended_at = self.sampled_at = now
@@ -595,13 +602,14 @@
         self.actions.wake(TICK_MS)
         self.agenda.run(now)
         waiting = any(line.queue for line in self.queues.lines)
-        self.limit.tick(now, waiting, dict(zip(self.gauges, values, strict=False)))
+        gauges = dict(zip(self.gauges, values, strict=False))
+        self.limit.tick(now, waiting, gauges)
         if now - self.sampled_at >= SAMPLE_MS:
             self.sampled_at = now
             self.limit.sample()
             self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
             self.calls.sample()
-            self.signals.sample(self.limit.speed(now))
+            self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0))
         self.work(now)
 
     def give_up(self, now: float, task: Task) -> None:
