Record a try at leaving a call out by its timer alone

Conclusion: the time that a call takes counts; the timer takes the longer of two calls and half a run.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -525,8 +525,9 @@
             self.move(task, State.CALLING, now)
             task.calls = 0
             self.calls.wait(now, task)
-            if task.stage.skip_utility > 0.0:  # in time for the rest of the run, half of it on the mean
-                self.agenda.at(task.due - 0.5 * self.run_time(task, now), self.go_without, task)
+            if task.stage.skip_utility > 0.0:  # in time for the call, or half of the run, the rest on the mean
+                rest = max(2.0 * self.calls.recent_ms, 0.5 * self.run_time(task, now))
+                self.agenda.at(task.due - rest, self.go_without, task)
             self.work(now)
 
     def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
