--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -228,11 +228,10 @@
             long = len(line.queue) > self.THRESHOLD * self.length(self.part(line), slot_ms, due_ms)
             line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
             line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
-        even = len({line.marked for line in self.lines}) == 1
         for before, line in zip(self.lines, self.lines[1:], strict=False):
             if before.times and line.times:
                 y = (sum(line.times) / len(line.times)) / (sum(before.times) / len(before.times))
-                r = 1.0 if even else self.TILT ** (line.marked - before.marked)
+                r = self.TILT ** (line.marked - before.marked)  # 1:1 with none or all marked
                 error = inverse(y) - inverse(r)
                 v = line.v + (self.KP + self.KI) * error - self.KP * line.error
                 line.v, line.error = max(-self.V_MOST, min(self.V_MOST, v)), error
@@ -528,6 +527,7 @@
             if task.stage.skip_utility > 0.0:  # in time for the call, or half of the run, the rest on the mean
                 rest = max(2.0 * self.calls.recent_ms, 0.5 * self.run_time(task, now))
                 self.agenda.at(task.due - rest, self.go_without, task)
+                self.agenda.run(now)  # where that is now, before its turn comes
             self.work(now)
 
     def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
