--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -33,11 +33,10 @@
     def __init__(self, ident: int, stage_no: int, stage: Stage, tenant: int, arrived: float) -> None:
         self.id, self.stage_no, self.stage, self.tenant = ident, stage_no, stage, tenant
         self.arrived, self.state, self.answered = arrived, State.HELD, False
-        self.due = self.limit = self.kb = 0.0
         self.work: float | None = None
         self.first: Task | None = None  # that a repeat waits for
         self.followers: list[Task] = []  # repeats that wait for this one
-        self.key = self.began = self.call_at = self.off_ms = 0.0
+        self.due = self.limit = self.kb = self.key = self.began = self.call_at = self.off_ms = 0.0
         self.calls = 0
 
     def __lt__(self, other: "Task") -> bool:
@@ -524,10 +523,8 @@
             self.move(task, State.CALLING, now)
             task.calls = 0
             self.calls.wait(now, task)
-            if task.stage.skip_utility > 0.0:  # in time for the call, or half of the run, the rest on the mean
-                rest = max(2.0 * self.calls.recent_ms, 0.5 * self.run_time(task, now))
-                self.agenda.at(task.due - rest, self.go_without, task)
-                self.agenda.run(now)  # where that is now, before its turn comes
+            if task.stage.skip_utility > 0.0:  # in time for the rest of the run, half of it on the mean
+                self.agenda.at(task.due - 0.5 * self.run_time(task, now), self.go_without, task)
             self.work(now)
 
     def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
@@ -572,8 +569,7 @@
         self.move(task, State.RUNNING, now)
 
     def go_without(self, now: float, task: Task) -> None:
-        """A call that waits for its turn until the run could not end in time is left out. Guards against all
-        that keeps calls waiting; could harm only where the call would have gone in the last moment."""
+        """Guards against all that keeps calls waiting; harms only a call that would go at the last moment."""
         if task in self.calls.waiting:
             self.calls.waiting.remove(task)
             self.skip(task, now)
@@ -581,7 +577,10 @@
     def work(self, now: float) -> None:
         """Sends the calls that the pace allows, then starts tasks."""
         while (task := self.calls.next(now)) is not None:
-            self.calls.start(task, now)
+            if task.stage.skip_utility > 0.0 and task.due - now < 2.0 * self.calls.recent_ms:
+                self.skip(task, now)
+            else:
+                self.calls.start(task, now)
         self.start(now)
 
     def caller_gone(self, now: float, ident: int) -> None:
