Let callers of a cold server try elsewhere

Cause: at full size a caller hardly meets a server twice within the second that advice holds, so what a cold server rejects is lost unless the caller moves on; and a cold server, unlike a full one, knows that others do better. Could harm where all the fleet is cold and full at once.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -473,8 +473,7 @@
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
         line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
-        slots, over_share = self.queues.part(line), line.over_share(now)
-        run = self.run_time(task, now)
+        slots, over_share, run = self.queues.part(line), line.over_share(now), self.run_time(task, now)
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
         ahead = 1 + sum(other < task for other in line.queue)
@@ -619,8 +618,9 @@
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run. Where it is for want of room, another server is hardly
-        better off and would only read it once more; from a server that leaves, callers do well to move on."""
-        last, wait = (stay_away > 0.0, stay_away) if self.duty.stop == float("inf") else (False, float("inf"))
+        better off and would only read it once more; one that leaves or is cold lets callers move on."""
+        last = stay_away > 0.0 and self.limit.speed(now) >= 1.0
+        last, wait = (last, stay_away) if self.duty.stop == float("inf") else (False, float("inf"))
         self.actions.reject(task.id, last, min(wait, self.stay_away_most_ms))
         self.let_go(task, now)
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,6 +8,7 @@
     end ID OUTCOME | call ID | back ID OUTCOME | gone ID | leave STOP
     expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH
     value LOW HIGH | closed LOW HIGH | cap TENANT LOW HIGH | patience LOW HIGH      of the latest call
+    `last` is the action of a reject that asks callers not to try elsewhere
     forget-seen                   what was asked for so far counts no more
 """
 
@@ -32,6 +33,7 @@
                 self.wake_ms = first
             else:
                 self.made.append((name, first))
+                self.made += [("last", first)] if name == "reject" and rest[0] else []
                 self.patience_ms = rest[0] if name == "call" else self.patience_ms
 
         return note
