--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -617,11 +617,11 @@
             self.give_up(now, task)
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
-        """Final answer to a task that has not run. Where it is for want of room, another server is hardly
-        better off and would only read it once more; one that leaves or is cold lets callers move on."""
-        last = stay_away > 0.0 and self.limit.speed(now) >= 1.0
-        last, wait = (last, stay_away) if self.duty.stop == float("inf") else (False, float("inf"))
-        self.actions.reject(task.id, last, min(wait, self.stay_away_most_ms))
+        """Final answer to a task that has not run. Another server is hardly better off and would only read it
+        once more, with less time left; one that leaves or is cold, and knows it, lets callers move on."""
+        leaving = self.duty.stop < float("inf")
+        wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
+        self.actions.reject(task.id, not leaving and self.limit.speed(now) >= 1.0, wait)
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
