--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -483,7 +483,7 @@
         if full or wait + run > part * left:
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
-            self.reject(task, now, wait)
+            self.reject(task, now, wait, last=wait > 0.0)  # too large for a free place: a faster server may do
         else:
             insort(line.queue, task)
             self.agenda.at(task.due, self.too_late, task)
@@ -616,12 +616,12 @@
         if task.stage.late_utility <= 0.0 and (task.state is State.HELD or task in self.calls.waiting):
             self.give_up(now, task)
 
-    def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
+    def reject(self, task: Task, now: float, stay_away: float = 0.0, last: bool = True) -> None:
         """Final answer to a task that has not run. Another server is hardly better off and would only read it
         once more, with less time left; one that leaves or is cold, and knows it, lets callers move on."""
         leaving = self.duty.stop < float("inf")
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
-        self.actions.reject(task.id, not leaving and self.limit.speed(now) >= 1.0, wait)
+        self.actions.reject(task.id, last and not leaving and self.limit.speed(now) >= 1.0, wait)
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
