Ask callers not to try elsewhere only while one task in twenty is turned away

An occasional rejection, for a large task or a moment's crowd, says nothing of the others; at full size advice does not reach far, so the next server is its only chance.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -376,6 +376,7 @@
     # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
     ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
     BEHIND = 4.0  # times the span in the order, beyond the share: of little utility wherever one is given
+    CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance; others have room
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
     def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
@@ -483,7 +484,7 @@
         if full or wait + run > part * left:
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
-            self.reject(task, now, wait, last=wait > 0.0)  # too large for a free place: a faster server may do
+            self.reject(task, now, wait)
         else:
             insort(line.queue, task)
             self.agenda.at(task.due, self.too_late, task)
@@ -616,12 +617,13 @@
         if task.stage.late_utility <= 0.0 and (task.state is State.HELD or task in self.calls.waiting):
             self.give_up(now, task)
 
-    def reject(self, task: Task, now: float, stay_away: float = 0.0, last: bool = True) -> None:
+    def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run. Another server is hardly better off and would only read it
         once more, with less time left; one that leaves or is cold, and knows it, lets callers move on."""
         leaving = self.duty.stop < float("inf")
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
-        self.actions.reject(task.id, last and not leaving and self.limit.speed(now) >= 1.0, wait)
+        last = not leaving and self.limit.speed(now) >= 1.0 and self.signals.shut > self.CROWDED
+        self.actions.reject(task.id, last, wait)
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
