--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -119,10 +119,9 @@
                  speed: float, warm_ms: float) -> None:
         self.cores, self.memory_kb, self.run_factor, self.multiple = cores, memory_kb, run_factor, multiple
         self.started, self.cold_speed, self.warm_ms = now, speed, max(warm_ms, 1.0)
-        self.limit, self.used_kb = float(cores), 0.0
-        self.wanted = 0.0  # mean of those wanting a core, over about half a sample
+        self.limit, self.used_kb, self.wanted = float(cores), 0.0, 0.0  # wanted: mean over half a sample
         self.on_cores = self.away = 0  # started tasks: wanting a core (or disk), and at a call
-        self.responses = self.late = 0
+        self.responses = self.late = 0  # of this sample
 
     def speed(self, now: float) -> float:
         """The share of its speed that the server has at the least."""
@@ -171,8 +170,7 @@
         self.queue: list[Task] = []
         self.times: list[float] = []  # response times of this sample
         self.cap, self.error, self.v = 1.0, 0.0, 0.0
-        self.busy = self.above = self.below = 0
-        self.marked = False
+        self.busy, self.above, self.below, self.marked = 0, 0, 0, False
         self.rate, self.filled_at = allowance_per_ms, 0.0
         self.tokens = self.most = max(4.0, self.SAVED_MS * (allowance_per_ms or 0.0))
 
@@ -376,7 +374,7 @@
     # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
     ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
     BEHIND = 4.0  # times the span in the order, beyond the share: of little utility wherever one is given
-    CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance; others have room
+    CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
     def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
