--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -270,7 +270,7 @@
         self.in_hand: set[int] = set()
         self.lingering = 0
         self.recent_ms = self.best_ms = 0.0  # 0: no call has come back yet
-        self.tokens, self.filled_at, self.free_at = 1.0, 0.0, 0.0
+        self.tokens, self.filled_at, self.free_at = 1.0, 0.0, 0.0 if most else float("inf")  # no share, no call
 
     def wait(self, now: float, task: Task) -> None:
         if task.state is State.CALLING and not task.answered:
@@ -404,7 +404,7 @@
 
     def slot(self, now: float) -> float:
         """Time a task keeps its place. With none ending it grows by itself, whatever holds the cores up."""
-        seen = self.slot_ms or 0.125 * self.due_ms  # until one has ended: eight in a row finish in time
+        seen = self.slot_ms or max(1.0, 0.125 * self.due_ms)  # until one has ended: eight in a row finish in time
         return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores)
 
     def run_time(self, task: Task, now: float) -> float:
