--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -404,7 +404,7 @@
 
     def slot(self, now: float) -> float:
         """Time a task keeps its place. With none ending it grows by itself, whatever holds the cores up."""
-        seen = self.slot_ms or max(1.0, 0.125 * self.due_ms)  # until one has ended: eight in a row finish in time
+        seen = self.slot_ms or max(1.0, 0.125 * self.due_ms)  # until one has ended: eight in a row fit
         return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores)
 
     def run_time(self, task: Task, now: float) -> float:
