Pace calls by their recent time alone; run one task at the least; mend a failing test

Calls were cut to a fifth of the share while they took four times their best. The bound on calls in hand and the pace already follow. A single core that survives a crowd of one never ran a task; now one may always run.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -128,7 +128,7 @@
         return min(1.0, self.cold_speed + (1.0 - self.cold_speed) * (now - self.started) / self.warm_ms)
 
     def most(self, now: float) -> float:
-        return self.CROWD_USED * self.cores * (1.0 + (self.multiple - 1.0) * self.speed(now))
+        return max(1.0, self.CROWD_USED * self.cores * (1.0 + (self.multiple - 1.0) * self.speed(now)))
 
     def total(self, now: float) -> int:
         return max(1, int(min(self.limit, self.most(now))))
@@ -255,9 +255,6 @@
     """Calls below, paced by a rate that follows their recent time and kept within this server's share."""
 
     SHARE_USED = 0.9  # of the own share: what is given up lingers, and clocks differ by a batch
-    CROWDED = 4.0  # times the best mean seen, which chance halves: what is below is crowded, fewer do more
-    CUT, RISE = 0.8, 1.1  # a sample: a crowd below clears within a few, and room is found again in seconds
-    LEAST = 0.2  # of the own share: so little crowds nothing, and less would starve this server for good
     PATIENCE = 5.0  # times the recent time: hardly any call that comes back at all takes longer
     TRIES = 3  # of one call: the third time, what is below is failing and not merely full
 
@@ -265,12 +262,13 @@
                  window_ms: float, linger_ms: float) -> None:
         self.agenda, self.actions, self.jitter = agenda, actions, chance.uniform
         self.window_ms, self.linger_ms = window_ms, linger_ms
-        self.depth = self.most = self.SHARE_USED * most  # calls in hand: that the pace aims at, and at most
+        self.most = self.SHARE_USED * most  # calls in hand, which the pace aims at
         self.waiting: list[Task] = []
         self.in_hand: set[int] = set()
         self.lingering = 0
-        self.recent_ms = self.best_ms = 0.0  # 0: no call has come back yet
-        self.tokens, self.filled_at, self.free_at = 1.0, 0.0, 0.0 if most else float("inf")  # no share, no call
+        self.recent_ms = 0.0  # 0: no call has come back yet
+        self.tokens, self.filled_at = 1.0, 0.0
+        self.free_at = 0.0 if most else float("inf")  # without a share nothing is called
 
     def wait(self, now: float, task: Task) -> None:
         if task.state is State.CALLING and not task.answered:
@@ -278,8 +276,8 @@
 
     def next(self, now: float) -> Task | None:
         """The next waiting task that may call now."""
-        gained = (now - self.filled_at) * self.depth / self.recent_ms if self.recent_ms else 1.0
-        self.tokens = min(max(1.0, 0.25 * self.depth), self.tokens + gained)
+        gained = (now - self.filled_at) * self.most / self.recent_ms if self.recent_ms else 1.0
+        self.tokens = min(max(1.0, 0.25 * self.most), self.tokens + gained)
         self.filled_at = now
         hand = len(self.in_hand) + self.lingering
         if not self.waiting or self.tokens < 1.0 or now < self.free_at or hand + 1 > max(1.0, self.most):
@@ -317,14 +315,6 @@
     def linger(self, now: float, calls: int) -> None:
         self.lingering += calls
 
-    def sample(self) -> None:
-        """The depth falls while calls take far longer than at their best."""
-        if self.recent_ms:
-            self.best_ms = min(self.best_ms * 1.01, self.recent_ms) if self.best_ms else self.recent_ms
-            crowded = self.recent_ms > self.CROWDED * self.best_ms
-            self.depth *= self.CUT if crowded else self.RISE
-            self.depth = min(self.most, max(self.LEAST * self.most, self.depth))
-
 
 class Signals:
     """What callers are told: the free value shuts while tasks are turned away for want of room."""
@@ -601,7 +591,6 @@
             self.sampled_at = now
             self.limit.sample()
             self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
-            self.calls.sample()
             self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0))
         self.work(now)
 
