--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -7,9 +7,10 @@
 docs/design.md. Beside it stand these mechanisms:
   1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
   2. order: a tenant's queue goes by latest start, nearer for more utility, later beyond the tenant's share;
-  3. advice: the free value shuts as tasks are turned away, so that callers send less;
+  3. advice: the free value shuts as tasks are turned away, and callers are asked not to try elsewhere;
   4. pace: calls below follow their recent time;
-  5. giving back: the limit falls while more than the cores can serve want one.
+  5. giving back: the limit falls while more than the cores can serve want one;
+  6. connections: idle ones are closed sooner while many are open.
 """
 
 import heapq
@@ -605,8 +606,9 @@
             self.give_up(now, task)
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
-        """Final answer to a task that has not run. Another server is hardly better off and would only read it
-        once more, with less time left; one that leaves or is cold, and knows it, lets callers move on."""
+        """Final answer to a task that has not run. While many are turned away, another server is hardly better
+        off and would only read it once more. Guards against tries that walk from server to server. Does harm
+        where others have room: so never from one that leaves or is cold, nor for a rejection now and then."""
         leaving = self.duty.stop < float("inf")
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
         last = not leaving and self.limit.speed(now) >= 1.0 and self.signals.shut > self.CROWDED
