--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -607,8 +607,8 @@
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run. While many are turned away, another server is hardly
-        better off and would only read it once more. Guards against tries that walk from server to server. Does
-        harm where others have room: so never from one that leaves or is cold, nor for a rejection now and then."""
+        better off and would only read it once more. Guards against tries that walk on and on; harms where
+        others have room, so never from one that leaves or is cold, nor for a rejection now and then."""
         leaving = self.duty.stop < float("inf")
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
         last = not leaving and self.limit.speed(now) >= 1.0 and self.signals.shut > self.CROWDED
