Give closing idle connections a method of its own; ask Signals whether the server leaves

The rule stood in the middle of the sample of the free value. Rejections derived anew from the stop time that the server leaves, which Signals already knows.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -120,7 +120,8 @@
                  speed: float, warm_ms: float) -> None:
         self.cores, self.memory_kb, self.run_factor, self.multiple = cores, memory_kb, run_factor, multiple
         self.started, self.cold_speed, self.warm_ms = now, speed, max(warm_ms, 1.0)
-        self.limit, self.used_kb, self.wanted = float(cores), 0.0, 0.0  # wanted: mean over half a sample
+        self.limit, self.used_kb = float(cores), 0.0
+        self.wanted = 0.0  # mean of those wanting a core, over about half a sample
         self.on_cores = self.away = 0  # started tasks: wanting a core (or disk), and at a call
         self.responses = self.late = 0  # of this sample
 
@@ -318,7 +319,8 @@
 
 
 class Signals:
-    """What callers are told: the free value shuts while tasks are turned away for want of room."""
+    """What callers are told: the free value shuts while tasks are turned away for want of room. Beside it
+    stand health and the time that their connections may idle."""
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
@@ -330,7 +332,8 @@
     def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
                  idle_ms: float) -> None:
         self.actions, self.signal, self.idle_ms, self.idle_most_ms = actions, signal, idle_ms, idle_ms
-        self.credit, self.links = 2.0 * cores / max(1, callers), self.LINKS * cores  # one running, one held
+        self.credit = 2.0 * cores / max(1, callers)  # one running, one held
+        self.many_links = self.LINKS * cores
         self.read = self.turned_away = 0
         self.shut, self.said, self.leaving = 0.0, -1.0, False
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
@@ -346,8 +349,13 @@
         self.read = self.turned_away = 0
         self.shut = self.OPEN * self.shut + self.GAIN * away * (self.MOST - self.shut)
         self.say(speed)  # a cold server asks for what it can do
-        idle = max(self.IDLE_LEAST_MS, 0.5 * self.idle_ms) if links > self.links else 1.1 * self.idle_ms
-        if (idle := min(self.idle_most_ms, idle)) != self.idle_ms:
+        self.close_idle(links)
+
+    def close_idle(self, links: float) -> None:
+        """Halves the time that a connection may idle while many are open, and lets it grow back after."""
+        idle = max(self.IDLE_LEAST_MS, 0.5 * self.idle_ms) if links > self.many_links else 1.1 * self.idle_ms
+        idle = min(self.idle_most_ms, idle)
+        if idle != self.idle_ms:
             self.idle_ms = idle
             self.actions.close_idle(idle)
 
@@ -558,7 +566,8 @@
         self.move(task, State.RUNNING, now)
 
     def go_without(self, now: float, task: Task) -> None:
-        """Guards against all that keeps calls waiting; harms only a call that would go at the last moment."""
+        """A call still waiting for its turn when the run could hardly end in time is left out. Guards against
+        all that keeps calls waiting; could harm only where the call would have gone in the last moment."""
         if task in self.calls.waiting:
             self.calls.waiting.remove(task)
             self.skip(task, now)
@@ -609,7 +618,7 @@
         """Final answer to a task that has not run. While many are turned away, another server is hardly
         better off and would only read it once more. Guards against tries that walk on and on; harms where
         others have room, so never from one that leaves or is cold, nor for a rejection now and then."""
-        leaving = self.duty.stop < float("inf")
+        leaving = self.signals.leaving
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
         last = not leaving and self.limit.speed(now) >= 1.0 and self.signals.shut > self.CROWDED
         self.actions.reject(task.id, last, wait)
