Reload on SIGHUP, read fields strictly, give each call a link of its own

Now: fields by the protocol's grammar; a reused number, more than 32 open tasks or a misframed stream condemn the connection; silent connections are closed after 1.5 s and give way when descriptors run short; what the pool never began keeps no fingerprint; calls go one a link, by a link just used where they may not be repeated; a hanging pool gets a new link; bounds follow the configured limits.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -1,8 +1,12 @@
 """Reads LB_CONFIG, wires the core to its sockets, and handles the signals."""
 
+import signal
+
+# Until the receiver stands, a reload waits: the signal's own effect would end the process.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 import json
 import os
-import signal
 import sys
 from functools import partial
 from typing import Any, cast
@@ -18,10 +22,10 @@
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.registry import Registry
 from pumicenotch.server import calls, runs
-from pumicenotch.server.core import LISTENER, Server
+from pumicenotch.server.core import LISTENER, REGISTRY, Server
 
 FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
-SPARE = 32  # descriptors left for the links, the listener and the process itself
+MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
 
 def address(text: str) -> tuple[str, int]:
@@ -31,10 +35,31 @@
     return host.strip("[]"), int(port)
 
 
-async def signals(hub: Hub) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+async def signals(hub: Hub, values: dict[str, Any]) -> None:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+    with anyio.open_signal_receiver(*numbers) as received:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         async for number in received:
-            hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+            if number == signal.SIGHUP:
+                reload(hub, values)
+            else:
+                hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+
+
+def reload(hub: Hub, values: dict[str, Any]) -> None:
+    """A file that cannot be read whole leaves the running values in force."""
+    try:
+        new, _ = read()
+    except ValueError as error:
+        hub.put("met", "reloads_failed", f"reload: {error}; the running values stay in force")
+        return
+    moved = {name: new[name] for name in MOVABLE if None not in (new[name], values[name])}
+    moved = {name: address for name, address in moved.items() if address != values[name]}
+    values |= moved
+    old, pairs = values["pairs"], new["pairs"]
+    others = sorted(path for path in old.keys() | pairs.keys() if old.get(path) != pairs.get(path))
+    hub.put("reload", moved, " ".join(path for path in others if path not in moved) or "nothing")
+    values["pairs"] |= {name: pairs[name] for name in moved}
 
 
 async def serve(values: dict[str, Any], core: Server) -> None:
@@ -44,18 +69,20 @@
     listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
     listener = cast(SocketListener, listeners.listeners[0])
     async with anyio.create_task_group() as group:
-        group.start_soon(signals, hub)
+        group.start_soon(signals, hub, values)
         pool_links = Links(hub, group, values["pool"], pool.FRAMES, partial(pool.Reader, hub))
-        hub.diallers[runs.LINK] = pool_links.dial
+        hub.diallers[runs.LINK], hub.movers[runs.LINK] = pool_links.dial, pool_links.move
         if values["db"] is not None:
             reader = partial(database.Reader, hub)
             db_links = Links(hub, group, values["db"], database.FRAMES, reader)
-            hub.diallers |= dict.fromkeys(calls.LINKS, db_links.dial)
-        callers = gateways.Gateways(hub, max(1, values["sockets"] - SPARE))
+            hub.diallers[calls.PARTY], hub.movers[calls.PARTY] = db_links.dial, db_links.move
+        callers = gateways.Gateways(hub)
         hub.closers[LISTENER] = callers.closing.cancel
         group.start_soon(callers.accept, listener, group)
         if values["registry"] is not None:
-            group.start_soon(Registry(hub, values["registry"], values["name"]).run)
+            registry = Registry(hub, values["registry"], values["name"])
+            hub.movers[REGISTRY] = registry.move
+            group.start_soon(registry.run)
         await anyio.sleep(0)  # the registry's outbox stands before the first report
         hub.put("start")
         bound = listener.extra(SocketAttribute.local_address)
@@ -85,13 +112,14 @@
     for name in ("listen", "pool"):
         if values[name] is None:
             raise start.BadStart(f"missing start value {name}")
-    values["name"] = pairs.get("name", "")
+    values |= {"name": pairs.get("name", ""), "pairs": pairs}
     seed = start.read("seed", pairs, lambda text: int(text, 16), 0)
-    values["sockets"] = start.read("limits.sockets", pairs, int, 1024)
     core = Server(
         keywords=start.keywords(settings), stages=start.names(settings, "classes"),
         tenants=start.names(settings, "tenants"), seed=seed,
         stop_ms=start.read("stop_ms", pairs, float, 0.0), below=values["db"] is not None,
+        memory_mb=start.read("limits.memory_mb", pairs, float, 192.0),
+        sockets=start.read("limits.sockets", pairs, int, 1024),
     )  # fmt: skip
     return values, core
 
--- a/pumicenotch/net/database.py
+++ b/pumicenotch/net/database.py
@@ -1,13 +1,15 @@
 """The database's protocol: lines that end in CR LF, bodies of a told length."""
 
+import re
+
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.link import Frame
 
-HEAD_MOST = 256  # an id, a word and a length
+HEAD = re.compile(rb"(?P<name>[0-9a-f]{16}) (ROWS (?P<length>[0-9]{1,9})|(?P<how>FULL|FAIL|TIMEOUT|NONE))")
+HEAD_MOST = 64  # an id, a word and a length, and some more
 BODY_MOST = 64 * 1024  # far above any reply
-FRAMES: dict[str, Frame] = {
+FRAMES: dict[str, Frame] = {  # a call is given up with its link, so there is no X
     "call": lambda name, ms, body: b"Q %b %d %d\r\n%b\r\n" % (name.encode(), ms, len(body), body),
-    "give-up": lambda name: b"X %b\r\n" % name.encode(),
 }
 
 
@@ -17,14 +19,18 @@
         self.data = b""
 
     def feed(self, data: bytes) -> None:
+        """What cannot be read, has no end or does not fit its length is known as soon as may be: the call on
+        this link has nothing else to wait for."""
         self.data += data
         at = 0
         while (end := self.data.find(b"\r\n", at)) >= 0:
-            name, how, *rest = self.data[at:end].decode("ascii").split(" ")
+            if (head := HEAD.fullmatch(self.data, at, end)) is None:
+                raise ValueError(f"no reply: {self.data[at:end][:80]!r}")
+            name, how, length = head["name"].decode(), (head["how"] or b"ROWS").decode(), 0
             body, end = b"", end + 2
             if how == "ROWS":
-                length = int(rest[0]) if rest else -1
-                if not 0 <= length <= BODY_MOST:
+                length = int(head["length"])
+                if length > BODY_MOST:
                     raise ValueError(f"a reply of {length} bytes")
                 if len(self.data) < end + length + 2:
                     break
@@ -34,5 +40,5 @@
             self.put("replied", self.link, name, how, body)
             at = end
         self.data = self.data[at:]
-        if len(self.data) > HEAD_MOST + BODY_MOST:
+        if len(self.data) > HEAD_MOST and b"\r\n" not in self.data[:HEAD_MOST]:
             raise ValueError("a line too long")
--- a/pumicenotch/net/dial.py
+++ b/pumicenotch/net/dial.py
@@ -20,18 +20,31 @@
     ) -> None:  # fmt: skip
         self.hub, self.group, self.address, self.frames, self.reader = hub, group, address, frames, reader
 
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+
     def dial(self, link: str, after_ms: float) -> None:
-        self.group.start_soon(self.serve, link, after_ms)
+        scope = anyio.CancelScope()
+        self.hub.closers[link] = scope.cancel  # of this dial, until it is a connection
+        self.group.start_soon(self.serve, link, after_ms, scope)
 
-    async def serve(self, link: str, after_ms: float) -> None:
+    async def serve(self, link: str, after_ms: float, scope: anyio.CancelScope) -> None:
         outbox = Outbox(self.frames, UNREAD_MOST)
-        await anyio.sleep(after_ms / 1000.0)
-        try:
-            with anyio.fail_after(DIAL_S):
-                stream = await anyio.connect_tcp(*self.address)
-        except OSError as error:
-            text = str(error.__cause__ or error) or "dial timed out"
-            self.hub.put("unlinked", link, Fault(Reach.REFUSED, text))
+        fault, stream = Fault(Reach.REFUSED, "dial timed out"), None
+        with scope:
+            await anyio.sleep(after_ms / 1000.0)
+            try:
+                with anyio.move_on_after(DIAL_S):
+                    stream = await anyio.connect_tcp(*self.address)
+            except OSError as error:
+                fault = Fault(Reach.REFUSED, str(error.__cause__ or error))
+        if scope.cancel_called:
+            if stream is not None:
+                await anyio.aclose_forcefully(stream)
+            return
+        del self.hub.closers[link]
+        if stream is None:
+            self.hub.put("unlinked", link, fault)
             return
 
         async def talk() -> None:
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -9,9 +9,10 @@
 from anyio.abc import SocketListener, SocketStream, TaskGroup
 
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.link import LOST, READ_MOST, Outbox, carry, read
+from pumicenotch.net.link import LOST, Outbox, carry, read
 
-FRAME_MOST = 16 * 1024  # far above any frame: a body has 2 KiB, the fields some hundred bytes
+FRAME_MOST = 8 * 1024  # far above any frame: a body has 2 KiB, the fields some hundred bytes
+READ_MOST = 8 * 1024  # bytes taken at once: some tasks, so that one at full speed keeps no other waiting long
 BACKLOG = 1024  # every gateway may connect at once after a start
 LAST_S = 0.02  # without a new connection before the listener is closed: dials on one network take less
 UNREAD_MOST = 192 * 1024  # 32 answers of 4 KiB are 130; 500 connections this full fit into 192 MB
@@ -45,8 +46,9 @@
     def __init__(self, hub: Hub, conn: int) -> None:
         self.put, self.unix, self.conn = hub.put, hub.clock.unix, conn
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=READ_MOST + FRAME_MOST, max_str_len=FRAME_MOST, max_bin_len=FRAME_MOST,
-            max_array_len=64, max_map_len=64, max_ext_len=0, unicode_errors="surrogateescape",
+            read_size=READ_MOST, max_buffer_size=READ_MOST + FRAME_MOST,
+            max_str_len=FRAME_MOST, max_bin_len=FRAME_MOST, max_array_len=64, max_map_len=64, max_ext_len=0,
+            unicode_errors="surrogateescape",
         )  # fmt: skip
 
     def feed(self, data: bytes) -> None:
@@ -59,6 +61,8 @@
 
     def frame(self, frame: Any) -> None:
         match frame:
+            case [0, bool(), *_] | [2, "cancelRequest", [bool()]]:
+                raise ValueError("no message of MessagePack-RPC")
             case [0, int(message), "alive", [*_]]:
                 self.put("alive", self.conn, message)
             case [0, int(message), str(stage), [dict(told), body]]:
@@ -74,10 +78,9 @@
 
 
 class Gateways:
-    def __init__(self, hub: Hub, most: int) -> None:
-        self.hub, self.most = hub, most
+    def __init__(self, hub: Hub) -> None:
+        self.hub = hub
         self.numbers = count(1)
-        self.open = 0
         self.closing = anyio.CancelScope()
 
     async def accept(self, listener: SocketListener, group: TaskGroup) -> None:
@@ -99,10 +102,6 @@
             group.start_soon(self.serve, stream)
 
     async def serve(self, stream: SocketStream) -> None:
-        if self.open >= self.most:
-            self.hub.put("met", "connections_too_many", f"{self.open} connections are open")
-            await anyio.aclose_forcefully(stream)
-            return
         conn = next(self.numbers)
         outbox = Outbox(FRAMES, UNREAD_MOST)
 
@@ -112,20 +111,18 @@
             await self.read(stream, conn)
             await anyio.sleep_forever()  # the answers still owed are written until the core closes it
 
-        self.open += 1
         try:
             error = await carry(stream, outbox, talk)
             if error is not None and not isinstance(error, LOST):
                 self.hub.put("met", "connections_failed", f"connection {conn}: {error!r}")
         finally:
-            self.open -= 1
             self.hub.remove(conn, outbox)
             self.hub.put("reset", conn)
 
     async def read(self, stream: SocketStream, conn: int) -> None:
-        """To the end of what the gateway writes, or to what is no message: that ends its reading alone."""
+        """To the end of what the gateway writes, or to what is no message."""
         try:
-            await read(stream, Reader(self.hub, conn))
+            await read(stream, Reader(self.hub, conn), READ_MOST)
         except ValueError as error:
-            self.hub.put("met", "connections_misframed", f"connection {conn}: {error}")
+            self.hub.put("condemn", conn, "connections_misframed", str(error))
         self.hub.put("eof", conn)
--- a/pumicenotch/net/hub.py
+++ b/pumicenotch/net/hub.py
@@ -9,7 +9,7 @@
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.link import Outbox
 from pumicenotch.server.core import Server
-from pumicenotch.server.effects import Close, Dial, Effect, Exit, Link, Log, Wake, Write
+from pumicenotch.server.effects import Close, Dial, Effect, Exit, Link, Log, Move, Wake, Write
 
 
 class Hub:
@@ -17,8 +17,9 @@
         self.core, self.clock = core, clock
         self.outboxes: dict[Link, Outbox] = {}  # by the link that writes to them
         self.live: set[Outbox] = set()  # those as well that are closed but not yet all written
-        self.diallers: dict[str, Callable[[str, float], None]] = {}
-        self.closers: dict[Link, Callable[[], None]] = {}  # of what is no connection
+        self.diallers: dict[str, Callable[[str, float], None]] = {}  # by party
+        self.movers: dict[str, Callable[[tuple[str, int]], None]] = {}
+        self.closers: dict[Link, Callable[[], None]] = {}  # of what is no connection, or none yet
         self.exit = anyio.Event()
 
     def put(self, name: str, *details: Any) -> None:
@@ -48,13 +49,15 @@
                     logger.warning("{} leaves {} bytes unread and is cut", link, outbox.size)
                     outbox.scope.cancel()
             case Close(link) if link in self.closers:
-                self.closers[link]()
+                self.closers.pop(link)()
             case Close(link):
                 outbox = self.outboxes.pop(link, None)
                 if outbox is not None:
                     outbox.close()
             case Dial(link, after_ms):
-                self.diallers[link](link, after_ms)
+                self.diallers[link.partition("-")[0]](link, after_ms)
+            case Move(party, address):
+                self.movers[party](address)
             case Wake(after_ms):
                 self.clock.wake(after_ms)
             case Log(text):
--- a/pumicenotch/net/link.py
+++ b/pumicenotch/net/link.py
@@ -8,7 +8,7 @@
 from anyio.abc import ByteStream
 
 LOST = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)  # a connection ended by the other side
-READ_MOST = 64 * 1024  # bytes taken at once
+READ_MOST = 64 * 1024  # bytes taken at once from a peer of our own
 CLOSE_S = 2.0  # for what is still to be written once a connection is closed: as long as a gateway has for it
 
 Frame = Callable[..., bytes]
@@ -77,8 +77,8 @@
     return None
 
 
-async def read(stream: ByteStream, reader: Reader) -> None:
+async def read(stream: ByteStream, reader: Reader, most: int = READ_MOST) -> None:
     """Until the other side ends its writing."""
     with suppress(anyio.EndOfStream):
         while True:
-            reader.feed(await stream.receive(READ_MOST))
+            reader.feed(await stream.receive(most))
--- a/pumicenotch/net/registry.py
+++ b/pumicenotch/net/registry.py
@@ -16,6 +16,8 @@
     def __init__(self, hub: Hub, address: tuple[str, int], name: str) -> None:
         self.hub, self.address, self.name = hub, address, name
         self.stream: ByteStream | None = None
+        self.scope = anyio.CancelScope()  # of the report on its way
+        self.moved = False
         self.http = h11.Connection(h11.CLIENT)
         self.outbox = Outbox({"ready": lambda: b"ready ", "draining": lambda: b"draining "}, 1024)
 
@@ -27,9 +29,12 @@
 
     async def report(self, state: bytes) -> Fault | None:
         """None once it is answered 204; else how far it had come."""
-        reach, text = Reach.REFUSED, ""
+        if self.moved:
+            self.moved = False
+            await self.close()
+        reach, text = Reach.REFUSED, "given up, as the registry has moved"
         try:
-            with anyio.fail_after(REPORT_S):
+            with anyio.fail_after(REPORT_S) as self.scope:
                 if self.stream is None:
                     self.stream = await anyio.connect_tcp(*self.address)
                     self.http = h11.Connection(h11.CLIENT)
@@ -63,6 +68,11 @@
                 raise h11.RemoteProtocolError("closed or turned to another protocol before an answer")
         return status
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The old one is told nothing more, and not waited for."""
+        self.address, self.moved = address, True
+        self.scope.cancel()
+
     async def close(self) -> None:
         stream, self.stream = self.stream, None
         if stream is not None:
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -11,9 +11,9 @@
 from pumicenotch.server import runs
 from pumicenotch.server.backoff import Backoff
 from pumicenotch.server.callers import Callers
-from pumicenotch.server.calls import ENDS, LINKS, Call, Calls
+from pumicenotch.server.calls import ENDS, PARTY, Call, Calls
 from pumicenotch.server.counters import Counters
-from pumicenotch.server.effects import Close, Dial, Effect, Exit, Fault, Log, Wake, Write
+from pumicenotch.server.effects import Close, Dial, Effect, Exit, Fault, Log, Move, Wake, Write
 from pumicenotch.server.kept import Kept
 from pumicenotch.server.runs import Runs
 from pumicenotch.server.tasks import BadTask, Held, Tasks
@@ -30,24 +30,28 @@
     HOUSE_MS = 250.0  # between looks for idle connections: a quarter of the shortest time they may idle
     STOP_MARGIN_MS = 100.0  # left of the notice when the last answers go out: a crowded core is late
     UNHEARD_MS = 300.0  # before the stop the door closes: enough for what crossed it to be answered
+    KEPT_PART = 0.125  # of the memory, for results that are kept: they never bring the program down
+    SPARE = 32  # descriptors left for the pool, the registry, the listener, dials and closes on their way
+    CALLS_PART = 0.25  # of the descriptors, for calls below: gateways open up to half
 
     def __init__(
         self, *, keywords: dict[str, Any], stages: dict[str, int], tenants: dict[str, int], seed: int,
-        stop_ms: float, below: bool,
+        stop_ms: float, below: bool, memory_mb: float, sockets: int,
     ) -> None:  # fmt: skip
         self.keywords, self.seed, self.stop_ms, self.below = keywords, seed, stop_ms, below
         self.control: Control | None = None  # made when the pool is first bound: warmth counts from its start
         self.effects: list[Effect] = []
         self.later: deque[Callable[[], None]] = deque()  # ends that come while the control is in another call
         chance = random.Random(seed).uniform
-        self.counters, self.kept = Counters(), Kept()
+        self.counters, self.kept = Counters(), Kept(int(self.KEPT_PART * memory_mb * 1024 * 1024))
         self.tasks = Tasks(keywords["stages"], stages, tenants)
-        self.callers = Callers(self.effects)
+        links = max(1, int(self.CALLS_PART * sockets))
+        self.callers = Callers(self.effects, sockets // 2, max(8, sockets - links - self.SPARE))
         self.runs = Runs(self.effects, Backoff(chance))
-        self.calls = Calls(self.effects, [Backoff(chance) for _ in LINKS])
+        self.calls = Calls(self.effects, Backoff(chance), links)
         self.reports = Backoff(chance)
         self.agenda = Agenda()
-        self.now = self.rang_at = 0.0
+        self.now = self.rang_at = self.house_at = 0.0
         self.tick_ms = self.HOUSE_MS
         self.gauges: tuple[float, ...] = ()
         self.hint: float | None = None
@@ -78,27 +82,32 @@
 
     def start(self) -> None:
         self.effects.append(Dial(runs.LINK, 0.0))
-        self.rang_at = self.now
+        self.rang_at = self.house_at = self.now
         self.house(self.now, None)
         self.wake(0.0)
 
     def time(self) -> None:
         self.rang_at = self.now
         self.agenda.run(self.now)
+        if self.control is not None and self.runs.hangs(self.now):
+            self.met("links_hung", "pool: no answer on a link that is up")
+            self.runs.renew()
         if self.control is None:
             self.wake(self.HOUSE_MS)
         elif self.runs.up and self.runs.polled:
-            self.runs.poll()  # its answer brings the tick, with fresh gauges
+            self.runs.poll(self.now)  # its answer brings the tick, with fresh gauges
             self.wake(self.tick_ms)
         else:
             self.counters.add("ticks_without_gauges")
             self.control.tick(self.now, self.gauges)
 
     def house(self, now: float, _: None) -> None:
-        self.agenda.at(now + self.HOUSE_MS, self.house, None)
         if now >= self.report_at:
             self.report()
-        self.callers.close_idle(now)
+        if now <= self.house_at + self.HOUSE_MS:  # after a stall the news of the idle ones is still unread
+            self.callers.close_idle(now)
+        self.house_at = now + self.HOUSE_MS
+        self.agenda.at(self.house_at, self.house, None)
         self.calls.close_idle(now)
         if now >= self.quiet_from and not self.callers.connections:
             self.exit(now, None)
@@ -149,21 +158,38 @@
             self.met("reports_failed", f"registry: {fault.text}")
             self.report_at = self.now + self.reports.wait()
 
+    def reload(self, addresses: Mapping[str, tuple[str, int]], unapplied: str) -> None:
+        """New addresses of the parties below. Runs and notice numbers carry on."""
+        self.counters.add("reloads")
+        self.effects.append(Log(f"reload: moved {sorted(addresses)}; not applied: {unapplied}"))
+        self.effects += [Move(party, address) for party, address in addresses.items()]
+        if runs.LINK in addresses:
+            self.runs.backoff.reset()
+            self.runs.renew()
+        if PARTY in addresses:
+            self.calls.moved(self.now)
+        if REGISTRY in addresses:
+            self.reports.reset()
+            self.report()
+
     def linked(self, link: str) -> None:
-        self.counters.add(f"links_{link}")
         if link == runs.LINK:
-            self.runs.linked()
+            self.counters.add(f"links_{link}")
+            self.runs.linked(self.now)
         else:
+            self.counters.add(f"links_{PARTY}")
             self.calls.linked(self.now, link)
 
     def unlinked(self, link: str, fault: Fault) -> None:
-        ended = self.calls.unlinked(link) if link != runs.LINK else []
-        idle = link != runs.LINK and not ended
-        self.met(f"links_lost_{link}_{fault.reach.name.lower()}", "" if idle else f"{link}: {fault.text}")
+        reach = fault.reach.name.lower()
         if link == runs.LINK:
+            self.met(f"links_lost_{link}_{reach}", f"{link}: {fault.text}")
             self.runs.unlinked()
-        for held, outcome in ended:
-            self.call_ended(held, outcome)
+            return
+        ended = self.calls.unlinked(self.now, link)
+        self.met(f"links_lost_{PARTY}_{reach}", f"{link}: {fault.text}" if ended else "")
+        if ended is not None:
+            self.call_ended(*ended)
 
     # Gateways
 
@@ -173,6 +199,19 @@
         # another for each task, and a handshake costs the cores as much as some tasks.
         self.callers.opened(self.now, conn, told=self.quiet_from < float("inf"))
 
+    def condemn(self, conn: int, trouble: str, text: str) -> None:
+        """What it sends cannot be told apart any more, so nothing that it has open is answered as served: a
+        gateway keeps to the protocol. All is answered failed at once, and the connection closed. Guards
+        against what is no gateway; harms the open tasks of one that errs once."""
+        connection = self.callers.connections.get(conn)
+        if connection is None:
+            return
+        self.met(trouble, f"connection {conn}: {text}")
+        for held in list(connection.open.values()):
+            self.answer(held, "failed")
+            self.let_go(held)
+        self.callers.close(conn)
+
     def eof(self, conn: int) -> None:
         connection = self.callers.connections.get(conn)
         if connection is not None:
@@ -194,24 +233,28 @@
         if connection is None:
             self.counters.add("tasks_crossed")  # on its way while the connection was closed: sent again
             return
+        if not self.callers.heard(self.now, conn, message):
+            self.condemn(conn, "connections_misnumbered", f"message {message} after {connection.last}")
+            return
+        if len(connection.open) >= self.callers.MOST_OPEN:
+            self.condemn(conn, "connections_overfull", f"over {self.callers.MOST_OPEN} tasks are open")
+            return
         self.counters.add("tasks")
         try:
-            if message in connection.open:
-                raise BadTask("message id")
-            held = self.tasks.read(conn, message, stage, fields, body)
+            held = self.tasks.read(conn, message, unix, stage, fields, body)
             waited = max(0.0, unix - held.t0)
+            same = self.kept.same(held, self.now - waited) if held.token else None
         except BadTask as error:
             self.met("malformed", f"malformed task: {error}")
             self.count_answer("failed")
             self.effects.append(Write(conn, ("failed", message, self.hint)))
             self.callers.close_if_over(conn)
             return
-        self.callers.taken(self.now, conn, message, held)
+        self.callers.taken(conn, message, held)
         self.tasks.add(held)
         if self.control is None:  # none is to arrive before the pool is up, and nothing of it has run
             self.reject(held.id, False, 0.0)
         else:
-            same = self.kept.same(held.token, self.now - waited) if held.token else None
             self.control.task(
                 self.now, held.id, held.stage_number, held.tenant, waited, None, held.work, held.kb, same
             )
@@ -231,8 +274,14 @@
         self.count_answer("gone")
         held.answered = True
         self.callers.settle(self.now, held)
+        self.let_go(held)
+
+    def let_go(self, held: Held) -> None:
+        """Nobody waits for it: what runs goes on to its end, the rest is over. The result of a fingerprinted
+        task is kept, and a further try is worth it only with its call."""
         if held.started:
-            self.calls.give_up(held)
+            if not held.token:
+                self.calls.give_up(held)
         else:
             self.tasks.remove(held)
         if self.control is not None:
@@ -249,7 +298,7 @@
         self.counters.add("checks")
         connection = self.callers.connections.get(conn)
         if connection is not None:
-            connection.active_at = self.now
+            self.callers.heard(self.now, conn, message)
             good = self.good and self.control is not None
             self.effects.append(Write(conn, ("alive", message, self.hint, good)))
 
@@ -276,7 +325,7 @@
             self.control = Control(self, self.now - for_ms, seed=self.seed, **keywords)
             if self.leaving:
                 self.control.leave(self.now, self.stop)
-        self.runs.bound()
+        self.runs.bound(self.now)
 
     def polled(self, cookie: str, gauges: tuple[float, ...]) -> None:
         if self.runs.answered(cookie):
@@ -305,11 +354,14 @@
         self.runs.fresh(serial)
 
     def unknown(self, command: str, name: str) -> None:
-        """The pool did not carry a command out. A run that it does not know would keep its place for good."""
+        """The pool did not carry a command out. A run that it never began is over: it would keep its place
+        for good, and its fingerprint from the tasks that it belongs to."""
         self.met("unknown", f"pool does not know {command} of {name}")
         held = self.tasks.by_name.get(name)
-        if held is not None and held.started and command != "suspend":
-            self.run_ended(held, Outcome.ERROR, b"")
+        if held is not None and held.started and command == "spawn":
+            for other in self.kept.forget(held.id, proven=True):
+                self.reuse_ended(other, Outcome.MOOT, b"")
+            self.run_ended(held, Outcome.MOOT, b"")
 
     def run_ended(self, held: Held, outcome: Outcome, result: bytes) -> None:
         self.calls.give_up(held)
@@ -397,13 +449,15 @@
 
     def keep(self, task: int, for_ms: float) -> None:
         held = self.tasks.by_id[task]
-        if held.token is not None:
+        if held.token:
             self.kept.keep(held, self.now + for_ms)
-            self.agenda.at(self.now + for_ms + held.stage.limit_ms, self.expire, held)
+            after_ms = held.stage.limit_ms
+            self.agenda.at(self.now + for_ms + after_ms, self.expire, (held.id, after_ms))
 
-    def expire(self, now: float, held: Held) -> None:
-        if not self.kept.expire(held.id):
-            self.agenda.at(now + held.stage.limit_ms, self.expire, held)
+    def expire(self, now: float, what: tuple[int, float]) -> None:
+        owner, after_ms = what
+        if not self.kept.expire(owner):
+            self.agenda.at(now + after_ms, self.expire, what)
 
     def forget(self, task: int) -> None:
         for other in self.kept.forget(task):
@@ -439,7 +493,7 @@
     name: getattr(Server, name)
     for name in (
         "start", "time", "leave", "show_counters", "reported", "linked", "unlinked", "opened", "eof", "reset",
-        "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished", "chatter", "unknown",
-        "replied",
+        "condemn", "reload", "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished",
+        "chatter", "unknown", "replied",
     )
 }  # fmt: skip
--- a/pumicenotch/server/effects.py
+++ b/pumicenotch/server/effects.py
@@ -15,6 +15,13 @@
     link: Link
 
 
+class Move(NamedTuple):
+    """What is dialled or reported to from now on goes to this address."""
+
+    party: str
+    address: tuple[str, int]
+
+
 class Dial(NamedTuple):
     link: str
     after_ms: float
@@ -32,7 +39,7 @@
     pass
 
 
-Effect = Write | Close | Dial | Wake | Log | Exit
+Effect = Write | Close | Move | Dial | Wake | Log | Exit
 
 
 class Reach(Enum):
--- a/pumicenotch/server/runs.py
+++ b/pumicenotch/server/runs.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from pumicenotch.server.backoff import Backoff
-from pumicenotch.server.effects import Dial, Effect, Write
+from pumicenotch.server.effects import Close, Dial, Effect, Write
 from pumicenotch.server.tasks import Held
 
 LINK = "pool"
@@ -15,11 +15,16 @@
     notices missed come first, then a poll's answer, then the commands that are not proven and not overtaken
     by a notice about their task go out again."""
 
+    # An answer to `bind` or `poll` takes a millisecond: after a thousand times that the link is taken for
+    # dead though it is up. Does little harm where all stand still together: the link is made once more.
+    HANGS_MS = 1000.0
+
     def __init__(self, effects: list[Effect], backoff: Backoff) -> None:
         self.effects, self.backoff = effects, backoff
         self.serial = 0  # of the last notice read
         self.polls = 0
         self.polled = True  # the last poll has been answered
+        self.asked_at: float | None = None  # of a `bind` or `poll` that is not answered yet
         self.up = False  # the link takes commands
         self.unproven: deque[tuple[int, int, Held, tuple[Any, ...]]] = deque()
 
@@ -28,23 +33,32 @@
         if self.up:
             self.effects.append(Write(LINK, message))
 
-    def linked(self) -> None:
+    def linked(self, now: float) -> None:
+        self.asked_at = now
         self.effects.append(Write(LINK, ("bind", self.serial)))
 
-    def bound(self) -> None:
+    def bound(self, now: float) -> None:
         self.backoff.reset()
-        self.poll()
+        self.poll(now)
+
+    def hangs(self, now: float) -> bool:
+        return self.asked_at is not None and now - self.asked_at > self.HANGS_MS
 
-    def poll(self) -> None:
+    def renew(self) -> None:
+        """Another link in the place of this one, or of the dial that is on its way."""
+        self.effects.append(Close(LINK))
+        self.lost()
+
+    def poll(self, now: float) -> None:
         self.polls += 1
-        self.polled = False
+        self.polled, self.asked_at = False, now
         self.effects.append(Write(LINK, ("poll", str(self.polls))))
 
     def answered(self, cookie: str) -> bool:
         """Whether it answers the last poll; the first on a new link opens it for commands."""
         if cookie != str(self.polls):
             return False
-        self.polled = True
+        self.polled, self.asked_at = True, None
         if self.up:
             while self.unproven and self.unproven[0][0] < self.polls:
                 self.unproven.popleft()
@@ -57,8 +71,11 @@
         return True
 
     def unlinked(self) -> None:
-        self.up, self.polled = False, True
         self.backoff.failed()
+        self.lost()
+
+    def lost(self) -> None:
+        self.up, self.polled, self.asked_at = False, True, None
         self.effects.append(Dial(LINK, self.backoff.wait()))
 
     def fresh(self, serial: int) -> bool:
--- a/pumicenotch/server/tasks.py
+++ b/pumicenotch/server/tasks.py
@@ -1,15 +1,26 @@
 """The tasks that the program has read, by the names that the protocols use for them."""
 
+import re
 from collections.abc import Mapping
+from hashlib import blake2b
 from itertools import count
-from math import isfinite
 from typing import Any
 
 from pumicenotch.interface import Effect, Stage
 
 MOST_BODY = 2048  # the protocol's bound
-MOST_WORD = 64  # characters of an id, a name or a token: four times those of an id
-MOST = 1e9  # of any number but a time: the control bounds what it takes, this keeps its sums finite
+MOST_KB = 2000.0  # the protocol's bound
+MOST_WORK = 1e9  # the control bounds what it takes, this keeps its sums finite
+AHEAD_MS = 1000.0  # that a stamp may lie in the future: clocks of one machine differ by far less
+# The protocol's own grammar. Python's float() would take "1_0", " 1", "1e3" or "nan" as well.
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?", re.ASCII)
+FORMS = {
+    name: re.compile(form, re.ASCII)
+    for name, form in (
+        ("rid", "[0-9a-f]{16}"), ("t0", "[0-9]{1,15}"), ("peer", "[0-9]{1,15}"), ("again", "1"),
+        ("token", "[0-9a-f]{32}"), ("obj", "[0-9a-f]{16}"), ("acct", ".{1,64}"),
+    )
+}  # fmt: skip
 
 
 class Held:
@@ -17,7 +28,8 @@
 
     stage: Stage
     stage_number = tenant = 0
-    token: tuple[int, str] | None = None  # of a fingerprinted task: its stage and mark
+    token = ""  # of a fingerprinted task
+    mark = b""  # what must be the same in every try under that token: the stage and the body
     work: float | None = None
     t0 = kb = 0.0
     answered = started = halted = False
@@ -34,19 +46,16 @@
     """A well-formed message that is no task; the text names the field."""
 
 
-def number(fields: Mapping[str, str], name: str, least: float, most: float) -> float:
-    try:
-        value = float(fields[name])
-    except (KeyError, TypeError, ValueError):
-        raise BadTask(name) from None
-    if not isfinite(value) or not least <= value <= most:
+def word(fields: Mapping[str, str], name: str, form: re.Pattern[str] | None = None) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not (form or FORMS[name]).fullmatch(value):
         raise BadTask(name)
     return value
 
 
-def word(fields: Mapping[str, str], name: str) -> str:
-    value = fields.get(name)
-    if not value or not isinstance(value, str) or len(value) > MOST_WORD:
+def number(fields: Mapping[str, str], name: str, most: float) -> float:
+    value = float(word(fields, name, NUMBER))
+    if value > most:
         raise BadTask(name)
     return value
 
@@ -58,8 +67,11 @@
         self.by_id: dict[int, Held] = {}
         self.by_name: dict[str, Held] = {}
 
-    def read(self, conn: int, message: int, stage_name: str, fields: Mapping[str, str], body: Any) -> Held:
-        """The task that such a message brings; a field that is wrong raises BadTask."""
+    def read(
+        self, conn: int, message: int, unix: float, stage_name: str, fields: Mapping[str, str], body: Any
+    ) -> Held:
+        """The task that such a message brings; a field that is wrong raises BadTask. Fields that no decision
+        reads are checked as well: who gets them wrong is no gateway, and its other fields mean nothing."""
         if stage_name not in self.numbers:
             raise BadTask("stage")
         if not isinstance(body, bytes) or len(body) > MOST_BODY:
@@ -69,16 +81,31 @@
             raise BadTask("rid")
         held.stage_number = self.numbers[stage_name]
         held.stage = self.stages[held.stage_number]
-        held.t0 = number(fields, "t0", 0.0, 1e15)
-        held.kb = number(fields, "mem", 0.0, MOST)
-        held.work = number(fields, "est", 0.0, MOST) if "est" in fields else None
+        held.t0 = float(word(fields, "t0"))
+        if held.t0 > unix + AHEAD_MS:
+            raise BadTask("t0")
+        held.kb = number(fields, "mem", MOST_KB)
+        if not 0.0 < held.kb < MOST_KB:
+            raise BadTask("mem")
+        held.work = number(fields, "est", MOST_WORK) if "est" in fields else None
+        if number(fields, "prio", 1.0) >= 1.0:
+            raise BadTask("prio")
+        word(fields, "peer")
+        for name in ("again", "obj"):
+            if name in fields:
+                word(fields, name)
         if self.tenants:
             account = word(fields, "acct")
             if account not in self.tenants:
                 raise BadTask("acct")
             held.tenant = self.tenants[account]
         if held.stage.effect is Effect.FINGERPRINTED:
-            held.token = (held.stage_number, word(fields, "token"))
+            held.token = word(fields, "token")
+            held.mark = blake2b(b"%d " % held.stage_number + body, digest_size=16).digest()
+            if "obj" in fields:
+                raise BadTask("obj")
+        elif "token" in fields:
+            raise BadTask("token")
         return held
 
     def add(self, held: Held) -> None:
