Call again once a link broke; hold nothing for idle connections; bounds by the limits

Each connection held an unpacker with its buffer (net/gateways Reader): now a read makes one, and only a frame's missing rest is kept. Outboxes by the configured memory. A preview whose link broke was left without its call at once (control.call_ended): it calls again while there is time, as a broken link says nothing of what lies below.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -24,6 +24,11 @@
 from pumicenotch.server import calls, runs
 from pumicenotch.server.core import LISTENER, REGISTRY, Server
 
+UNREAD_PART = 0.125  # of the memory, for what the pool leaves unread while it hangs
+CALL_MOST = 64 * 1024  # a link below carries one call, of some KB
+# One gateway's is its part of as much, from eight full answers for one that stands still to the 32 that a
+# connection may have open. The kernel holds as much again before any of it counts.
+UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
 MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
@@ -66,17 +71,18 @@
     clock = Clock()
     hub = Hub(core, clock)
     host, port = values["listen"]
+    unread = int(UNREAD_PART * values["memory_mb"] * 1024 * 1024)
     listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
     listener = cast(SocketListener, listeners.listeners[0])
     async with anyio.create_task_group() as group:
         group.start_soon(signals, hub, values)
-        pool_links = Links(hub, group, values["pool"], pool.FRAMES, partial(pool.Reader, hub))
+        pool_links = Links(hub, group, values["pool"], pool.FRAMES, partial(pool.Reader, hub), unread)
         hub.diallers[runs.LINK], hub.movers[runs.LINK] = pool_links.dial, pool_links.move
         if values["db"] is not None:
             reader = partial(database.Reader, hub)
-            db_links = Links(hub, group, values["db"], database.FRAMES, reader)
+            db_links = Links(hub, group, values["db"], database.FRAMES, reader, CALL_MOST)
             hub.diallers[calls.PARTY], hub.movers[calls.PARTY] = db_links.dial, db_links.move
-        callers = gateways.Gateways(hub)
+        callers = gateways.Gateways(hub, max(UNREAD_LEAST, min(UNREAD_MOST, unread // core.callers.most)))
         hub.closers[LISTENER] = callers.closing.cancel
         group.start_soon(callers.accept, listener, group)
         if values["registry"] is not None:
@@ -114,12 +120,12 @@
             raise start.BadStart(f"missing start value {name}")
     values |= {"name": pairs.get("name", ""), "pairs": pairs}
     seed = start.read("seed", pairs, lambda text: int(text, 16), 0)
+    values["memory_mb"] = start.read("limits.memory_mb", pairs, float, 192.0)
     core = Server(
         keywords=start.keywords(settings), stages=start.names(settings, "classes"),
         tenants=start.names(settings, "tenants"), seed=seed,
         stop_ms=start.read("stop_ms", pairs, float, 0.0), below=values["db"] is not None,
-        memory_mb=start.read("limits.memory_mb", pairs, float, 192.0),
-        sockets=start.read("limits.sockets", pairs, int, 1024),
+        memory_mb=values["memory_mb"], sockets=start.read("limits.sockets", pairs, int, 1024),
     )  # fmt: skip
     return values, core
 
--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -532,8 +532,8 @@
         if outcome is Outcome.OK:
             self.move(task, State.RUNNING, now)
         elif not task.answered:
-            restartable = task.stage.effect is Effect.RESTARTABLE and not task.stage.skip_utility
-            tries = Calls.TRIES if restartable else 0
+            spare = task.stage.skip_utility > 0.0 and outcome is not Outcome.RESET  # a broken link is no cut
+            tries = Calls.TRIES if task.stage.effect is Effect.RESTARTABLE and not spare else 0
             again = outcome in NEVER_RAN or task.calls < tries
             if again and now + max(TICK_MS, 2.0 * self.calls.recent_ms) < task.due:
                 later = self.calls.jitter(0.5, 1.5) * max(TICK_MS, 0.5 * self.calls.recent_ms)
--- a/pumicenotch/net/dial.py
+++ b/pumicenotch/net/dial.py
@@ -10,15 +10,15 @@
 from pumicenotch.server.effects import Fault, Reach
 
 DIAL_S = 1.0  # on one machine or one network a dial that takes longer does not come
-UNREAD_MOST = 16 * 1024 * 1024  # by a peer that hangs: the commands or calls of five thousand tasks
 
 
 class Links:
     def __init__(
         self, hub: Hub, group: TaskGroup, address: tuple[str, int], frames: dict[str, Frame],
-        reader: Callable[[str], Reader],
+        reader: Callable[[str], Reader], unread: int,
     ) -> None:  # fmt: skip
         self.hub, self.group, self.address, self.frames, self.reader = hub, group, address, frames, reader
+        self.unread = unread
 
     def move(self, address: tuple[str, int]) -> None:
         self.address = address
@@ -29,7 +29,7 @@
         self.group.start_soon(self.serve, link, after_ms, scope)
 
     async def serve(self, link: str, after_ms: float, scope: anyio.CancelScope) -> None:
-        outbox = Outbox(self.frames, UNREAD_MOST)
+        outbox = Outbox(self.frames, self.unread)
         fault, stream = Fault(Reach.REFUSED, "dial timed out"), None
         with scope:
             await anyio.sleep(after_ms / 1000.0)
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -15,7 +15,6 @@
 READ_MOST = 8 * 1024  # bytes taken at once: some tasks, so that one at full speed keeps no other waiting long
 BACKLOG = 1024  # every gateway may connect at once after a start
 LAST_S = 0.02  # without a new connection before the listener is closed: dials on one network take less
-UNREAD_MOST = 192 * 1024  # 32 answers of 4 KiB are 130; 500 connections this full fit into 192 MB
 EMPTY_S = 0.05  # pause after a failed accept: out of descriptors, some come back soon
 
 
@@ -45,19 +44,25 @@
 
     def __init__(self, hub: Hub, conn: int) -> None:
         self.put, self.unix, self.conn = hub.put, hub.clock.unix, conn
-        self.unpacker = msgpack.Unpacker(
-            read_size=READ_MOST, max_buffer_size=READ_MOST + FRAME_MOST,
+        self.rest = b""  # of a frame that has not come whole: between reads a connection holds nothing else
+
+    def feed(self, data: bytes) -> None:
+        data, at = self.rest + data, 0
+        unpacker = msgpack.Unpacker(
+            read_size=READ_MOST + FRAME_MOST, max_buffer_size=READ_MOST + FRAME_MOST,
             max_str_len=FRAME_MOST, max_bin_len=FRAME_MOST, max_array_len=64, max_map_len=64, max_ext_len=0,
             unicode_errors="surrogateescape",
         )  # fmt: skip
-
-    def feed(self, data: bytes) -> None:
         try:
-            self.unpacker.feed(data)
-            for frame in self.unpacker:
+            unpacker.feed(data)
+            for frame in unpacker:
+                at = unpacker.tell()
                 self.frame(frame)
         except (msgpack.UnpackException, ValueError, TypeError) as error:
             raise ValueError(f"{type(error).__name__} {error}"[:200]) from None
+        self.rest = data[at:]
+        if len(self.rest) > FRAME_MOST:
+            raise ValueError(f"a frame of over {FRAME_MOST} bytes")
 
     def frame(self, frame: Any) -> None:
         match frame:
@@ -78,8 +83,8 @@
 
 
 class Gateways:
-    def __init__(self, hub: Hub) -> None:
-        self.hub = hub
+    def __init__(self, hub: Hub, unread: int) -> None:
+        self.hub, self.unread = hub, unread
         self.numbers = count(1)
         self.closing = anyio.CancelScope()
 
@@ -103,7 +108,7 @@
 
     async def serve(self, stream: SocketStream) -> None:
         conn = next(self.numbers)
-        outbox = Outbox(FRAMES, UNREAD_MOST)
+        outbox = Outbox(FRAMES, self.unread)
 
         async def talk() -> None:
             self.hub.add(conn, outbox)
--- a/pumicenotch/server/callers.py
+++ b/pumicenotch/server/callers.py
@@ -1,5 +1,6 @@
 """The gateways' connections: what is open on each, and when an idle one is told to end."""
 
+from pumicenotch.server.counters import Counters
 from pumicenotch.server.effects import Close, Effect, Write
 from pumicenotch.server.tasks import Held
 
@@ -22,8 +23,8 @@
     # that proves nothing ran.
     SILENT_MS = 1500.0
 
-    def __init__(self, effects: list[Effect], many: int, most: int) -> None:
-        self.effects, self.many, self.most = effects, many, most
+    def __init__(self, effects: list[Effect], counters: Counters, many: int, most: int) -> None:
+        self.effects, self.counters, self.many, self.most = effects, counters, many, most
         self.connections: dict[int, Connection] = {}
         self.idle_ms = float("inf")  # until the control says otherwise, callers close idle ones themselves
 
@@ -32,7 +33,7 @@
         if told:
             self.tell(now, conn)
         if len(self.connections) > self.most:
-            self.close(min(self.idle(but=conn), default=(conn,))[-1])
+            self.close(min(self.idle(but=conn), default=(conn,))[-1], "connections_crowded")
 
     def idle(self, but: int = 0) -> list[tuple[bool, float, int]]:
         """Connections with nothing open, in the order to part with them: silent, then longest idle."""
@@ -76,7 +77,9 @@
         if connection is not None and connection.ended and not connection.open:
             self.close(conn)
 
-    def close(self, conn: int) -> None:
+    def close(self, conn: int, why: str = "") -> None:
+        if why:
+            self.counters.add(why)
         del self.connections[conn]
         self.effects.append(Close(conn))
 
@@ -89,8 +92,9 @@
             if connection.open:
                 continue
             told = connection.told_at
-            silent = not connection.asked and now - connection.active_at > self.SILENT_MS
-            if silent or (told is not None and now - max(told, connection.active_at) > self.TOLD_MS):
+            if not connection.asked and now - connection.active_at > self.SILENT_MS:
+                self.close(conn, "connections_silent")
+            elif told is not None and now - max(told, connection.active_at) > self.TOLD_MS:
                 self.close(conn)
             elif now - connection.active_at >= self.idle_ms:
                 self.tell(now, conn)
