Say things once: poll state, an unknown run's end, bounds of fields, short names in tests

No behaviour meant to change. Runs.polled was asked_at in other words; unknown() answered the waiting repeats by itself, which run_ended does; number() and its callers checked the same bound twice (the estimate's bound is now exclusive, like the others); the writer closed its stream in two branches; rid() stood in two test files.

--- a/pumicenotch/net/link.py
+++ b/pumicenotch/net/link.py
@@ -65,10 +65,9 @@
                 if data := await self.take():
                     await stream.send(data)
             await stream.aclose()
-        except LOST:
-            await anyio.aclose_forcefully(stream)
         except Exception as error:
-            logger.error("writing failed: {!r}", error)
+            if not isinstance(error, LOST):
+                logger.error("writing failed: {!r}", error)
             await anyio.aclose_forcefully(stream)
         finally:
             self.ended.set()
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -95,7 +95,7 @@
             self.runs.renew()
         if self.control is None:
             self.wake(self.HOUSE_MS)
-        elif self.runs.up and self.runs.polled:
+        elif self.runs.up and self.runs.asked_at is None:
             self.runs.poll(self.now)  # its answer brings the tick, with fresh gauges
             self.wake(self.tick_ms)
         else:
@@ -360,9 +360,8 @@
         self.met("unknown", f"pool does not know {command} of {name}")
         held = self.tasks.by_name.get(name)
         if held is not None and held.started and command == "spawn":
-            for other in self.kept.forget(held.id, proven=True):
-                self.reuse_ended(other, Outcome.MOOT, b"")
             self.run_ended(held, Outcome.MOOT, b"")
+            self.kept.forget(held.id, proven=True)
 
     def run_ended(self, held: Held, outcome: Outcome, result: bytes) -> None:
         self.calls.give_up(held)
--- a/pumicenotch/server/runs.py
+++ b/pumicenotch/server/runs.py
@@ -23,7 +23,6 @@
         self.effects, self.backoff = effects, backoff
         self.serial = 0  # of the last notice read
         self.polls = 0
-        self.polled = True  # the last poll has been answered
         self.asked_at: float | None = None  # of a `bind` or `poll` that is not answered yet
         self.up = False  # the link takes commands
         self.unproven: deque[tuple[int, int, Held, tuple[Any, ...]]] = deque()
@@ -51,14 +50,14 @@
 
     def poll(self, now: float) -> None:
         self.polls += 1
-        self.polled, self.asked_at = False, now
+        self.asked_at = now
         self.effects.append(Write(LINK, ("poll", str(self.polls))))
 
     def answered(self, cookie: str) -> bool:
         """Whether it answers the last poll; the first on a new link opens it for commands."""
         if cookie != str(self.polls):
             return False
-        self.polled, self.asked_at = True, None
+        self.asked_at = None
         if self.up:
             while self.unproven and self.unproven[0][0] < self.polls:
                 self.unproven.popleft()
@@ -75,7 +74,7 @@
         self.lost()
 
     def lost(self) -> None:
-        self.up, self.polled, self.asked_at = False, True, None
+        self.up, self.asked_at = False, None
         self.effects.append(Dial(LINK, self.backoff.wait()))
 
     def fresh(self, serial: int) -> bool:
--- a/pumicenotch/server/tasks.py
+++ b/pumicenotch/server/tasks.py
@@ -53,9 +53,9 @@
     return value
 
 
-def number(fields: Mapping[str, str], name: str, most: float) -> float:
+def number(fields: Mapping[str, str], name: str, below: float) -> float:
     value = float(word(fields, name, NUMBER))
-    if value > most:
+    if value >= below:
         raise BadTask(name)
     return value
 
@@ -85,11 +85,10 @@
         if held.t0 > unix + AHEAD_MS:
             raise BadTask("t0")
         held.kb = number(fields, "mem", MOST_KB)
-        if not 0.0 < held.kb < MOST_KB:
+        if held.kb <= 0.0:
             raise BadTask("mem")
         held.work = number(fields, "est", MOST_WORK) if "est" in fields else None
-        if number(fields, "prio", 1.0) >= 1.0:
-            raise BadTask("prio")
+        number(fields, "prio", 1.0)
         word(fields, "peer")
         for name in ("again", "obj"):
             if name in fields:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -10,7 +10,8 @@
 import msgpack
 import pytest
 
-from tests.standin import Gateway, Party, Program, blob, result, rid
+from tests.play import rid
+from tests.standin import Gateway, Party, Program, blob, result
 
 FINE = '{"listen": "127.0.0.1:0", "pool": "127.0.0.1:1", '
 BODIES = [b"", bytes(range(256)) * 8, b"\r\n\x00{}"]
