--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -1,6 +1,7 @@
 """All decisions of one server. A carrier makes one Control per server from its start values and calls it for
 each event (task, caller_gone, ended, at_call, call_ended, leave, tick); the Control answers in the same call,
-through the Actions that it was given. The types of both sides are in interface.py. Times are ms.
+through the Actions that it was given. The types of both sides are in interface.py. Times are ms. Where pools
+are given, they say which class's work may start; without, all classes are as one (Whole).
 
 A task passes a chain of parts (duty, repeats, limit, queues); each passes it on, keeps it or ends it, and its
 end runs back the other way. Which tenant's task starts next, and which is rejected, is HWCS as in
@@ -15,13 +16,13 @@
 
 import heapq
 import random
-from bisect import insort
-from collections.abc import Callable
+from bisect import bisect_left, insort
+from collections.abc import Callable, Collection
 from itertools import count
 from math import exp, log
 from typing import Any
 
-from pumicenotch.interface import Actions, Below, Effect, Halt, Outcome, Signal, Stage, State, Tenant
+from pumicenotch.interface import Actions, Below, Effect, Halt, Outcome, Pools, Signal, Stage, State, Tenant
 
 TICK_MS = 25.0  # the one timer: half the least slack seen fit for an answer, and cheap in any language
 SAMPLE_MS = 1000.0  # the paper's 2 s halved: a surge of some seconds would be over before four long samples
@@ -38,7 +39,8 @@
         self.first: Task | None = None  # that a repeat waits for
         self.followers: list[Task] = []  # repeats that wait for this one
         self.due = self.limit = self.kb = self.key = self.began = self.call_at = self.off_ms = 0.0
-        self.calls = 0
+        self.calls = self.lane = self.caller = 0
+        self.hope, self.repeat = 1.0, False
 
     def __lt__(self, other: "Task") -> bool:
         return (self.key, self.id) < (other.key, other.id)
@@ -163,13 +165,47 @@
         self.limit = max(float(self.cores), factor * self.limit)
 
 
+class Whole:
+    """Stands where no pools are given: one pool of all classes, which has the total."""
+
+    count = 1
+
+    def __init__(self, queues: "Queues") -> None:
+        self.queues = queues
+
+    def lane(self, stage: int) -> int:
+        return 0
+
+    def read(self, now: float, lane: int, tenant: int, caller: int, again: bool, mark: int,
+             waited_ms: float) -> tuple[float, bool]:
+        return 1.0, False
+
+    def slot(self, lane: int, usual_ms: float) -> float:
+        return usual_ms
+
+    def part(self, lane: int, waiting: Collection[int]) -> float:
+        return self.queues.total
+
+    def takes(self, now: float, lane: int, total: int) -> bool:
+        return True
+
+    def next(self, now: float, waiting: Collection[int], total: int) -> int | None:
+        return 0 if waiting else None
+
+    def nothing(self, *_: object) -> None: ...
+
+    took = held_off = on = off = ended = tick = nothing
+
+
 class Line:
-    """What is known of one tenant: its queue, its tasks at work, and its side of the control loop."""
+    """What is known of one tenant: its queue, a lane of it for each pool, its tasks at work, and its side of
+    the control loop."""
 
     SAVED_MS = 4000.0  # of the allowance: arrivals here are a random part of the tenant's, and come in clumps
 
     def __init__(self, allowance_per_ms: float | None) -> None:
-        self.queue: list[Task] = []
+        self.lanes: list[list[Task]] = [[]]
+        self.queued = 0
         self.times: list[float] = []  # response times of this sample
         self.cap, self.error, self.v = 1.0, 0.0, 0.0
         self.busy, self.above, self.below, self.marked = 0, 0, 0, False
@@ -202,6 +238,9 @@
     def __init__(self, tenants: list[Tenant], servers: int, total: int) -> None:
         rates = [tenant.allowance_per_s for tenant in tenants] or [None]
         self.lines = [Line(rate / 1000.0 / max(1, servers) if rate else None) for rate in rates]
+        self.pools: Pools | Whole = Whole(self)
+        # pool -> the tenants, by number, that have tasks waiting there
+        self.waiting: dict[int, list[int]] = {}
         self.rebuild(total)
 
     def rebuild(self, total: int) -> None:
@@ -223,8 +262,8 @@
     def sample(self, total: int, slot_ms: float, due_ms: float) -> None:
         if total != self.total:
             self.rebuild(total)
-        for line in self.lines:
-            long = len(line.queue) > self.THRESHOLD * self.length(self.part(line), slot_ms, due_ms)
+        for at, line in enumerate(self.lines):
+            long = line.queued > self.THRESHOLD * self.length(self.most(at), slot_ms, due_ms)
             line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
             line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
         for before, line in zip(self.lines, self.lines[1:], strict=False):
@@ -238,19 +277,57 @@
             line.times.clear()
         self.split()
 
-    def part(self, line: Line) -> float:
-        """The slots that the tenant's cap comes to, with those of tenants that have nothing waiting."""
-        waiting = sum(other.cap for other in self.lines if other.queue or other is line)
-        return self.total * line.cap / waiting
+    def part(self, tenant: int, lane: int) -> float:
+        """The slots of the pool that the tenant's cap comes to, with those of tenants with nothing
+        waiting.""" waiting = sum(self.lines[at].cap for at in sorted({*self.waiting.get(lane, ()), tenant}))
+        slots = self.pools.part(lane, self.waiting)
+        return float(slots * self.lines[tenant].cap / waiting)
+
+    def most(self, tenant: int) -> float:
+        """The same over all pools, which is the same where there are none."""
+        waiting = sorted({tenant, *(at for tenants in self.waiting.values() for at in tenants)})
+        return self.total * self.lines[tenant].cap / sum(self.lines[at].cap for at in waiting)
 
     def length(self, slots: float, slot_ms: float, due_ms: float) -> float:
         """q_len: what so many slots get through in the part of a due time that may go by in a queue."""
         return max(2.0, min(self.LENGTH, slots * self.HOLD * due_ms / slot_ms))
 
-    def next(self) -> Task | None:
-        """Caps order the starts: the tenant least far into its cap goes first."""
-        lines = [line for line in self.lines if line.queue]
-        return min(lines, key=lambda line: (line.busy + 1) / line.cap).queue[0] if lines else None
+    def put(self, task: Task) -> None:
+        line = self.lines[task.tenant]
+        insort(line.lanes[task.lane], task)
+        line.queued += 1
+        if len(line.lanes[task.lane]) == 1:
+            insort(self.waiting.setdefault(task.lane, []), task.tenant)
+
+    def drop(self, task: Task) -> None:
+        line = self.lines[task.tenant]
+        at = bisect_left(line.lanes[task.lane], task)
+        if at == len(line.lanes[task.lane]) or line.lanes[task.lane][at] is not task:
+            return
+        line.lanes[task.lane].pop(at)
+        line.queued -= 1
+        if not line.lanes[task.lane]:
+            self.waiting[task.lane].remove(task.tenant)
+            if not self.waiting[task.lane]:
+                del self.waiting[task.lane]
+
+    def next(self, now: float, total: int) -> Task | None:
+        """The pools say whose class starts, caps whose work: the tenant least far into its cap goes first."""
+        lane = self.pools.next(now, self.waiting, total)
+        if lane is None:
+            return None
+        lines = [self.lines[at] for at in self.waiting[lane]]
+        return min(lines, key=lambda line: (line.busy + 1) / line.cap).lanes[lane][0]
+
+    def pool(self, now: float, pools: Pools | Whole) -> None:
+        """From now on tasks wait in the lanes of these pools."""
+        held = [task for line in self.lines for lane in line.lanes for task in lane]
+        self.pools, self.waiting = pools, {}
+        for line in self.lines:
+            line.lanes, line.queued = [[] for _ in range(pools.count)], 0
+        for task in held:
+            task.lane = pools.lane(task.stage_no)
+            self.put(task)
 
 
 class Calls:
@@ -382,7 +459,8 @@
                  crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
                  stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
                  signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
-                 call_window_ms: float = 0.0, linger_ms: float = 0.0, idle_ms: float = 0.0) -> None:
+                 call_window_ms: float = 0.0, linger_ms: float = 0.0, idle_ms: float = 0.0,
+                 pools: Pools | None = None) -> None:
         self.actions, self.stages, self.gauges, self.halts = actions, stages, gauges, halt is not Halt.NONE
         self.stay_away_most_ms = stay_away_most_ms if stay_away_passed else 0.0
         self.agenda = Agenda()
@@ -391,6 +469,7 @@
         speed = cold_share if cold else 1.0
         self.limit = Limit(now, cores, memory_kb, run_factor, crowd_multiple, speed, warm_ms)
         self.queues = Queues(tenants, servers, self.limit.total(now))
+        self.pool(now, pools)
         # A tier guards itself: there the pace alone bounds the calls, and this many are never in hand.
         most = call_share if below is Below.SHARED else 16.0 * cores
         self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
@@ -421,10 +500,14 @@
         self.ended_at = now
         self.limit.responses += 1
         self.limit.late += now > task.due
+        self.pools.ended(now, task.lane, slot)
         self.queues.lines[task.tenant].times.append(now - task.arrived)
 
     def task(self, now: float, ident: int, stage_no: int, tenant: int, waited: float, limit: float | None,
-             work: float | None, kb: float, same: int | None) -> None:
+             work: float | None, kb: float, same: int | None, caller: int = 0, again: bool = False,
+             mark: int = 0) -> None:
+        """A task was read. The caller's number, its word that this is a further try, and a print of what the
+        task holds (0: none) are for the pools alone."""
         stage = self.stages[stage_no]
         task = Task(ident, stage_no, stage, tenant if tenant < len(self.queues.lines) else 0, now - waited)
         task.kb, task.work = kb, work
@@ -433,9 +516,11 @@
         self.signals.read += 1
         self.limit.used_kb += kb
         self.duty.take(task)
+        task.lane, task.caller = self.pools.lane(stage_no), caller
         if same and stage.effect is Effect.FINGERPRINTED:
             self.follow(task, same, now)
         else:
+            task.hope, task.repeat = self.pools.read(now, task.lane, task.tenant, caller, again, mark, waited)
             self.admit(task, now)
         self.start(now)
 
@@ -470,38 +555,43 @@
 
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
-        line, slot, left = self.queues.lines[task.tenant], self.slot(now), task.due - now
-        slots, over_share, run = self.queues.part(line), line.over_share(now), self.run_time(task, now)
+        line, lane, left = self.queues.lines[task.tenant], task.lane, task.due - now
+        slots, over_share = self.queues.part(task.tenant, lane), line.over_share(now)
+        run = self.run_time(task, now)
+        queue, slot = line.lanes[lane], self.pools.slot(lane, self.slot(now))
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
-        ahead = 1 + sum(other < task for other in line.queue)
-        wait = 0.0 if self.limit.has_room(now) else ahead * slot / slots
-        full = len(line.queue) >= self.queues.length(slots, slot, self.due_ms)
-        part = self.DOUBT if not wait else self.OVER_SHARE if over_share else self.ROOM
+        ahead = 1 + bisect_left(queue, task)
+        free = self.limit.has_room(now) and self.pools.takes(now, lane, self.limit.total(now))
+        wait = 0.0 if free else ahead * slot / slots
+        full = len(queue) >= self.queues.length(slots, slot, self.due_ms)
+        part = self.DOUBT if not wait else task.hope * (self.OVER_SHARE if over_share else self.ROOM)
         if full or wait + run > part * left:
+            self.pools.held_off(lane)
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
         else:
-            insort(line.queue, task)
+            self.queues.put(task)
+            self.pools.took(lane, task.tenant, task.caller, task.repeat, free)
             self.agenda.at(task.due, self.too_late, task)
 
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
-        while self.limit.has_room(now) and (task := self.queues.next()) is not None:
+        while self.limit.has_room(now) and (task := self.queues.next(now, self.limit.total(now))) is not None:
             if now + 0.8 * self.run_time(task, now) > min(task.due, self.duty.stop):  # a rough estimate
                 self.reject(task, now)
                 continue
             if not self.limit.takes(task, self.repeats.kb):
                 return
-            line = self.queues.lines[task.tenant]
-            line.queue.pop(0)
-            line.busy += 1
-            self.enter(now)
+            self.queues.drop(task)
+            self.queues.lines[task.tenant].busy += 1
+            self.enter(now, task)
             task.state, task.began = State.RUNNING, now
             self.actions.run(task.id)
             followers, task.followers = task.followers, []
             for follower in followers:
+                follower.first = None  # it is no longer among those that wait for it
                 self.reuse(follower, now)
 
     def ended(self, now: float, ident: int, outcome: Outcome) -> None:
@@ -550,16 +640,27 @@
         if state is State.CALLING:
             task.off_ms -= now
             self.limit.away, self.limit.on_cores = self.limit.away + 1, self.limit.on_cores - 1
+            self.pools.off(now, task.lane)
         else:
             task.off_ms += now
             self.limit.away -= 1
-            self.enter(now)
+            self.enter(now, task)
 
-    def enter(self, now: float) -> None:
+    def enter(self, now: float, task: Task) -> None:
         """Onto the cores; where they were empty, time without an end counts from here and not from before."""
         if not self.limit.on_cores:
             self.ended_at = now
         self.limit.on_cores += 1
+        self.pools.on(now, task.lane, task.state is State.HELD)
+
+    def pool(self, now: float, pools: Pools | None) -> None:
+        """Takes these pools in place of those before, with all that waits and runs; none: all classes are
+        one.""" self.pools: Pools | Whole = pools or Whole(self.queues)
+        self.queues.pool(now, self.pools)
+        for task in self.duty.tasks.values():
+            task.lane = self.pools.lane(task.stage_no)
+            if task.state is State.RUNNING:
+                self.pools.on(now, task.lane, True)
 
     def skip(self, task: Task, now: float) -> None:
         self.actions.skip_call(task.id)
@@ -596,7 +697,8 @@
         self.actions.wake(TICK_MS)
         self.agenda.run(now)
         gauges = dict(zip(self.gauges, values, strict=False))
-        self.limit.tick(now, any(line.queue for line in self.queues.lines), gauges)
+        self.limit.tick(now, bool(self.queues.waiting), gauges)
+        self.pools.tick(now, self.limit.total(now))
         if now - self.sampled_at >= SAMPLE_MS:
             self.sampled_at = now
             self.limit.sample()
@@ -643,13 +745,15 @@
         state, task.state = task.state, State.OVER
         line = self.queues.lines[task.tenant]
         if state is State.HELD:
-            line.queue = [other for other in line.queue if other is not task]
+            self.queues.drop(task)
             if task.stage.effect is Effect.FINGERPRINTED:
                 self.repeats.drop(task, now)
         elif state is State.FOLLOWING and task.first:
             task.first.followers.remove(task)
         line.busy -= state in (State.RUNNING, State.CALLING)
-        self.limit.on_cores -= state is State.RUNNING
+        if state is State.RUNNING:
+            self.limit.on_cores -= 1
+            self.pools.off(now, task.lane)
         self.limit.away -= state is State.CALLING
         held = state in (State.HELD, State.FOLLOWING)
         self.limit.used_kb -= task.kb * (1.0 if held else self.limit.run_factor)
--- a/pumicenotch/interface.py
+++ b/pumicenotch/interface.py
@@ -1,5 +1,6 @@
 """The types between the decisions and whatever carries them: no decision, default or state lives here."""
 
+from collections.abc import Collection
 from enum import Enum, auto
 from typing import NamedTuple, Protocol
 
@@ -97,3 +98,41 @@
     def wake(self, after_ms: float) -> None: ...
 
     def log(self, text: str) -> None: ...
+
+
+class Pools(Protocol):
+    """What the decisions ask of class pools and tell them. A pool is a lane, numbered from 0. Times in ms."""
+
+    count: int
+
+    def lane(self, stage: int) -> int: ...
+
+    def read(
+        self, now: float, lane: int, tenant: int, caller: int, again: bool, mark: int, waited_ms: float
+    ) -> tuple[float, bool]:
+        """A first try of a task was read: the part of the usual wait that it may hope for, and whether it is
+        taken for a repeated attempt."""
+
+    def took(self, lane: int, tenant: int, caller: int, repeat: bool, at_once: bool) -> None: ...
+
+    def held_off(self, lane: int) -> None: ...
+
+    def on(self, now: float, lane: int, first: bool) -> None: ...
+
+    def off(self, now: float, lane: int) -> None: ...
+
+    def ended(self, now: float, lane: int, slot_ms: float) -> None: ...
+
+    def tick(self, now: float, total: int) -> None: ...
+
+    def slot(self, lane: int, usual_ms: float) -> float:
+        """The time that its tasks hold a place."""
+
+    def part(self, lane: int, waiting: Collection[int]) -> float:
+        """The places it comes to while those pools have tasks waiting."""
+
+    def takes(self, now: float, lane: int, total: int) -> bool:
+        """Whether one more of its tasks may start where the total has room."""
+
+    def next(self, now: float, waiting: Collection[int], total: int) -> int | None:
+        """The pool whose task starts next, of those that have one waiting."""
--- /dev/null
+++ b/tests/record.py
@@ -0,0 +1,142 @@
+"""A drawn stream of events for one control, and the digest of every action it asked for on the way.
+
+The world reacts to the actions (runs end, calls come back), so one decision that differs changes all that
+follows. `digests` in tests/record.json were made by the module as it was before pools."""
+
+import hashlib
+import heapq
+import json
+import random
+from itertools import count
+from typing import Any
+
+from pumicenotch.control import Control
+from pumicenotch.interface import Below, Effect, Halt, Outcome, Signal, Stage, Tenant
+
+STAGES = [
+    Stage(2500.0, 0.0, 6300.0, Effect.RESTARTABLE, 0.0, 1.0, 0.0, 0.5),
+    Stage(3400.0, 0.3, 8400.0, Effect.RESTARTABLE, 0.0, 1.0, 0.2, 0.0),
+    Stage(5000.0, 0.0, 13000.0, Effect.FINGERPRINTED, 9000.0, 3.0, 0.0, 0.0),
+    Stage(1500.0, 0.0, 4000.0, Effect.SIDE_EFFECTING, 0.0, 2.0, 0.0, 0.0),
+]
+KINDS: list[dict[str, Any]] = [
+    {"cores": 6, "crowd_multiple": 8.0, "signal": Signal.WEIGHT, "below": Below.TIER, "halt": Halt.PAUSE},
+    {"cores": 2, "crowd_multiple": 5.0, "signal": Signal.LEVEL, "below": Below.SHARED, "call_share": 0.6,
+     "call_window_ms": 5000.0, "linger_ms": 200.0, "cold": True, "cold_share": 0.2, "warm_ms": 8000.0},
+    {"cores": 6, "crowd_multiple": 6.0, "signal": Signal.CREDIT, "below": Below.SHARED, "call_share": 9.0,
+     "stay_away_passed": True, "stay_away_most_ms": 1000.0, "memory_kb": 9000.0, "entry_kb": 20.0},
+]  # fmt: skip
+LENGTH_MS = 30_000.0
+
+
+class World:
+    """Takes the actions, and answers each with an event at a drawn time."""
+
+    def __init__(self, seed: int, tenants: int, load: float, **keywords: Any) -> None:
+        self.chance = random.Random(seed)
+        self.events: list[tuple[float, int, str, tuple[Any, ...]]] = []
+        self.order, self.now, self.load = count(), 0.0, load
+        self.digest, self.asked = hashlib.sha256(), 0
+        self.running: set[int] = set()
+        self.cores, self.tenants = keywords["cores"], tenants
+        self.keyed: list[int] = []
+        names = ["core_use", "on_cores", "heap", "links"]
+        people = [Tenant(1.0 / tenants, 20.0 if at % 2 else None) for at in range(tenants)]
+        self.control = Control(self, 0.0, seed=seed, stages=STAGES, tenants=people, gauges=names,
+                               run_factor=8.0, drain_grace_ms=2000.0, servers=4, callers=3, idle_ms=30000.0,
+                               **keywords)  # fmt: skip
+
+    def at(self, after: float, name: str, *details: Any) -> None:
+        heapq.heappush(self.events, (self.now + after, next(self.order), name, details))
+
+    def __getattr__(self, name: str) -> Any:
+        if name.startswith("_"):
+            raise AttributeError(name)
+
+        def note(*details: Any, **named: Any) -> None:
+            self.asked += 1
+            self.digest.update(f"{self.now!r} {name} {details!r} {sorted(named.items())!r}\n".encode())
+            react = REACTIONS.get(name)
+            if react is not None:
+                react(self, *details)
+
+        return note
+
+    def ran(self, task: int) -> None:
+        self.running.add(task)
+        stretch = max(1.0, len(self.running) / self.cores)
+        if self.chance.random() < 0.4:
+            self.at(self.chance.expovariate(1 / 60.0) * stretch, "at_call", task)
+        else:
+            self.at(self.chance.expovariate(1 / 260.0) * stretch, "ended", task, self.end())
+
+    def end(self) -> Outcome:
+        return Outcome.OK if self.chance.random() < 0.95 else Outcome.ERROR
+
+    def called(self, task: int, give_up_ms: float) -> None:
+        outcome = self.chance.choice([Outcome.OK] * 8 + [Outcome.FULL, Outcome.TIMEOUT, Outcome.RESET])
+        self.at(min(give_up_ms, self.chance.expovariate(1 / 90.0)), "call_ended", task, outcome)
+
+    def back(self, task: int) -> None:
+        self.at(self.chance.expovariate(1 / 150.0), "ended", task, self.end())
+
+    def reused(self, task: int) -> None:
+        self.at(self.chance.uniform(0.0, 300.0), "ended", task, Outcome.OK)
+
+    def woken(self, after_ms: float) -> None:
+        self.at(after_ms, "tick")
+
+    def play(self) -> str:
+        """Events in order until the stream is over; the digest of all that was asked for."""
+        ids, chance, next_task = count(1), self.chance, 0.0
+        mean = 300.0 / (self.cores * self.load)
+        self.at(LENGTH_MS - 4000.0, "leave", LENGTH_MS)
+        while self.now < LENGTH_MS:
+            if not self.events or next_task <= self.events[0][0]:
+                self.now, ident = next_task, next(ids)
+                burst = 0.25 if int(self.now) % 9000 > 6000 else 1.0
+                next_task += chance.expovariate(1 / (mean * burst))
+                stage = chance.choices(range(4), (5, 3, 2, 1))[0]
+                again = bool(self.keyed) and stage == 2 and chance.random() < 0.3
+                same = chance.choice(self.keyed) if again else None
+                if stage == 2 and same is None:
+                    self.keyed = [*self.keyed[-20:], ident]
+                work = chance.lognormvariate(5.5, 0.6) if chance.random() < 0.8 else None
+                tenant, waited = chance.randrange(self.tenants), chance.expovariate(1 / 4.0)
+                limit = 5000.0 + self.now if chance.random() < 0.3 else None
+                kb = chance.uniform(20.0, 60.0)
+                self.control.task(self.now, ident, stage, tenant, waited, limit, work, kb, same)
+                if chance.random() < 0.03:
+                    self.at(chance.uniform(10.0, 3000.0), "caller_gone", ident)
+                continue
+            self.now, _, name, details = heapq.heappop(self.events)
+            if name == "tick":
+                use = min(1.0, len(self.running) / self.cores)
+                details = ((use, float(len(self.running)), 0.3, chance.uniform(0.0, 200.0)),)
+            elif name == "ended":
+                self.running.discard(details[0])
+            elif name == "call_ended" and details[1] is Outcome.OK:
+                self.back(details[0])
+            elif name == "call_ended":
+                self.at(4000.0, "ended", details[0], Outcome.CANCELLED)
+            getattr(self.control, name)(self.now, *details)
+        return f"{self.asked} {self.digest.hexdigest()[:24]}"
+
+
+REACTIONS: dict[str, Any] = {
+    "run": World.ran, "call": World.called, "skip_call": World.back, "reuse": World.reused,
+    "wake": World.woken,
+}  # fmt: skip
+
+
+def digests() -> dict[str, str]:
+    """By kind, tenants, load and seed."""
+    return {
+        f"kind {at} tenants {tenants} load {load} seed {seed}": World(seed, tenants, load, **kind).play()
+        for at, kind in enumerate(KINDS)
+        for tenants, load, seed in ((1, 0.7, 1), (3, 1.2, 2), (6, 1.6, 3), (40, 1.1, 4))
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(digests(), indent=1))
