--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -279,7 +279,8 @@
 
     def part(self, tenant: int, lane: int) -> float:
         """The slots of the pool that the tenant's cap comes to, with those of tenants with nothing
-        waiting.""" waiting = sum(self.lines[at].cap for at in sorted({*self.waiting.get(lane, ()), tenant}))
+        waiting."""
+        waiting = sum(self.lines[at].cap for at in sorted({*self.waiting.get(lane, ()), tenant}))
         slots = self.pools.part(lane, self.waiting)
         return float(slots * self.lines[tenant].cap / waiting)
 
@@ -655,7 +656,8 @@
 
     def pool(self, now: float, pools: Pools | None) -> None:
         """Takes these pools in place of those before, with all that waits and runs; none: all classes are
-        one.""" self.pools: Pools | Whole = pools or Whole(self.queues)
+        one."""
+        self.pools: Pools | Whole = pools or Whole(self.queues)
         self.queues.pool(now, self.pools)
         for task in self.duty.tasks.values():
             task.lane = self.pools.lane(task.stage_no)
--- a/pumicenotch/pools/pools.py
+++ b/pumicenotch/pools/pools.py
@@ -160,7 +160,8 @@
         """Places that stay empty for pools that may want them: all of those that don't lend, and one of a
         reserve while what runs ends too seldom for a lent place to come back in time. Idle cost: that place,
         while long runs hold all others. A total of one place is always lent, or nothing else would ever
-        run.""" kept = 0
+        run."""
+        kept = 0
         for at, side in enumerate(self.sides):
             if at == lane or side.busy + 1 > side.limit:
                 continue
@@ -193,7 +194,8 @@
 
     def credit(self, now: float) -> None:
         """Whole tasks in few places can't keep to a broken limit at any moment: over time they do, by
-        this.""" past, self.credited_at = now - self.credited_at, now
+        this."""
+        past, self.credited_at = now - self.credited_at, now
         if past <= 0.0:
             return
         gain = min(1.0, past / self.CREDIT_MS)
@@ -246,7 +248,8 @@
             ):  # fmt: skip
                 found[f"pool_{side.pool.name}_{name}"] = value
         found["repeats_marked"], found["repeats_alike"] = self.repeats_marked, self.repeats_seen
-        found["repeats_over_budget"], found["budgets_forgotten"] = self.budgets.refused, self.budgets.forgotten
+        found["repeats_over_budget"] = self.budgets.refused
+        found["budgets_forgotten"] = self.budgets.forgotten
         found["reading_turned_away"] = self.reading.turned_away
         found["likeness_cut_short"] = self.likeness.cut_short
         return found
