--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -1,4 +1,5 @@
-"""Reads LB_CONFIG, wires the core to its sockets, and handles the signals."""
+"""Reads LB_CONFIG and, where PUMICENOTCH_CONFIG names one, the file of ours; wires the core to its sockets,
+and handles the signals."""
 
 import signal
 
@@ -7,7 +8,9 @@
 
 import json
 import os
+import subprocess
 import sys
+from collections.abc import Callable
 from functools import partial
 from typing import Any, cast
 
@@ -16,6 +19,7 @@
 from loguru import logger
 
 from pumicenotch import start
+from pumicenotch.control import Control
 from pumicenotch.net import database, gateways, pool
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.dial import Links
@@ -30,6 +34,8 @@
 # connection may have open. The kernel holds as much again before any of it counts.
 UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
+UNPLANNED = object()  # no file of ours was named
+READER_S = 30.0  # for a file of ours to be read: a second on a quiet machine
 MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
 
@@ -46,15 +52,16 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         async for number in received:
             if number == signal.SIGHUP:
-                reload(hub, values)
+                await reload(hub, values)
             else:
                 hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
 
 
-def reload(hub: Hub, values: dict[str, Any]) -> None:
-    """A file that cannot be read whole leaves the running values in force."""
+async def reload(hub: Hub, values: dict[str, Any]) -> None:
+    """A file that cannot be read whole leaves the running values in force, those of the other file too."""
     try:
-        new, _ = read()
+        new = read()
+        plan = await replanned(values["config"])
     except ValueError as error:
         hub.put("met", "reloads_failed", f"reload: {error}; the running values stay in force")
         return
@@ -65,6 +72,53 @@
     others = sorted(path for path in old.keys() | pairs.keys() if old.get(path) != pairs.get(path))
     hub.put("reload", moved, " ".join(path for path in others if path not in moved) or "nothing")
     values["pairs"] |= {name: pairs[name] for name in moved}
+    if plan is not UNPLANNED and plan != values["plan"]:
+        values["plan"] = plan
+        hub.put(
+            "repool", maker(plan, values), "class pools of the file are in force" if plan else "pools are off"
+        )
+
+
+async def replanned(config: str) -> Any:
+    """The plan as the file has it now. The file is read in a process of its own, while this one goes on."""
+    if not config:
+        return UNPLANNED
+    from pumicenotch.config import compiled
+
+    if config.endswith(".json"):
+        return compiled.from_file(config)
+    with anyio.move_on_after(READER_S):
+        done = await anyio.run_process(compiled.command(config), check=False)
+        return compiled.taken(config, done.returncode, done.stdout, done.stderr)
+    raise compiled.BadConfig(f"{config}:1: not read within {READER_S:g} s")
+
+
+def planned(config: str) -> Any:
+    """The same before anything else runs. Who has read the file already hands the plan over."""
+    told = os.environ.pop("PUMICENOTCH_PLAN", "")
+    if not config:
+        return UNPLANNED
+    from pumicenotch.config import compiled
+
+    if told:
+        return compiled.load(told, config)
+    if config.endswith(".json"):
+        return compiled.from_file(config)
+    done = subprocess.run(compiled.command(config), capture_output=True)
+    return compiled.taken(config, done.returncode, done.stdout, done.stderr)
+
+
+def maker(plan: Any, values: dict[str, Any]) -> Callable[[float], Any] | None:
+    """Makes pools from the time that they begin at; nothing of them is loaded where there are none."""
+    if plan is UNPLANNED or plan is None:
+        return None
+    from pumicenotch.pools import Pools
+    from pumicenotch.pools.plan import unknown
+
+    stages, numbers = values["keywords"]["stages"], values["stages"]
+    for name in unknown(plan, list(numbers)):
+        logger.warning("{}: no stage of this server is called {}", values["config"], name)
+    return lambda now: Pools(now, plan, stages, numbers)
 
 
 async def serve(values: dict[str, Any], core: Server) -> None:
@@ -99,7 +153,7 @@
         group.cancel_scope.cancel()
 
 
-def read() -> tuple[dict[str, Any], Server]:
+def read() -> dict[str, Any]:
     """The start values of the program; the text of a ValueError says what is wrong with which."""
     path = os.environ.get("LB_CONFIG")
     if not path:
@@ -112,29 +166,51 @@
     pairs = start.nested(told)
     inside = "settings."
     settings = {path.removeprefix(inside): text for path, text in pairs.items() if path.startswith(inside)}
-    values = {
-        name: start.read(name, pairs, address, None) for name in ("listen", "pool", "registry", "db")
-    }
+    values = {name: start.read(name, pairs, address, None) for name in ("listen", "pool", "registry", "db")}
     for name in ("listen", "pool"):
         if values[name] is None:
             raise start.BadStart(f"missing start value {name}")
     values |= {"name": pairs.get("name", ""), "pairs": pairs}
-    seed = start.read("seed", pairs, lambda text: int(text, 16), 0)
+    values["seed"] = start.read("seed", pairs, lambda text: int(text, 16), 0)
     values["memory_mb"] = start.read("limits.memory_mb", pairs, float, 192.0)
-    core = Server(
-        keywords=start.keywords(settings), stages=start.names(settings, "classes"),
-        tenants=start.names(settings, "tenants"), seed=seed,
-        stop_ms=start.read("stop_ms", pairs, float, 0.0), below=values["db"] is not None,
-        memory_mb=values["memory_mb"], sockets=start.read("limits.sockets", pairs, int, 1024),
+    values["stop_ms"] = start.read("stop_ms", pairs, float, 0.0)
+    values["sockets"] = start.read("limits.sockets", pairs, int, 1024)
+    values["keywords"] = start.keywords(settings)
+    values["stages"], values["tenants"] = start.names(settings, "classes"), start.names(settings, "tenants")
+    return values
+
+
+def made(values: dict[str, Any], decides: type[Control]) -> Server:
+    return Server(
+        below=values["db"] is not None, pools=maker(values["plan"], values), decides=decides,
+        **{
+            name: values[name]
+            for name in ("keywords", "stages", "tenants", "seed", "stop_ms", "memory_mb", "sockets")
+        },
     )  # fmt: skip
-    return values, core
 
 
-def main() -> None:
+def as_json(message: Any) -> None:
+    """One object a line, for those that collect logs by machine."""
+    record = message.record
+    told = {"time": record["time"].isoformat(), "level": record["level"].name, "message": record["message"]}
+    if record["exception"] is not None:
+        told["exception"] = repr(record["exception"].value)
+    sys.stderr.write(json.dumps(told) + "\n")
+
+
+def main(decides: type[Control] = Control) -> None:
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+    if os.environ.get("PUMICENOTCH_LOG") == "json":
+        logger.add(as_json)
+    else:
+        form = "{time:HH:mm:ss.SSS} {level} {message}"
+        logger.add(sys.stderr, format=form, backtrace=False, diagnose=False)
     try:
-        values, core = read()
+        values = read()
+        values["config"] = os.environ.get("PUMICENOTCH_CONFIG", "")
+        values["plan"] = planned(values["config"])
+        core = made(values, decides)
     except ValueError as error:
         sys.exit(f"pumicenotch: {error}")
     try:
--- /dev/null
+++ b/pumicenotch/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m pumicenotch.cli`."""
+
+from pumicenotch.cli.app import main
+
+main()
--- /dev/null
+++ b/pumicenotch/cli/app.py
@@ -0,0 +1,129 @@
+"""The parts of the command that every installation needs; `lab` is added where its libraries are
+installed."""
+
+import json
+import os
+import sys
+from typing import Annotated, Any, NoReturn
+
+from cyclopts import App, CycloptsError, Parameter
+
+from pumicenotch import start
+from pumicenotch.config import compiled
+
+app = App(
+    name="pumicenotch", help="Admission and scheduling for servers behind balancers that cannot be changed.",
+    version_flags=[],
+)  # fmt: skip
+GOOD, SHORT, WRONG = 0, 1, 2
+
+
+def wrong(text: object) -> NoReturn:
+    print(text, file=sys.stderr)
+    sys.exit(WRONG)
+
+
+def plan_of(path: str) -> Any:
+    """The plan of an HCL file, or of one that was compiled; what is wrong with it ends the command."""
+    if path.endswith(".json"):
+        try:
+            return compiled.from_file(path)
+        except compiled.BadConfig as error:
+            wrong(error)
+    try:
+        from pumicenotch.config.file import BadFile
+        from pumicenotch.config.file import plan_of as read
+    except ModuleNotFoundError as error:
+        wrong(f"pumicenotch: HCL needs {error.name}: pip install 'pumicenotch[cli]'")
+    try:
+        return read(path)
+    except BadFile as error:
+        wrong(error)
+
+
+@app.command
+def serve(*, config: str = "", json_logs: bool = False) -> None:
+    """Run one server: LB_CONFIG names its start values, as the platform gives them.
+
+    Parameters
+    ----------
+    config
+        The file of ours (HCL, or JSON as `check --compile` prints it): pools, budgets. SIGHUP reads it again.
+    json_logs
+        One JSON object a line on standard error.
+    """
+    environment = dict(os.environ)
+    if config:
+        environment = compiled.environment(os.path.abspath(config), plan_of(config))
+    if json_logs:
+        environment["PUMICENOTCH_LOG"] = "json"
+    if not environment.get("LB_CONFIG"):
+        wrong("pumicenotch serve: LB_CONFIG is not set: it names the JSON file of the start values; "
+              "`pumicenotch lab up` runs a server with a world round it")  # fmt: skip
+    # In the place of this process: what read the file leaves no memory behind.
+    os.execve(sys.executable, [sys.executable, "-m", "pumicenotch"], environment)
+
+
+@app.command
+def check(
+    file: str, /, *, as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+    compile: Annotated[bool, Parameter(negative="")] = False, settings: str = "",
+) -> None:  # fmt: skip
+    """Read a file of ours and say what it means, or what is wrong with it.
+
+    Parameters
+    ----------
+    file
+        The HCL file, or a compiled one.
+    as_json
+        The meaning as one JSON object.
+    compile
+        Print the compiled plan, which a server takes without any library: redirect it to a file `.json`.
+    settings
+        A JSON file as LB_CONFIG names it: stages of the plan that it does not have are told.
+    """
+    plan = plan_of(file)
+    if compile:
+        print(compiled.dump(plan))
+        return
+    stages: list[str] = []
+    if settings:
+        try:
+            with open(settings, encoding="utf-8") as opened:
+                pairs = start.nested(json.load(opened))
+        except (OSError, ValueError) as error:
+            wrong(f"{settings}:1: cannot be read: {error}")
+        inside = {path.removeprefix("settings."): text for path, text in pairs.items()}
+        stages = list(start.names(inside, "classes"))
+    told = compiled.describe(plan, stages)
+    if as_json:
+        print(json.dumps(told))
+        return
+    for pool in told.pop("pools"):
+        parts = [f"pool {pool['name']}: stages {', '.join(pool['stages'])}"]
+        parts += [f"reserve {pool['reserve']:.0%} of the places"] if pool["reserve"] else []
+        parts += [f"at most {pool['most']:.0%}"] if pool["most"] < 1.0 else []
+        parts += [f"weight {pool['weight']:g}"] if pool["weight"] else []
+        parts += [] if pool["lends"] else ["its idle places are not lent"]
+        print("; ".join(parts))
+    for name, value in told.items():
+        if value:
+            print(f"{name.replace('_', ' ')}: {', '.join(value) if isinstance(value, list) else value}")
+
+
+def main() -> None:
+    try:
+        from pumicenotch.cli.lab import lab
+    except ModuleNotFoundError as error:
+        missing = error.name
+
+        def lab_missing(*_: str) -> None:
+            wrong(f"pumicenotch: lab needs {missing}: pip install 'pumicenotch[lab]'")
+
+        app.command(lab_missing, name="lab")
+    else:
+        app.command(lab)
+    try:
+        app(exit_on_error=False, print_error=True)
+    except CycloptsError:
+        sys.exit(WRONG)
--- /dev/null
+++ b/pumicenotch/cli/lab.py
@@ -0,0 +1,146 @@
+"""`pumicenotch lab`: experiments, their results, and a world to look at."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+from rich.console import Console
+from rich.table import Table
+
+from pumicenotch.config.hcl import BadFile
+from pumicenotch.lab import experiment as lab_
+
+lab = App(name="lab", help="Real servers with an emulated world round them: experiments and their results.")
+Json = Annotated[bool, Parameter(name="--json", negative="")]
+Sets = Annotated[list[str] | None, Parameter(name="--set", negative="", consume_multiple=False)]
+
+
+def wrong(error: Exception) -> None:
+    print(error, file=sys.stderr)
+    sys.exit(2)
+
+
+@lab.command(name="list")
+def list_(*, as_json: Json = False) -> None:
+    """The project's experiments, one line each."""
+    found = []
+    for path in sorted(lab_.FOLDER.glob("*.hcl")):
+        try:
+            told, _ = lab_.read(str(path))
+        except BadFile:
+            continue  # a file of pools beside them
+        found.append({"name": path.stem, "carrier": told.carrier, "about": told.about})
+    if as_json:
+        print(json.dumps(found))
+    else:
+        for each in found:
+            print(f"{each['name']:<14} {each['carrier']:<10} {each['about']}")
+
+
+@lab.command
+def run(
+    name: str, /, *, seed: int | None = None, seeds: int | None = None, set_: Sets = None,
+    out: Path | None = None, as_json: Json = False,
+) -> None:  # fmt: skip
+    """Run an experiment. Exit status 1: a bound is not kept or a rule was broken.
+
+    Parameters
+    ----------
+    name
+        One of `lab list`, or a path to an HCL file.
+    seed
+        The first seed; the same seed and settings bring every arm the same arrivals.
+    seeds
+        Runs of each arm, by seeds that follow each other.
+    set_
+        K=V in the place of what the file says: load=1.2, gateways.tries=10, stage.bake.work_ms=900.
+    out
+        A folder for summary.json, windows.csv and the servers' logs. It must not hold a result already.
+    as_json
+        The summary as JSON instead of tables.
+    """
+    sets = list(set_ or [])
+    sets += [f"seed={seed}"] if seed is not None else []
+    sets += [f"seeds={seeds}"] if seeds is not None else []
+    try:
+        told, path = lab_.read(name, sets)
+        if out is not None and (out / "summary.json").exists():
+            raise BadFile(f"{out}: holds a result already: name another folder, or remove it first")
+    except BadFile as error:
+        wrong(error)
+    found: list[lab_.Run] = []
+    whole = True
+    logs = str(out) if out is not None else ""
+    try:
+        for _ in lab_.runs(told, path, logs, lab_.workers(told), found.append):
+            ran = found[-1]
+            print(f"{ran.arm} seed {ran.seed}: utility {ran.figures['utility']:.3f}", file=sys.stderr)
+    except KeyboardInterrupt:
+        whole = False
+        print("stopped: what had ended is kept and marked", file=sys.stderr)
+    summary = lab_.summary(told, path.stem, sets, found, whole)
+    try:
+        if out is not None:
+            lab_.keep(out, summary, found)
+    except OSError as error:
+        print(f"{out}: cannot be kept: {error.strerror}", file=sys.stderr)
+        whole = False
+    shown(summary, as_json)
+    sys.exit(0 if whole and all(row["kept"] for row in summary["verdict"]) else 1)
+
+
+def shown(summary: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(summary))
+        return
+    console = Console()
+    table = Table(title=f"{summary['experiment']}, {summary['carrier']}, {summary['git']}")
+    table.add_column("figure")
+    arms = summary["arms"]
+    for arm in arms:
+        table.add_column(arm, justify="right")
+    for figure in next(iter(arms.values()), {}):
+        table.add_row(figure, *(f"{arms[arm].get(figure, float('nan')):.4g}" for arm in arms))
+    console.print(table)
+    bounds = Table(title="bounds" if summary["whole"] else "bounds (stopped before the end)")
+    for column in ("bound", "figure", "spread", "kept"):
+        bounds.add_column(column)
+    for row in summary["verdict"]:
+        bounds.add_row(
+            row["bound"], str(row["figure"]), str(row.get("spread", "")), "yes" if row["kept"] else "NO"
+        )
+    console.print(bounds)
+    for text in summary["broken"][:10]:
+        console.print(f"broken at {text}")
+
+
+@lab.command
+def show(folder: Path, /, *, as_json: Json = False) -> None:
+    """A kept result's tables again."""
+    try:
+        shown(lab_.kept_summary(folder), as_json)
+    except BadFile as error:
+        wrong(error)
+
+
+@lab.command
+def up(*, seconds: float = 0.0, set_: Sets = None) -> None:
+    """One server with an emulated world round it, under load, until Ctrl-C: a line a second of what it does.
+
+    Parameters
+    ----------
+    seconds
+        End by itself after so long; 0: an hour.
+    set_
+        K=V of experiments/up.hcl.
+    """
+    from pumicenotch.lab.up import watch
+
+    sets = [*(set_ or []), f"length_s={seconds or 3600.0}"]
+    try:
+        told, path = lab_.read("up", sets)
+    except BadFile as error:
+        wrong(error)
+    sys.exit(watch(told, path))
--- /dev/null
+++ b/pumicenotch/config/compiled.py
@@ -0,0 +1,86 @@
+"""A plan as one line of JSON, which is what a server takes: written by the reader of HCL, read without it."""
+
+import json
+import os
+import sys
+from typing import Any
+
+from pumicenotch.pools.plan import BadPlan, Plan, Pool, check
+
+FORM = 1  # of the line; a server refuses what it does not know
+
+
+class BadConfig(ValueError):
+    """The file or the line cannot be taken; the text says why, for each fault a line."""
+
+
+def dump(plan: Plan | None) -> str:
+    if plan is None:
+        return json.dumps({"form": FORM, "plan": None})
+    told = {**plan._asdict(), "pools": [pool._asdict() for pool in plan.pools]}
+    return json.dumps({"form": FORM, "plan": told})
+
+
+def load(text: str, name: str) -> Plan | None:
+    """Raises BadConfig on anything that `dump` does not write."""
+    try:
+        told = json.loads(text)
+        if told["form"] != FORM:
+            raise BadConfig(
+                f"{name}:1: form: {told['form']!r} is unknown, {FORM} is allowed: compile it anew"
+            )
+        if told["plan"] is None:
+            return None
+        pools = tuple(Pool(**{**pool, "stages": tuple(pool["stages"])}) for pool in told["plan"]["pools"])
+        plan = Plan(**{**told["plan"], "pools": pools})
+        check(plan)
+    except BadPlan as error:
+        raise BadConfig(f"{name}:1: plan: {error}") from None
+    except (ValueError, KeyError, TypeError) as error:
+        if isinstance(error, BadConfig):
+            raise
+        raise BadConfig(f"{name}:1: no compiled plan ({type(error).__name__}): compile it anew") from None
+    return plan
+
+
+def command(path: str) -> list[str]:
+    """Reads the file in a process of its own, whose memory is given back with its end."""
+    return [sys.executable, "-m", "pumicenotch.config", path]
+
+
+def taken(path: str, status: int, out: bytes, errors: bytes) -> Plan | None:
+    """What such a process made of the file. Raises BadConfig with what it said."""
+    if status:
+        raise BadConfig(
+            errors.decode(errors="replace").strip()[:4000] or f"{path}:1: its reader failed ({status})"
+        )
+    return load(out.decode(errors="replace"), path)
+
+
+def from_file(path: str) -> Plan | None:
+    """A compiled plan, by its ending `.json`. Raises BadConfig."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return load(file.read(), path)
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadConfig(f"{path}:1: cannot be read: {getattr(error, 'strerror', None) or error}") from None
+
+
+def environment(path: str, plan: Plan | None) -> dict[str, str]:
+    """For a server that is started by one who has read the file already."""
+    return {**os.environ, "PUMICENOTCH_CONFIG": path, "PUMICENOTCH_PLAN": dump(plan)}
+
+
+def describe(plan: Plan | None, stages: list[str]) -> dict[str, Any]:
+    """What a plan means, for a person."""
+    if plan is None:
+        return {"pools": [], "meaning": "no pools: all classes are as one"}
+    return {
+        "pools": [pool._asdict() for pool in plan.pools],
+        "limits": "fixed parts" if plan.fixed else "follow demand and capacity",
+        "repeats": f"{plan.retry_ratio:g} for a first try while places are short, up to {plan.retry_burst:g}",
+        "unmarked_repeats": f"same within {plan.likeness_ms:g} ms" if plan.likeness_ms else "not seen",
+        "reading": f"{plan.reading:g} of what is read is kept for reserved pools while reading is behind",
+        "unknown_stages": [name for pool in plan.pools for name in pool.stages
+                           if stages and name != "*" and name not in stages],
+    }  # fmt: skip
--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -579,21 +579,27 @@
 
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
-        while self.limit.has_room(now) and (task := self.queues.next(now, self.limit.total(now))) is not None:
+        while self.queues.waiting and self.limit.has_room(now):
+            task = self.queues.next(now, self.limit.total(now))
+            if task is None:
+                return
             if now + 0.8 * self.run_time(task, now) > min(task.due, self.duty.stop):  # a rough estimate
                 self.reject(task, now)
                 continue
             if not self.limit.takes(task, self.repeats.kb):
                 return
-            self.queues.drop(task)
-            self.queues.lines[task.tenant].busy += 1
-            self.enter(now, task)
-            task.state, task.began = State.RUNNING, now
-            self.actions.run(task.id)
-            followers, task.followers = task.followers, []
-            for follower in followers:
-                follower.first = None  # it is no longer among those that wait for it
-                self.reuse(follower, now)
+            self.go(task, now)
+
+    def go(self, task: Task, now: float) -> None:
+        self.queues.drop(task)
+        self.queues.lines[task.tenant].busy += 1
+        self.enter(now, task)
+        task.state, task.began = State.RUNNING, now
+        self.actions.run(task.id)
+        followers, task.followers = task.followers, []
+        for follower in followers:
+            follower.first = None  # it is no longer among those that wait for it
+            self.reuse(follower, now)
 
     def ended(self, now: float, ident: int, outcome: Outcome) -> None:
         task = self.duty.tasks.get(ident)
--- /dev/null
+++ b/pumicenotch/lab/experiment.py
@@ -0,0 +1,305 @@
+"""Experiments: a world, arms that meet the same arrivals, bounds to hold. Read from HCL, run in parallel,
+kept as `summary.json` and `windows.csv`."""
+
+import csv
+import json
+import os
+import subprocess
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from datetime import UTC, datetime
+from multiprocessing import get_context
+from pathlib import Path
+from statistics import mean, stdev
+from typing import Annotated, Any, Literal
+
+import numpy as np
+from pydantic import Field, model_validator
+
+from pumicenotch.config.compiled import BadConfig, from_file
+from pumicenotch.config.file import BadFile, plan_of
+from pumicenotch.config.hcl import Block, parse
+from pumicenotch.config.schema import Schema, load
+from pumicenotch.lab.ledger import Ledger
+from pumicenotch.lab.measure import figures, windows
+from pumicenotch.lab.world import World, names_of
+
+FORM = 1  # of summary.json
+FOLDER = Path(__file__).parents[2] / "experiments"
+CORES_A_RUN = 2  # a loopback run has a server and a world, each well under a core
+
+
+class Arm(Schema):
+    name: str
+    decides: Literal["today", "plain"] = "today"
+    pools: str = ""  # a file of ours, beside the experiment's
+
+
+class Bound(Schema):
+    """A figure of an arm, or its mean paired difference to another arm's, that is to hold."""
+
+    figure: str
+    arm: str
+    than: str | None = None
+    least: float | None = None
+    most: float | None = None
+
+    @model_validator(mode="after")
+    def bounded(self) -> "Bound":
+        if (self.least is None) == (self.most is None):
+            raise ValueError("either least or most is wanted")
+        return self
+
+
+class Experiment(World):
+    about: str
+    carrier: Literal["loopback", "simulated"] = "loopback"
+    arm: tuple[Arm, ...]
+    bound: tuple[Bound, ...] = ()
+    seed: Annotated[int, Field(ge=0)] = 1
+    seeds: Annotated[int, Field(ge=1, le=1000)] = 1  # runs of each arm, by seeds that follow each other
+
+    @model_validator(mode="after")
+    def fits(self) -> "Experiment":
+        arms = [arm.name for arm in self.arm]
+        for bound in self.bound:
+            for name in (bound.arm, bound.than):
+                if name is not None and name not in arms:
+                    raise ValueError(f"bound on {bound.figure}: no arm {name!r}; arms: {', '.join(arms)}")
+        stages = [stage.name for stage in self.stage]
+        for phase in self.phase:
+            for name in phase.shares:
+                if name not in stages:
+                    raise ValueError(
+                        f"phase at {phase.at_s:g} s: no stage {name!r}; stages: {', '.join(stages)}"
+                    )
+        if len(set(names_of(self.stage))) < len(self.stage):
+            raise ValueError("two stages have one name")
+        for fault in self.fault:
+            if fault.server >= self.servers:
+                raise ValueError(
+                    f"fault at {fault.at_s:g} s: server {fault.server} of {self.servers}, from 0"
+                )
+            if fault.kind == "kill" and self.carrier == "simulated":
+                raise ValueError("fault kill: on loopback only")
+        return self
+
+
+def assign(whole: Block, name: str, sets: Iterable[str]) -> None:
+    """Puts `K=V` in the place of what the file says: `load=1.2`, `gateways.tries=10` (every such block),
+    `stage.bake.work_ms=900` (the block of that name)."""
+    for text in sets:
+        path, equals, told = text.partition("=")
+        if not equals or not path:
+            raise BadFile(f"--set {text}: K=V is wanted, as load=1.2")
+        try:
+            value = json.loads(told)
+        except ValueError:
+            value = told
+        *blocks, last = path.split(".")
+        found = [whole]
+        if blocks:
+            kind, *label = blocks
+            found = [
+                each for each in whole.blocks if each.kind == kind and (not label or each.labels == label)
+            ]
+            if not found and not label:
+                whole.blocks.append(Block(kind, [], 1))
+                found = whole.blocks[-1:]
+            if not found:
+                raise BadFile(f"--set {text}: no block {'.'.join(blocks)} in {name}")
+        for block in found:
+            block.attributes[last] = (value, block.line)
+
+
+def named(name: str) -> Path:
+    """An experiment's file by its path, or by its name among those of the project."""
+    path = Path(name)
+    if path.suffix != ".hcl":
+        path = FOLDER / f"{name}.hcl"
+    if not path.is_file():
+        known = sorted(each.stem for each in FOLDER.glob("*.hcl"))
+        raise BadFile(f"{name}: no such experiment; known: {', '.join(known) or 'none'}")
+    return path
+
+
+def read(name: str, sets: Iterable[str] = ()) -> tuple[Experiment, Path]:
+    """Raises BadFile."""
+    path = named(name)
+    try:
+        whole = parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadFile(f"{path}:1: cannot be read: {error}") from None
+    assign(whole, str(path), sets)
+    found = load(whole, str(path), Experiment)
+    for arm in found.arm:  # what is wrong with an arm's file is said before anything runs
+        plan(arm, path)
+    return found, path
+
+
+def plan(arm: Arm, path: Path) -> Any:
+    if not arm.pools:
+        return None
+    file = path.parent / arm.pools
+    try:
+        return from_file(str(file)) if file.suffix == ".json" else plan_of(file)
+    except BadConfig as error:
+        raise BadFile(str(error)) from None
+
+
+class Run:
+    """What one run of one arm gave."""
+
+    def __init__(
+        self, arm: str, seed: int, found: dict[str, float], ledger: Ledger, rows: list[dict[str, Any]]
+    ):
+        self.arm, self.seed, self.figures, self.rows = arm, seed, found, rows
+        self.rules = ledger.rules()
+        self.broken = [f"{when:.0f} ms: {rule}: {what}" for rule, when, what in ledger.broken[:20]]
+
+
+def play(job: tuple[Experiment, Path, str, int, str]) -> Run:
+    """One run, in a process of its own."""
+    told, path, name, seed, folder = job
+    arm = next(each for each in told.arm if each.name == name)
+    if told.carrier == "simulated":
+        from pumicenotch.control import Control
+        from pumicenotch.lab.plain import Plain
+        from pumicenotch.lab.simulate import Simulation, pools_of
+
+        decides = Plain if arm.decides == "plain" else Control
+        repools = {"": None, **{each.pools: pools_of(plan(each, path)) for each in told.arm if each.pools}}
+        carried = Simulation(told, seed, pools_of(plan(arm, path)), decides, repools.get).run()
+        cpu, ledger, late = sum(node.cpu_ms for node in carried.nodes), carried.ledger, [0.0]
+    else:
+        from pumicenotch.lab.loopback import Launch, run
+
+        config = str(path.parent / arm.pools) if arm.pools else ""
+        launch = Launch("pumicenotch.lab.plain" if arm.decides == "plain" else "pumicenotch", config)
+        kept = Path(folder) / f"{name}-{seed}" if folder else None
+        on_sockets = run(told, seed, launch, kept)
+        cpu, ledger, late = on_sockets.cpu_ms, on_sockets.ledger, on_sockets.late or [0.0]
+    found = figures(told, ledger, cpu, ledger.sent)
+    found["send_late_p99_ms"] = round(float(np.percentile(late, 99)), 2)
+    return Run(name, seed, found, ledger, windows(told, ledger))
+
+
+def runs(
+    told: Experiment, path: Path, folder: str, workers: int, done: Callable[[Run], None]
+) -> Iterator[Run]:
+    """Every arm with every seed, in that order; `done` hears of each as it ends."""
+    seeds = range(told.seed, told.seed + told.seeds)
+    jobs = [(told, path, arm.name, seed, folder) for seed in seeds for arm in told.arm]
+    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
+        for one in pool.map(play, jobs):
+            done(one)
+            yield one
+
+
+def workers(told: Experiment) -> int:
+    cores = min(8, os.cpu_count() or 1)
+    return max(1, cores // (CORES_A_RUN if told.carrier == "loopback" else 1))
+
+
+def commit() -> str:
+    """The commit that is measured, marked where files differ from it."""
+    try:
+        command = ["git", "-C", str(Path(__file__).parent), "describe", "--always", "--dirty", "--abbrev=12"]
+        return subprocess.run(command, capture_output=True, text=True, check=True).stdout.strip()
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+
+
+def summary(
+    told: Experiment, name: str, sets: list[str], found: list[Run], whole: bool = True
+) -> dict[str, Any]:
+    """What is kept of an experiment. Figures of an arm are means over its seeds."""
+    arms: dict[str, dict[str, float]] = {}
+    for arm in told.arm:
+        mine = [run.figures for run in found if run.arm == arm.name]
+        if mine:
+            arms[arm.name] = {figure: round(mean(each[figure] for each in mine), 4) for figure in mine[0]}
+    rules = {rule: sum(run.rules[rule] for run in found) for rule in ("lost", "doubled", "drain", "fallen")}
+    return {
+        "form": FORM,
+        "experiment": name,
+        "about": told.about,
+        "at": datetime.now(UTC).isoformat(timespec="seconds"),
+        "carrier": told.carrier,
+        "seed": told.seed,
+        "seeds": told.seeds,
+        "settings": {"set": sets, **told.model_dump(mode="json", exclude={"arm", "bound"})},
+        "git": commit(),
+        "whole": whole,
+        "arms": arms,
+        "rules": rules,
+        "broken": [text for run in found for text in run.broken][:40],
+        "verdict": verdict(told, found, rules),
+        "runs": [{"arm": run.arm, "seed": run.seed, "rules": run.rules, **run.figures} for run in found],
+    }
+
+
+def verdict(told: Experiment, found: list[Run], rules: dict[str, int]) -> list[dict[str, Any]]:
+    by = {(run.arm, run.seed): run.figures for run in found}
+    kept: list[dict[str, Any]] = [
+        {"bound": f"rule {rule} broken 0 times", "figure": times, "kept": times == 0}
+        for rule, times in rules.items()
+    ]
+    for bound in told.bound:
+        seeds = [
+            seed for arm, seed in by if arm == bound.arm and (bound.than is None or (bound.than, seed) in by)
+        ]
+        if not seeds or bound.figure not in by[bound.arm, seeds[0]]:
+            kept.append({"bound": f"{bound.arm} {bound.figure}", "figure": None, "kept": False})
+            continue
+        values = [
+            by[bound.arm, seed][bound.figure] - (by[bound.than, seed][bound.figure] if bound.than else 0.0)
+            for seed in seeds
+        ]
+        figure = round(mean(values), 4)
+        good = figure >= bound.least if bound.least is not None else figure <= (bound.most or 0.0)
+        sign = f">= {bound.least:g}" if bound.least is not None else f"<= {bound.most:g}"
+        over = f" less {bound.than}'s" if bound.than else ""
+        row: dict[str, Any] = {
+            "bound": f"{bound.arm} {bound.figure}{over} {sign}",
+            "figure": figure,
+            "kept": good,
+        }
+        if len(values) > 1:
+            row["spread"] = round(stdev(values), 4)
+        kept.append(row)
+    return kept
+
+
+def keep(folder: Path, told: dict[str, Any], found: list[Run]) -> None:
+    """Each file whole or not at all: a full disk leaves what was there."""
+    folder.mkdir(parents=True, exist_ok=True)
+    write(folder / "summary.json", json.dumps(told, indent=1) + "\n")
+    temporary = folder / "windows.csv.new"
+    with temporary.open("w", newline="") as file:
+        rows = csv.DictWriter(file, ["arm", "seed", "second", "class", "asked", "served", "rejected", "late"])
+        rows.writeheader()
+        for run in found:
+            rows.writerows({"arm": run.arm, "seed": run.seed, **row} for row in run.rows)
+    temporary.replace(folder / "windows.csv")
+
+
+def write(path: Path, text: str) -> None:
+    temporary = path.with_suffix(path.suffix + ".new")
+    temporary.write_text(text)
+    temporary.replace(path)
+
+
+def kept_summary(folder: Path) -> dict[str, Any]:
+    """Raises BadFile where there is none, or one that this program cannot read."""
+    path = folder / "summary.json"
+    try:
+        told: dict[str, Any] = json.loads(path.read_text())
+    except OSError as error:
+        raise BadFile(f"{path}:1: cannot be read: {error.strerror}") from None
+    except ValueError:
+        raise BadFile(f"{path}:1: no JSON: was the run cut off while it was kept?") from None
+    if not isinstance(told, dict) or told.get("form") != FORM:
+        form = told.get("form") if isinstance(told, dict) else None
+        raise BadFile(f"{path}:1: form: {form!r} is unknown, {FORM} is allowed: run the experiment again")
+    return told
--- /dev/null
+++ b/pumicenotch/lab/loopback.py
@@ -0,0 +1,366 @@
+"""Carries a world on loopback in real time: real servers in processes of their own, every other party
+here."""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from pumicenotch.lab import world as world_
+from pumicenotch.lab.clients import Clients, Try
+from pumicenotch.lab.cores import Cores, Work
+from pumicenotch.lab.ledger import Ledger
+from pumicenotch.lab.peers import DatabasePeer, GatewayPeer, PoolPeer, RegistryPeer
+from pumicenotch.lab.world import World, arrivals
+
+MOST_OPEN = 32  # tasks on one connection
+UP_S = 20.0  # for a server to listen and its pool to be bound: a second on a quiet machine
+AFTER_S = 15.0  # beyond the run's length for the last answers: the longest time limit and some
+HERE = "127.0.0.1"
+
+
+class Launch:
+    """How an arm's servers are started."""
+
+    def __init__(self, module: str = "pumicenotch", config: str = "") -> None:
+        self.module, self.config = module, config
+
+    def environment(self, told: Path) -> dict[str, str]:
+        extra = {"PUMICENOTCH_CONFIG": self.config} if self.config else {}
+        return {**os.environ, "LB_CONFIG": str(told), **extra}
+
+
+class Node:
+    """One server's process, and its worker pool."""
+
+    def __init__(self, number: int, work: Work) -> None:
+        self.number, self.work = number, work
+        self.process: subprocess.Popen[bytes] | None = None
+        self.pool: PoolPeer | None = None
+        self.conns: dict[int, list[GatewayPeer]] = {}  # by gateway
+        self.address = (HERE, 0)
+        self.timer: asyncio.TimerHandle | None = None
+        self.ready = asyncio.Event()
+        self.killed = self.left = False
+        self.config = ""  # the arm's file, copied so that a reload may change it
+
+    def cpu_ms(self) -> float:
+        """User and system time of the process so far."""
+        try:
+            assert self.process is not None
+            fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        except (OSError, AssertionError):
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) * 1000.0 / os.sysconf("SC_CLK_TCK")
+
+
+class Loopback:
+    def __init__(self, world: World, seed: int, launch: Launch, folder: Path) -> None:
+        self.world, self.seed, self.launch, self.folder = world, seed, launch, folder
+        self.ledger = Ledger(world)
+        self.tasks = arrivals(world, seed)
+        self.nodes = [Node(at, Work(Cores(world.cores, world.speed, world.thrash, world.thrash_at)))
+                      for at in range(world.servers)]  # fmt: skip
+        self.late: list[float] = []  # of sends behind their intended time, ms
+        self.database_ms = world.database_ms
+        self.spread = random.Random(seed ^ 0xDB).uniform
+        self.cpu_ms = 0.0
+        self.stopped = False
+        self.began = 0.0
+
+    # The clients' wire. Times in ms from the run's begin.
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0 - self.began
+
+    def at(self, when: float, do: Callable[[float], None]) -> None:
+        self.loop.call_at((when + self.began) / 1000.0, lambda: do(self.now()))
+
+    def send(self, now: float, attempt: Try) -> None:
+        node = self.nodes[attempt.server]
+        mine = node.conns.setdefault(attempt.task.gateway, [])
+        for conn in mine:
+            if conn.transport is not None and not conn.draining and len(conn.open) < MOST_OPEN:
+                self.write(conn, attempt)
+                return
+        if node.left and node.process is not None and node.process.poll() is not None:
+            self.loop.call_soon(self.clients.answered, now, attempt, "refused")
+            return
+        task = self.loop.create_task(self.dial(node, attempt))
+        self.dials.add(task)
+        task.add_done_callback(self.dials.discard)
+
+    async def dial(self, node: Node, attempt: Try) -> None:
+        try:
+            make = partial(GatewayPeer, self.answer, partial(self.lost, node))
+            _, conn = await self.loop.create_connection(make, *node.address)
+        except OSError:
+            self.clients.answered(self.now(), attempt, "refused")
+            return
+        node.conns.setdefault(attempt.task.gateway, []).append(conn)
+        self.write(conn, attempt)
+
+    def write(self, conn: GatewayPeer, sent: Try) -> None:
+        if sent.settled:
+            return
+        task, stage = sent.task, self.world.stage[sent.task.stage]
+        fields = {
+            "rid": sent.rid,
+            "t0": str(int(time.time() * 1000)),
+            "peer": str(task.gateway),
+            "acct": self.world.tenant[task.tenant].name,
+            "mem": "25.0",
+            "prio": "0.5",
+        }
+        if task.hint is not None:
+            fields["est"] = f"{task.hint:.2f}"
+        if sent.again:
+            fields["again"] = "1"
+        if task.token:
+            fields["token"] = task.token
+        sent.wire = (conn, conn.task(sent, stage.name, fields, task.body))
+
+    def answer(self, conn: GatewayPeer, message: int, kind: str, body: bytes, fields: dict[str, str]) -> None:
+        sent = conn.open.pop(message, None)
+        if sent is None:
+            self.ledger.breaks("doubled", self.now(), f"message {message} was answered and is not open")
+            return
+        stay_away, last = float(fields.get("backoff", 0.0)), fields.get("final") == "1"
+        self.clients.answered(self.now(), sent, kind, body, stay_away, last)
+        conn.close_if_over()
+
+    def lost(self, node: Node, conn: GatewayPeer) -> None:
+        with contextlib.suppress(ValueError, StopIteration):
+            next(each for each in node.conns.values() if conn in each).remove(conn)
+        for sent in conn.open.values():
+            if node.killed:
+                self.ledger.open.pop(sent.rid, None)  # what a killed server held is no longer its duty
+            self.clients.answered(self.now(), sent, "lost")
+        conn.open.clear()
+
+    def cancel(self, now: float, attempt: Try) -> None:
+        if attempt.wire is not None:
+            conn, message = attempt.wire
+            if conn.open.get(message) is attempt:
+                # Its answer may be on the way still: it is read, and counts for nothing.
+                conn.cancel(message)
+
+    # The parties
+
+    def linked(self, node: Node, pool: PoolPeer) -> None:
+        node.pool = pool
+
+    def command(self, node: Node, msg: str, told: dict[str, Any]) -> None:
+        now, pool = self.now(), node.pool
+        self.work(node)
+        match msg:
+            case "bind" if pool is not None:
+                pool.tell("bound", how="running", duration=60000)
+                for notice in [each for each in node.work.notices if each[0] > told["serial"]]:
+                    pool.notice(*notice)
+                node.ready.set()
+            case "poll" if pool is not None:
+                links = sum(map(len, node.conns.values()))
+                pool.tell("polled", cookie=told["cookie"], stats=node.work.cores.gauges(links))
+            case "spawn":
+                task = self.ledger.spawn(now, node.number, told["call"])
+                if task is not None:
+                    node.work.spawn(now, told["call"], task, self.world.stage[task.stage])
+            case "supply" | "pass":
+                node.work.supply(now, told["call"])
+            case "suspend" | "proceed":
+                node.work.pause(told["call"], msg == "suspend")
+        self.look(node)
+
+    def work(self, node: Node) -> None:
+        for notice in node.work.advance(self.now()):
+            if node.pool is not None:
+                node.pool.notice(*notice)
+
+    def look(self, node: Node) -> None:
+        if node.timer is not None:
+            node.timer.cancel()
+            node.timer = None
+        when = node.work.cores.next(self.now())
+        if when < float("inf"):
+            node.timer = self.loop.call_at((when + self.began) / 1000.0, self.worked, node)
+
+    def worked(self, node: Node) -> None:
+        self.work(node)
+        self.look(node)
+
+    def called(self, name: str, reply: Callable[[bytes], None]) -> None:
+        takes = self.database_ms * self.spread(0.5, 1.5)
+        self.loop.call_later(takes / 1000.0, reply, b"rows " + name.encode())
+
+    # The run
+
+    async def run(self, progress: Callable[["Loopback"], None] | None = None) -> "Loopback":
+        self.loop = asyncio.get_running_loop()
+        self.began = self.loop.time() * 1000.0
+        self.clients = Clients(self.world, self.seed, self, self.ledger)
+        self.dials: set[asyncio.Task[None]] = set()
+        try:
+            await self.start()
+            await self.load(progress)
+        finally:
+            self.cpu_ms += sum(node.cpu_ms() for node in self.nodes)
+            await self.stop()
+        self.ledger.close(self.now())
+        for node in self.nodes:
+            if node.work.cores.fallen:
+                self.ledger.fell(self.now(), node.number, "its cores were crowded for too long")
+        return self
+
+    async def start(self) -> None:
+        for node in self.nodes:
+            make = partial(PoolPeer, partial(self.linked, node), partial(self.command, node))
+            pool = await self.listen(make)
+            database = await self.listen(partial(DatabasePeer, self.called))
+            registry = await self.listen(partial(RegistryPeer, lambda *_: None))
+            told = {
+                "name": f"n{node.number}",
+                "listen": f"{HERE}:0",
+                "pool": pool,
+                "db": database,
+                "registry": registry,
+                "seed": f"{self.seed + node.number:x}",
+                "stop_ms": self.world.stop_ms,
+                "limits": {"cores": 1.0, "memory_mb": self.world.memory_mb, "sockets": 1024},
+                "settings": self.world.settings(),
+            }
+            path = self.folder / f"n{node.number}.json"
+            path.write_text(json.dumps(told))
+            launch = self.launch
+            if launch.config:
+                node.config = str(self.folder / f"n{node.number}-pools{Path(launch.config).suffix}")
+                Path(node.config).write_text(Path(launch.config).read_text())
+                launch = Launch(launch.module, node.config)
+            log = (self.folder / f"n{node.number}.log").open("wb")
+            command = [sys.executable, "-m", launch.module]
+            node.process = subprocess.Popen(command, stderr=log, env=launch.environment(path))
+            log.close()
+        async with asyncio.timeout(UP_S):
+            for node in self.nodes:
+                await node.ready.wait()
+                node.address = await self.listening(node)
+
+    async def listen(self, make: Callable[[], asyncio.Protocol]) -> str:
+        server = await self.loop.create_server(make, HERE, 0)
+        return "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+    async def listening(self, node: Node) -> tuple[str, int]:
+        """Where it says that it listens."""
+        path = self.folder / f"n{node.number}.log"
+        while "listening on " not in (said := path.read_text(errors="replace")):
+            if node.process is not None and node.process.poll() is not None:
+                raise RuntimeError(f"server {node.number} did not start: {said.strip()[-500:]}")
+            await asyncio.sleep(0.02)
+        host, _, port = said.partition("listening on ")[2].split()[0].rstrip('",').rpartition(":")
+        return host, int(port)
+
+    async def load(self, progress: Callable[["Loopback"], None] | None) -> None:
+        before = sum(node.cpu_ms() for node in self.nodes)
+        self.cpu_ms = -before  # the start is not the tasks' cost
+        self.began = self.loop.time() * 1000.0 + 50.0
+        for node in self.nodes:
+            node.work.cores.at = self.now()
+        for fault in self.world.fault:
+            self.at(fault.at_s * 1000.0, partial(self.fault, fault))
+        told = 0.0
+        for task in self.tasks:
+            while (wait := task.at - self.now()) > 0.3 and not self.stopped:
+                await asyncio.sleep(min(wait, 200.0) / 1000.0)
+                if progress is not None and self.now() - told >= 1000.0:
+                    told = self.now()
+                    progress(self)
+            if self.stopped:
+                return
+            self.late.append(self.now() - task.at)
+            self.clients.wanted(self.now(), task)
+        end = self.world.length_s * 1000.0 + AFTER_S * 1000.0
+        while (self.clients.open or self.now() < self.world.length_s * 1000.0) and self.now() < end:
+            await asyncio.sleep(0.05)
+            if self.stopped:
+                return
+
+    async def stop(self) -> None:
+        """Ends the servers that were started here, by their ids; whatever is left after a second is
+        killed."""
+        for node in self.nodes:
+            if node.process is None or node.process.poll() is not None:
+                status = node.process.returncode if node.process is not None else 0
+                if status and not node.killed:
+                    self.ledger.fell(self.now(), node.number, f"ended by itself with status {status}")
+                continue
+            node.process.send_signal(signal.SIGCONT)
+            node.process.send_signal(signal.SIGTERM)
+            self.ledger.leave(self.now(), node.number)
+        until = time.monotonic() + self.world.stop_ms / 1000.0 + 1.0
+        for node in self.nodes:
+            while node.process is not None and node.process.poll() is None and time.monotonic() < until:
+                await asyncio.sleep(0.02)
+            if node.process is not None and node.process.poll() is None:
+                self.ledger.breaks("drain", self.now(), f"server {node.number} had not ended in its notice")
+                node.process.kill()
+                node.process.wait()
+
+    def fault(self, fault: world_.Fault, now: float) -> None:
+        node = self.nodes[fault.server]
+        assert node.process is not None
+        later = partial(self.loop.call_later, fault.for_s)
+        self.work(node)
+        match fault.kind:
+            case "slow_cores" | "hang_pool":
+                node.work.cores.factor = fault.factor if fault.kind == "slow_cores" else 0.0
+                later(self.mend, node)
+            case "cut_pool":
+                if node.pool is not None:
+                    node.pool.cut()
+            case "stall":
+                node.process.send_signal(signal.SIGSTOP)
+                later(node.process.send_signal, signal.SIGCONT)
+            case "slow_database":
+                self.database_ms = self.world.database_ms * fault.factor
+                later(setattr, self, "database_ms", self.world.database_ms)
+            case "drain":
+                self.ledger.leave(now, fault.server)
+                node.left = True
+                node.process.send_signal(signal.SIGTERM)
+            case "kill":
+                node.killed = node.left = True
+                node.process.kill()
+            case "reload":
+                if node.config:
+                    text = Path(fault.pools).read_text() if fault.pools else "# no pools\n"
+                    Path(node.config).write_text(text)
+                node.process.send_signal(signal.SIGHUP)
+        self.look(node)
+
+    def mend(self, node: Node) -> None:
+        self.work(node)
+        node.work.cores.factor = 1.0
+        self.look(node)
+
+
+def run(world: World, seed: int, launch: Launch, folder: Path | None = None,
+        progress: Callable[[Loopback], None] | None = None) -> Loopback:  # fmt: skip
+    """One run from its start to its end; servers' logs stay in the folder, if one is named."""
+    import uvloop
+
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        folder.mkdir(parents=True, exist_ok=True)
+        carrier = Loopback(world, seed, launch, folder)
+        return uvloop.run(carrier.run(progress))
--- /dev/null
+++ b/pumicenotch/lab/simulate.py
@@ -0,0 +1,279 @@
+"""Carries a world in simulated time: the real core and decisions, one heap of events, no sockets. Seeded and
+repeatable; the wire costs a fixed time, and the server's own CPU time nothing."""
+
+import heapq
+import time
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from pumicenotch import start
+from pumicenotch.control import Control
+from pumicenotch.lab import world as world_
+from pumicenotch.lab.clients import Clients, Try
+from pumicenotch.lab.cores import Cores, Work
+from pumicenotch.lab.ledger import Ledger
+from pumicenotch.lab.world import World, arrivals
+from pumicenotch.pools import Plan, Pools
+from pumicenotch.server.core import Server
+from pumicenotch.server.effects import Dial, Exit, Fault, Reach, Wake, Write
+
+WIRE_MS = 0.3  # one way between any two parties
+MOST_OPEN = 32  # tasks on one connection
+
+MakePools = Callable[[list[Any], dict[str, int]], Callable[[float], Pools]]
+
+
+def pools_of(plan: Plan | None) -> MakePools | None:
+    """What makes a server's pools by that plan."""
+    if plan is None:
+        return None
+    return lambda stages, numbers: lambda now: Pools(now, plan, stages, numbers)
+
+
+class Node:
+    """One server with its worker pool."""
+
+    def __init__(self, core: Server, work: Work) -> None:
+        self.core, self.work = core, work
+        self.woken = self.working = 0  # numbers of the latest wake-up, and of the pool's latest look
+        # gateway -> its connections, what is open
+        self.conns: dict[int, list[tuple[int, dict[int, Try]]]] = {}
+        self.by_conn: dict[int, dict[int, Try]] = {}
+        self.linked = True
+        self.over = False
+        self.frozen_until = 0.0
+        self.cpu_ms = 0.0
+        self.steps = 0
+
+
+class Simulation:
+    """`pools` makes the pools of a server from its stages and their numbers; none leaves classes as one."""
+
+    def __init__(self, world: World, seed: int, pools: MakePools | None = None,
+                 decides: type[Control] = Control,
+                 repools: Callable[[str], MakePools | None] | None = None) -> None:  # fmt: skip
+        self.world, self.now, self.order = world, 0.0, count()
+        self.events: list[tuple[float, int, Callable[..., object], tuple[Any, ...]]] = []
+        self.ledger = Ledger(world)
+        self.clients = Clients(world, seed, self, self.ledger)
+        self.repools = repools
+        self.numbers = count(1)
+        self.messages = count(1)
+        self.database_ms = world.database_ms
+        self.log: list[tuple[float, int, str]] = []
+        pairs = start.nested(world.settings())
+        self.stages = start.names(pairs, "classes")
+        self.nodes = []
+        for at in range(world.servers):
+            keywords = start.keywords(pairs)
+            made = pools(keywords["stages"], self.stages) if pools is not None else None
+            core = Server(
+                keywords=keywords, stages=self.stages, tenants=start.names(pairs, "tenants"), seed=seed + at,
+                stop_ms=world.stop_ms, below=True, memory_mb=world.memory_mb, sockets=1024, pools=made,
+                decides=decides,
+            )  # fmt: skip
+            node = Node(core, Work(Cores(world.cores, world.speed, world.thrash, world.thrash_at)))
+            self.nodes.append(node)
+            self.put(node, "start")
+        self.tasks = arrivals(world, seed)
+        for task in self.tasks:
+            self.at(task.at, self.clients.wanted, task)
+        for fault in world.fault:
+            self.at(fault.at_s * 1000.0, self.fault, fault)
+
+    def at(self, when: float, do: Callable[..., object], *details: Any) -> None:
+        heapq.heappush(self.events, (max(when, self.now), next(self.order), do, details))
+
+    def run(self, beyond_s: float = 15.0) -> "Simulation":
+        until = (self.world.length_s + beyond_s) * 1000.0
+        while self.events and self.events[0][0] <= until:
+            self.now, _, do, details = heapq.heappop(self.events)
+            do(self.now, *details)
+            if self.now > self.world.length_s * 1000.0 and not self.clients.open:
+                break
+        self.ledger.close(self.now)
+        for at, node in enumerate(self.nodes):
+            if node.work.cores.fallen:
+                self.ledger.fell(self.now, at, "its cores were crowded for too long")
+        return self
+
+    # The clients' wire
+
+    def send(self, now: float, attempt: Try) -> None:
+        node = self.nodes[attempt.server]
+        self.at(max(now + WIRE_MS, node.frozen_until), self.arrive, node, attempt)
+
+    def arrive(self, now: float, node: Node, sent: Try) -> None:
+        if node.over:
+            self.at(now + WIRE_MS, self.clients.answered, sent, "lost")
+            return
+        mine = node.conns.setdefault(sent.task.gateway, [])
+        conn = next((number for number, open_ in mine if len(open_) < MOST_OPEN), 0)
+        if not conn:
+            conn = next(self.numbers)
+            node.by_conn[conn] = {}
+            mine.append((conn, node.by_conn[conn]))
+            self.put(node, "opened", conn)
+        message = next(self.messages)
+        node.by_conn[conn][message] = sent
+        stage, task = self.world.stage[sent.task.stage], sent.task
+        fields = {
+            "rid": sent.rid, "t0": str(int(sent.sent + WIRE_MS)), "peer": str(task.gateway),
+            "acct": self.world.tenant[task.tenant].name, "mem": "25.0", "prio": "0.5",
+        }  # fmt: skip
+        if task.hint is not None:
+            fields["est"] = f"{task.hint:.2f}"
+        if sent.again:
+            fields["again"] = "1"
+        if task.token:
+            fields["token"] = task.token
+        self.put(node, "task", conn, message, now, stage.name, fields, task.body)
+
+    def cancel(self, now: float, attempt: Try) -> None:
+        node = self.nodes[attempt.server]
+        for conn, open_ in node.by_conn.items():
+            for message, sent in list(open_.items()):
+                if sent is attempt:
+                    self.later(WIRE_MS, node, "cancel", conn, message)
+                    return
+
+    # The servers
+
+    def later(self, after_ms: float, node: Node, name: str, *details: Any) -> None:
+        self.at(self.now + after_ms, lambda _: self.put(node, name, *details))
+
+    def put(self, node: Node, name: str, *details: Any) -> None:
+        if node.over:
+            return
+        if self.now < node.frozen_until:
+            self.later(node.frozen_until - self.now, node, name, *details)
+            return
+        began = time.perf_counter()
+        effects = node.core.step(self.now, name, *details)
+        node.cpu_ms += (time.perf_counter() - began) * 1000.0
+        node.steps += 1
+        for effect in effects:
+            self.carry(node, effect)
+
+    def carry(self, node: Node, effect: Any) -> None:
+        match effect:
+            case Write(int(conn), message):
+                self.answer(node, conn, message)
+            case Write("pool", message):
+                self.at(self.now + WIRE_MS, self.command, node, message)
+            case Write("registry", _):
+                self.later(WIRE_MS, node, "reported", None)
+            case Write(str(link), ("call", name, _, _)):
+                self.later(self.database_ms + 2.0 * WIRE_MS, node, "replied", link, name, "ROWS", b"rows")
+            case Dial(link, after_ms):
+                self.later(after_ms + WIRE_MS, node, "linked", link)
+            case Wake(after_ms):
+                node.woken += 1
+                self.at(self.now + after_ms, self.ring, node, node.woken)
+            case Exit():
+                node.over = True
+                for open_ in node.by_conn.values():
+                    for sent in open_.values():
+                        self.at(self.now, self.clients.answered, sent, "lost")
+            case _:
+                if hasattr(effect, "text"):
+                    self.log.append((self.now, self.nodes.index(node), effect.text))
+
+    def ring(self, now: float, node: Node, mark: int) -> None:
+        if node.woken == mark:
+            self.put(node, "time")
+
+    def answer(self, node: Node, conn: int, message: tuple[Any, ...]) -> None:
+        if message[0] not in ("served", "rejected", "failed"):
+            return
+        sent = node.by_conn[conn].pop(message[1], None)
+        if sent is None:
+            return
+        kind, rest = message[0], message[3:]
+        more = {"body": rest[0]} if kind == "served" else {}
+        if kind == "rejected":
+            more = {"stay_away_ms": rest[0], "last": rest[1]}
+        self.at(self.now + WIRE_MS, lambda now: self.clients.answered(now, sent, kind, **more))
+
+    # The worker pools
+
+    def command(self, now: float, node: Node, message: tuple[Any, ...]) -> None:
+        if not node.linked:
+            return
+        self.work(now, node)
+        match message:
+            case ("bind", serial):
+                self.tell(node, "bound", "running", 60000.0)
+                for notice in [each for each in node.work.notices if each[0] > serial]:
+                    self.notice(node, notice)
+            case ("poll", cookie):
+                self.tell(node, "polled", cookie, node.work.cores.gauges(sum(map(len, node.conns.values()))))
+            case ("spawn", name, _, _):
+                task = self.ledger.spawn(now, self.nodes.index(node), name)
+                if task is not None:
+                    node.work.spawn(now, name, task, self.world.stage[task.stage])
+            case ("supply", name, _) | ("pass", name, _):
+                node.work.supply(now, name)
+            case ("suspend", name) | ("proceed", name):
+                node.work.pause(name, message[0] == "suspend")
+        self.look(node)
+
+    def tell(self, node: Node, name: str, *details: Any) -> None:
+        if node.linked:
+            self.later(WIRE_MS, node, name, *details)
+
+    def notice(self, node: Node, notice: tuple[int, str, str, dict[str, Any]]) -> None:
+        serial, msg, name, more = notice
+        if msg == "blocked":
+            self.tell(node, "blocked", serial, name, more["body"])
+        else:
+            self.tell(node, "finished", serial, name, more["how"], more["body"])
+
+    def work(self, now: float, node: Node) -> None:
+        for notice in node.work.advance(now):
+            self.notice(node, notice)
+
+    def look(self, node: Node) -> None:
+        node.working += 1
+        when = node.work.cores.next(self.now)
+        if when < float("inf"):
+            self.at(when, self.worked, node, node.working)
+
+    def worked(self, now: float, node: Node, mark: int) -> None:
+        if node.working == mark:
+            self.work(now, node)
+            self.look(node)
+
+    # Faults
+
+    def fault(self, now: float, fault: world_.Fault) -> None:
+        node, until = self.nodes[fault.server], now + fault.for_s * 1000.0
+        self.work(now, node)
+        match fault.kind:
+            case "slow_cores" | "hang_pool":
+                node.work.cores.factor = fault.factor if fault.kind == "slow_cores" else 0.0
+                self.at(until, self.mend, node)
+            case "cut_pool":
+                self.put(node, "unlinked", "pool", Fault(Reach.BROKEN, "cut by the experiment"))
+            case "stall":
+                node.frozen_until = until
+            case "slow_database":
+                self.database_ms = self.world.database_ms * fault.factor
+                self.at(until, self.hasten)
+            case "drain":
+                self.ledger.leave(now, fault.server)
+                self.put(node, "leave")
+            case "reload" if self.repools is not None:
+                made = self.repools(fault.pools or "")
+                stages = node.core.keywords["stages"]
+                self.put(node, "repool", made(stages, self.stages) if made else None, f"pools {fault.pools}")
+        self.look(node)
+
+    def hasten(self, now: float) -> None:
+        self.database_ms = self.world.database_ms
+
+    def mend(self, now: float, node: Node) -> None:
+        self.work(now, node)
+        node.work.cores.factor = 1.0
+        self.look(node)
--- a/pumicenotch/pools/plan.py
+++ b/pumicenotch/pools/plan.py
@@ -52,7 +52,7 @@
     seen: dict[str, str] = {}
     for pool in plan.pools:
         if not pool.stages:
-            raise BadPlan(f"pool {pool.name!r}: no stages: name one at the least, or \"*\"")
+            raise BadPlan(f'pool {pool.name!r}: no stages: name one at the least, or "*"')
         for name in pool.stages:
             if name in seen:
                 raise BadPlan(f"pool {pool.name!r}: stage {name!r} is also of {seen[name]!r}: name it once")
--- a/pumicenotch/pools/pools.py
+++ b/pumicenotch/pools/pools.py
@@ -21,13 +21,16 @@
 
     DEMAND_MS = 700.0  # over which demand is a mean: a shift of classes shows within a second, chance less so
     FRESH_MS = 5000.0  # after its last task a pool is one that nobody sends to
+    CREDIT_MS = 400.0  # over which a place short of its limit counts as one missed
+    CREDIT = 1.5  # places at the most, either way: what was missed long ago is not made up for
 
-    def __init__(self, now: float, pool: Pool, utility: float, due_ms: float) -> None:
-        self.pool, self.utility, self.due_ms = pool, utility, due_ms
+    def __init__(self, now: float, pool: Pool, utility: float) -> None:
+        self.pool, self.utility = pool, utility
         self.demand = Rate(now, self.DEMAND_MS)
-        self.slot = Typical()  # time on the cores between two waits or ends, ms
-        self.stays = 1.0  # such times in one run: calls part them
-        self.limit = self.credit = self.need = 0.0
+        self.slot = Typical()  # time on the cores of one run, ms
+        self.limit = self.share = self.need = self.credit = 0.0
+        self.aim = 0.0  # places that it could use now: the lesser of limit and need
+        self.credited_at = now
         self.busy = 0
         self.asked_at = float("-inf")
         self.read = self.held_off = self.started = self.lent = 0
@@ -35,19 +38,26 @@
     def fresh(self, now: float) -> bool:
         return now - self.asked_at < self.FRESH_MS
 
+    def settle(self, now: float) -> float:
+        """Its credit up to now. Whole tasks in few places can't keep to a broken limit at any moment; over
+        time they do by this. It changes evenly between changes of what it counts, so it is brought up to date
+        only there and where it is read."""
+        gain = (self.aim - self.busy) * (now - self.credited_at) / self.CREDIT_MS
+        self.credited_at = now
+        self.credit = max(-self.CREDIT, min(self.CREDIT, self.credit + gain))
+        return self.credit
+
 
 class Pools:
-    """Pools by `plan` for stages that are numbered as in `numbers`. Times in ms; seeds and clocks: none."""
+    """Pools by `plan` for stages that are numbered as in `numbers`. Times in ms; no clock and no chance."""
 
     HEADROOM = 1.35  # of a reserve over the mean need: arrivals come in clumps, and a queue costs due time
     SPREAD = 0.8  # places more, by the root of the need: chance is larger, in part, where the need is small
-    # a lent place must come back within a second: the mean time to the next end is this at most
+    # a lent place must come back within a second: the mean time to the next end is at most this
     RETURN_MS = 600.0
-    CREDIT_MS = 400.0  # over which a pool's shortfall against its limit counts as one place
-    CREDIT = 1.5  # places at the most, either way: what was missed long ago is not made up for
-    # power of what work earns a place-ms, as its weight: 0 is by need, 1 serves the dearest alone
-    EARNS = 0.75
-    EVERY_MS = 50.0  # between two divisions: well under the demand's span
+    # power of what work earns a place-ms, as its weight: 0 is by need, far above 1 serves one alone
+    EARNS = 1.0
+    EVERY_MS = 200.0  # between two divisions: a part of the demand's span
 
     def __init__(self, now: float, plan: Plan, stages: Sequence[Stage], numbers: dict[str, int]) -> None:
         self.plan, self.of = plan, lanes(plan, numbers)
@@ -55,15 +65,14 @@
         self.count = len(plan.pools)
         self.sides: list[Side] = []
         for at, pool in enumerate(plan.pools):
-            inside = [stage for stage, lane in zip(stages, self.of, strict=False) if lane == at]
-            utility = sum(stage.utility for stage in inside) / len(inside) if inside else 1.0
-            due_ms = sum(stage.due_ms for stage in inside) / len(inside) if inside else 1000.0
-            self.sides.append(Side(now, pool, utility, due_ms))
+            inside = [stage.utility for stage, lane in zip(stages, self.of, strict=False) if lane == at]
+            self.sides.append(Side(now, pool, sum(inside) / len(inside) if inside else 1.0))
         self.budgets = Budgets(plan.retry_ratio, plan.retry_burst, plan.callers_most)
         self.likeness = Likeness(now, plan.likeness_ms)
         self.reading = Reading(now, plan.reading)
-        self.divided_at = self.credited_at = now
-        self.total = 0
+        self.divided_at = now
+        self.total = self.running = 0
+        self.unlent: list[tuple[int, int]] = []  # pools, and the places that stay empty for each
         self.repeats_seen = self.repeats_marked = 0
         self.redivide(now, 1)
 
@@ -81,9 +90,9 @@
         side.asked_at = now
         like = self.likeness.seen(now, mark)
         repeat = again or like
-        self.repeats_marked += again
-        self.repeats_seen += like and not again
         if repeat:
+            self.repeats_marked += again
+            self.repeats_seen += like and not again
             within = self.budgets.repeat(caller, tenant)
         else:
             within = True
@@ -106,125 +115,122 @@
 
     def on(self, now: float, lane: int, first: bool) -> None:
         """A task of it came onto the cores, at its start or back from a call."""
-        self.credit(now)
         side = self.sides[lane]
+        side.settle(now)
         side.busy += 1
+        self.running += 1
         if first:
             side.started += 1
             side.lent += side.busy > side.limit + 1.0
 
     def off(self, now: float, lane: int) -> None:
-        self.credit(now)
-        self.sides[lane].busy -= 1
+        side = self.sides[lane]
+        side.settle(now)
+        side.busy -= 1
+        self.running -= 1
 
     def ended(self, now: float, lane: int, slot_ms: float) -> None:
         """A run ended well or badly after so long on the cores, calls not counted."""
         self.sides[lane].slot.add(slot_ms)
 
     def tick(self, now: float, total: int) -> None:
-        if total != self.total or now - self.divided_at >= self.EVERY_MS:
-            self.credit(now)
+        if total != self.total or now - self.divided_at >= self.EVERY_MS - 1.0:
             self.redivide(now, total)
 
     # What it says
 
     def slot(self, lane: int, usual_ms: float) -> float:
         """Time that a task of the pool holds a place; the usual of all classes until some have ended."""
-        side = self.sides[lane]
-        return side.slot.value if side.slot.samples >= 3 else usual_ms
+        slot = self.sides[lane].slot
+        return slot.value if slot.samples >= 3 else usual_ms
 
     def part(self, lane: int, waiting: Collection[int]) -> float:
-        """Places that the pool comes to while those pools have tasks waiting: its limit, and its part of what
-        the pools without work leave."""
+        """Places that the pool comes to while those pools have tasks waiting: its own, and by its part of
+        what the pools without work leave idle."""
+        side = self.sides[lane]
         if self.plan.fixed:
-            return max(0.25, self.sides[lane].limit)
-        taken = sum(self.sides[at].limit for at in waiting if at != lane) + self.sides[lane].limit
-        idle = sum(max(0.0, side.limit - side.busy) for at, side in enumerate(self.sides)
-                   if at != lane and at not in waiting and side.pool.lends)  # fmt: skip
-        return max(0.25, self.sides[lane].limit * (1.0 + idle / taken))
+            return max(0.25, side.limit)
+        own = taken = max(side.share, side.limit) if side.pool.reserve > 0.0 else side.share
+        busy = side.busy
+        for at in waiting:
+            if at != lane:
+                taken += self.sides[at].share
+                busy += self.sides[at].busy
+        idle = self.total - taken - (self.running - busy)
+        return max(0.25, own * (1.0 + idle / taken) if idle > 0.0 else own)
 
     def takes(self, now: float, lane: int, total: int) -> bool:
         """Whether a task of the pool may start, where the total has room for one more."""
         side = self.sides[lane]
+        then = side.busy + 1
         if self.plan.fixed:
-            return side.busy < max(1, round(side.limit))
-        if side.busy + 1 > max(1.0, side.pool.most * total + 0.5):
+            return then <= max(1, round(side.limit))
+        if then > 1 and then > side.pool.most * total + 0.5:
             return False
-        if side.busy + 1 <= side.limit:
+        if then <= side.limit or not self.unlent:
             return True
         # Beyond its limit it works on what others lend.
-        running = sum(other.busy for other in self.sides)
-        return running + 1 + self.unlent(now, lane) <= total
-
-    def unlent(self, now: float, lane: int) -> int:
-        """Places that stay empty for pools that may want them: all of those that don't lend, and one of a
-        reserve while what runs ends too seldom for a lent place to come back in time. Idle cost: that place,
-        while long runs hold all others. A total of one place is always lent, or nothing else would ever
-        run."""
-        kept = 0
-        for at, side in enumerate(self.sides):
-            if at == lane or side.busy + 1 > side.limit:
-                continue
-            if not side.pool.lends:
-                kept += int(side.limit - side.busy)
-            elif side.pool.reserve > 0.0 and side.fresh(now) and self.ends_every_ms() > self.RETURN_MS:
-                kept += 1
-        return min(kept, max(0, self.total - 1))
-
-    def ends_every_ms(self) -> float:
-        """Mean time to the next end of what runs; a pool of which nothing has ended counts as slow."""
-        rate = sum(side.busy / (side.slot.value or 2.0 * self.RETURN_MS) for side in self.sides)
-        return 1.0 / rate if rate else 0.0
+        kept = sum(places for at, places in self.unlent
+                   if at != lane and self.sides[at].busy < self.sides[at].limit)  # fmt: skip
+        return self.running + 1 + min(kept, total - 1) <= total
 
     def next(self, now: float, waiting: Collection[int], total: int) -> int | None:
         """The pool whose task starts next, of those that have one waiting: the one furthest below its limit,
         what it missed lately counted in."""
-        self.credit(now)
         best, least = None, float("inf")
         for lane in waiting:
-            if not self.takes(now, lane, total):
-                continue
-            side = self.sides[lane]
-            far = (side.busy + 1.0 - side.credit) / side.limit
-            if far < least:
-                best, least = lane, far
+            if self.takes(now, lane, total):
+                side = self.sides[lane]
+                far = (side.busy + 1.0 - side.settle(now)) / side.limit
+                if far < least:
+                    best, least = lane, far
         return best
 
     # Limits
 
-    def credit(self, now: float) -> None:
-        """Whole tasks in few places can't keep to a broken limit at any moment: over time they do, by
-        this."""
-        past, self.credited_at = now - self.credited_at, now
-        if past <= 0.0:
-            return
-        gain = min(1.0, past / self.CREDIT_MS)
-        for side in self.sides:
-            missed = min(side.limit, side.need) - side.busy
-            side.credit = max(-self.CREDIT, min(self.CREDIT, side.credit + gain * missed))
-            if not side.busy and not side.fresh(now):
-                side.credit = 0.0
-
     def redivide(self, now: float, total: int) -> None:
-        """Every limit from what is observed: demand as arrivals times the time that a place is held."""
+        """Every limit from what is observed: demand as arrivals times the time that a place is held.
+
+        A pool's limit is what it may hold before others that wait; its share is what it comes to on the mean.
+        They differ by the headroom of reserves, which others work in as long as it is not asked for."""
         self.total, self.divided_at = total, now
         if self.plan.fixed:
             for side, limit in zip(self.sides, self.static(total), strict=True):
-                side.limit = side.need = limit
+                side.settle(now)
+                side.limit = side.share = side.need = side.aim = limit
             return
         usual = self.usual_ms()
-        claims = []
+        means, claims = [], []
+        ends = 0.0
         for side in self.sides:
+            side.settle(now)
             slot = side.slot.value or usual
-            need = side.demand.read(now) * slot
-            side.need = need
-            if side.pool.reserve > 0.0 and side.fresh(now):
+            side.need = need = side.demand.read(now) * slot
+            ends += side.busy / (side.slot.value or 2.0 * self.RETURN_MS)
+            weight = (side.pool.weight or side.utility / slot**self.EARNS) * max(need, 0.1)
+            own, most = side.pool.reserve * total, side.pool.most * total
+            means.append(Claim(need, own, weight, most))
+            if own and side.fresh(now):
                 need = self.HEADROOM * need + self.SPREAD * need**0.5
-            earns = side.pool.weight or (side.utility / slot) ** self.EARNS
-            weight = earns * max(need, 0.1)
-            claims.append(Claim(need, side.pool.reserve * total, weight, side.pool.most * total))
-        for side, limit in zip(self.sides, divide(float(total), claims), strict=True):
-            side.limit = limit
+            claims.append(Claim(need, own, weight, most))
+        limits = shares = divide(float(total), claims)
+        if sum(claim.need for claim in claims) > total:  # else the headroom of one is no loss to another
+            shares = divide(float(total), means)
+        for side, limit, share in zip(self.sides, limits, shares, strict=True):
+            side.limit, side.share, side.aim = limit, share, min(limit, side.need)
+        self.keep_back(now, ends)
+
+    def keep_back(self, now: float, ends: float) -> None:
+        """Places that stay empty for pools that may want them: all of those that don't lend, and one of a
+        reserve while what runs ends too seldom for a lent place to come back in time. It costs that place
+        while long runs hold all others. A total of one is always lent, or nothing else would ever run."""
+        slow = ends > 0.0 and 1.0 / ends > self.RETURN_MS
+        self.unlent = []
+        for at, side in enumerate(self.sides):
+            if not side.pool.lends:
+                self.unlent.append((at, max(1, int(side.limit))))
+            elif slow and side.pool.reserve > 0.0 and side.fresh(now):
+                self.unlent.append((at, 1))
 
     def static(self, total: int) -> list[float]:
         """Fixed parts: the reserve, and the rest by weight."""
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pumicenotch.control import Agenda, Control
-from pumicenotch.interface import Outcome
+from pumicenotch.interface import Outcome, Pools
 from pumicenotch.server import runs
 from pumicenotch.server.backoff import Backoff
 from pumicenotch.server.callers import Callers
@@ -37,8 +37,10 @@
     def __init__(
         self, *, keywords: dict[str, Any], stages: dict[str, int], tenants: dict[str, int], seed: int,
         stop_ms: float, below: bool, memory_mb: float, sockets: int,
+        pools: Callable[[float], Pools] | None = None, decides: type[Control] = Control,
     ) -> None:  # fmt: skip
         self.keywords, self.seed, self.stop_ms, self.below = keywords, seed, stop_ms, below
+        self.pools, self.decides = pools, decides  # pools are made anew from the time they start at
         self.control: Control | None = None  # made when the pool is first bound: warmth counts from its start
         self.effects: list[Effect] = []
         self.later: deque[Callable[[], None]] = deque()  # ends that come while the control is in another call
@@ -145,6 +147,10 @@
     def show_counters(self) -> None:
         self.counters.counts["results_dropped"] = self.kept.dropped
         self.effects.append(Log(f"counters: open={self.tasks.open} {self.counters.text()}"))
+        counts = getattr(self.control.pools, "counts", None) if self.control is not None else None
+        if counts is not None:
+            told = " ".join(f"{name}={value}" for name, value in counts().items())
+            self.effects.append(Log(f"pools: {told}"))
 
     def report(self) -> None:
         self.report_at = self.now + self.REPORT_MS
@@ -173,6 +179,14 @@
             self.reports.reset()
             self.report()
 
+    def repool(self, pools: Callable[[float], Pools] | None, text: str) -> None:
+        """Other pools, or none, take over all that waits and runs. Budgets and estimates begin anew."""
+        self.counters.add("repools")
+        self.effects.append(Log(f"reload: {text}"))
+        self.pools = pools
+        if self.control is not None:
+            self.control.pool(self.now, pools(self.now) if pools is not None else None)
+
     def linked(self, link: str) -> None:
         if link == runs.LINK:
             self.counters.add(f"links_{link}")
@@ -257,8 +271,9 @@
             self.reject(held.id, False, 0.0)
         else:
             self.control.task(
-                self.now, held.id, held.stage_number, held.tenant, waited, None, held.work, held.kb, same
-            )
+                self.now, held.id, held.stage_number, held.tenant, waited, None, held.work, held.kb, same,
+                held.peer, held.again, held.print() if self.pools is not None else 0,
+            )  # fmt: skip
 
     def cancel(self, conn: int, message: int) -> None:
         connection = self.callers.connections.get(conn)
@@ -323,7 +338,8 @@
             # Kept entries lie in the program's own memory: counted in the settings', which is for runs, they
             # would turn tasks away that have room. Some hundred bytes each, and no more than ran in a window.
             keywords = self.keywords | {"cold": how == "starting", "entry_kb": 0.0}
-            self.control = Control(self, self.now - for_ms, seed=self.seed, **keywords)
+            pools = self.pools(self.now) if self.pools is not None else None
+            self.control = self.decides(self, self.now - for_ms, seed=self.seed, pools=pools, **keywords)
             if self.leaving:
                 self.control.leave(self.now, self.stop)
         self.runs.bound(self.now)
@@ -493,7 +509,8 @@
     name: getattr(Server, name)
     for name in (
         "start", "time", "leave", "show_counters", "reported", "linked", "unlinked", "opened", "eof", "reset",
-        "condemn", "reload", "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished",
+        "condemn", "reload", "repool",
+        "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished",
         "chatter", "unknown", "replied",
     )
 }  # fmt: skip
--- a/pumicenotch/server/tasks.py
+++ b/pumicenotch/server/tasks.py
@@ -27,7 +27,8 @@
     """One task and what the carrying of it needs; its decisions stand in the control."""
 
     stage: Stage
-    stage_number = tenant = 0
+    stage_number = tenant = peer = 0
+    again = False  # marked as a further try
     token = ""  # of a fingerprinted task
     mark = b""  # what must be the same in every try under that token: the stage and the body
     work: float | None = None
@@ -41,6 +42,11 @@
         self.id, self.name, self.conn, self.message = ident, name, conn, message
         self.stage_name, self.body = stage_name, body
 
+    def print(self) -> int:
+        """A number for the content: two tasks with the same are likely tries of one. Never 0."""
+        content = b"%d %d %r " % (self.stage_number, self.tenant, self.work) + self.body
+        return int.from_bytes(blake2b(content, digest_size=8).digest()) or 1
+
 
 class BadTask(ValueError):
     """A well-formed message that is no task; the text names the field."""
@@ -89,10 +95,10 @@
             raise BadTask("mem")
         held.work = number(fields, "est", MOST_WORK) if "est" in fields else None
         number(fields, "prio", 1.0)
-        word(fields, "peer")
-        for name in ("again", "obj"):
-            if name in fields:
-                word(fields, name)
+        held.peer = int(word(fields, "peer"))
+        held.again = "again" in fields and word(fields, "again") == "1"
+        if "obj" in fields:
+            word(fields, "obj")
         if self.tenants:
             account = word(fields, "acct")
             if account not in self.tenants:
--- a/tests/record.py
+++ b/tests/record.py
@@ -32,17 +32,22 @@
 class World:
     """Takes the actions, and answers each with an event at a drawn time."""
 
-    def __init__(self, seed: int, tenants: int, load: float, **keywords: Any) -> None:
+    quiet = False  # no digest is wanted
+    marks = False  # tasks tell who sends them and what they hold
+
+    def __init__(
+        self, seed: int, tenants: int, load: float, stages: list[Stage] = STAGES, **keywords: Any
+    ) -> None:
         self.chance = random.Random(seed)
         self.events: list[tuple[float, int, str, tuple[Any, ...]]] = []
         self.order, self.now, self.load = count(), 0.0, load
         self.digest, self.asked = hashlib.sha256(), 0
         self.running: set[int] = set()
-        self.cores, self.tenants = keywords["cores"], tenants
+        self.cores, self.tenants, self.stages = keywords["cores"], tenants, stages
         self.keyed: list[int] = []
         names = ["core_use", "on_cores", "heap", "links"]
         people = [Tenant(1.0 / tenants, 20.0 if at % 2 else None) for at in range(tenants)]
-        self.control = Control(self, 0.0, seed=seed, stages=STAGES, tenants=people, gauges=names,
+        self.control = Control(self, 0.0, seed=seed, stages=stages, tenants=people, gauges=names,
                                run_factor=8.0, drain_grace_ms=2000.0, servers=4, callers=3, idle_ms=30000.0,
                                **keywords)  # fmt: skip
 
@@ -53,13 +58,16 @@
         if name.startswith("_"):
             raise AttributeError(name)
 
+        react = REACTIONS.get(name)
+
         def note(*details: Any, **named: Any) -> None:
             self.asked += 1
-            self.digest.update(f"{self.now!r} {name} {details!r} {sorted(named.items())!r}\n".encode())
-            react = REACTIONS.get(name)
+            if not self.quiet:
+                self.digest.update(f"{self.now!r} {name} {details!r} {sorted(named.items())!r}\n".encode())
             if react is not None:
                 react(self, *details)
 
+        self.__dict__[name] = note
         return note
 
     def ran(self, task: int) -> None:
@@ -97,6 +105,7 @@
                 burst = 0.25 if int(self.now) % 9000 > 6000 else 1.0
                 next_task += chance.expovariate(1 / (mean * burst))
                 stage = chance.choices(range(4), (5, 3, 2, 1))[0]
+                stage += 4 * chance.randrange(len(self.stages) // 4) if len(self.stages) > 4 else 0
                 again = bool(self.keyed) and stage == 2 and chance.random() < 0.3
                 same = chance.choice(self.keyed) if again else None
                 if stage == 2 and same is None:
@@ -105,7 +114,8 @@
                 tenant, waited = chance.randrange(self.tenants), chance.expovariate(1 / 4.0)
                 limit = 5000.0 + self.now if chance.random() < 0.3 else None
                 kb = chance.uniform(20.0, 60.0)
-                self.control.task(self.now, ident, stage, tenant, waited, limit, work, kb, same)
+                more = (ident % 7, False, ident) if self.marks else ()
+                self.control.task(self.now, ident, stage, tenant, waited, limit, work, kb, same, *more)
                 if chance.random() < 0.03:
                     self.at(chance.uniform(10.0, 3000.0), "caller_gone", ident)
                 continue
