Keep a flooding tenant out of the reserve; make the pools' decisions cheap; hard cases as experiments

Change: what is beyond its tenant's share waits in a lane of its own; repeats spend no share; limits divide by weighted max-min with floors; demand is counted by additions.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -180,21 +180,16 @@
              waited_ms: float) -> tuple[float, bool]:
         return 1.0, False
 
-    def slot(self, lane: int, usual_ms: float) -> float:
-        return usual_ms
+    def place(self, now: float, lane: int, repeat: bool, beyond: bool, waiting: Collection[int],
+              usual_ms: float, room: bool) -> tuple[int, float, float, bool]:
+        return 0, self.queues.total, usual_ms, room
 
-    def part(self, lane: int, waiting: Collection[int]) -> float:
-        return self.queues.total
-
-    def takes(self, now: float, lane: int, total: int) -> bool:
-        return True
-
-    def next(self, now: float, waiting: Collection[int], total: int) -> int | None:
+    def next(self, now: float, waiting: Collection[int]) -> int | None:
         return 0 if waiting else None
 
     def nothing(self, *_: object) -> None: ...
 
-    took = held_off = on = off = ended = tick = nothing
+    spent = held_off = on = off = ended = tick = nothing
 
 
 class Line:
@@ -212,14 +207,14 @@
         self.rate, self.filled_at = allowance_per_ms, 0.0
         self.tokens = self.most = max(4.0, self.SAVED_MS * (allowance_per_ms or 0.0))
 
-    def over_share(self, now: float) -> bool:
-        """Takes a token for a task; without one the task is beyond the tenant's share."""
+    def over_share(self, now: float, first: bool) -> bool:
+        """Takes a token for a first try; without one the task is beyond the tenant's share."""
         if self.rate is None:
             return False
         self.tokens = min(self.most, self.tokens + (now - self.filled_at) * self.rate)
         self.filled_at = now
         over = self.tokens < 1.0
-        self.tokens -= 0.0 if over else 1.0
+        self.tokens -= 1.0 if first and not over else 0.0
         return over
 
 
@@ -277,11 +272,9 @@
             line.times.clear()
         self.split()
 
-    def part(self, tenant: int, lane: int) -> float:
-        """The slots of the pool that the tenant's cap comes to, with those of tenants with nothing
-        waiting."""
+    def part(self, tenant: int, lane: int, slots: float) -> float:
+        """Of the pool's slots those that the tenant's cap comes to, with those of who waits for none."""
         waiting = sum(self.lines[at].cap for at in sorted({*self.waiting.get(lane, ()), tenant}))
-        slots = self.pools.part(lane, self.waiting)
         return float(slots * self.lines[tenant].cap / waiting)
 
     def most(self, tenant: int) -> float:
@@ -312,9 +305,9 @@
             if not self.waiting[task.lane]:
                 del self.waiting[task.lane]
 
-    def next(self, now: float, total: int) -> Task | None:
+    def next(self, now: float) -> Task | None:
         """The pools say whose class starts, caps whose work: the tenant least far into its cap goes first."""
-        lane = self.pools.next(now, self.waiting, total)
+        lane = self.pools.next(now, self.waiting)
         if lane is None:
             return None
         lines = [self.lines[at] for at in self.waiting[lane]]
@@ -556,31 +549,32 @@
 
     def queue(self, task: Task, now: float) -> None:
         """A task with no hope of its due time from its place in the queue is rejected, like one too many."""
-        line, lane, left = self.queues.lines[task.tenant], task.lane, task.due - now
-        slots, over_share = self.queues.part(task.tenant, lane), line.over_share(now)
-        run = self.run_time(task, now)
-        queue, slot = line.lanes[lane], self.pools.slot(lane, self.slot(now))
+        line, left, run = self.queues.lines[task.tenant], task.due - now, self.run_time(task, now)
+        over_share, room = line.over_share(now, not task.repeat), self.limit.has_room(now)
+        task.lane, places, slot, free = self.pools.place(
+            now, task.lane, task.repeat, over_share, self.queues.waiting, self.slot(now), room)
+        slots, queue = self.queues.part(task.tenant, task.lane, places), line.lanes[task.lane]
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
         ahead = 1 + bisect_left(queue, task)
-        free = self.limit.has_room(now) and self.pools.takes(now, lane, self.limit.total(now))
         wait = 0.0 if free else ahead * slot / slots
         full = len(queue) >= self.queues.length(slots, slot, self.due_ms)
         part = self.DOUBT if not wait else task.hope * (self.OVER_SHARE if over_share else self.ROOM)
         if full or wait + run > part * left:
-            self.pools.held_off(lane)
+            self.pools.held_off(task.lane)
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
         else:
             self.queues.put(task)
-            self.pools.took(lane, task.tenant, task.caller, task.repeat, free)
+            if task.repeat and not free:
+                self.pools.spent(task.tenant, task.caller)
             self.agenda.at(task.due, self.too_late, task)
 
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
         while self.queues.waiting and self.limit.has_room(now):
-            task = self.queues.next(now, self.limit.total(now))
+            task = self.queues.next(now)
             if task is None:
                 return
             if now + 0.8 * self.run_time(task, now) > min(task.due, self.duty.stop):  # a rough estimate
--- a/pumicenotch/interface.py
+++ b/pumicenotch/interface.py
@@ -113,7 +113,22 @@
         """A first try of a task was read: the part of the usual wait that it may hope for, and whether it is
         taken for a repeated attempt."""
 
-    def took(self, lane: int, tenant: int, caller: int, repeat: bool, at_once: bool) -> None: ...
+    def place(
+        self,
+        now: float,
+        lane: int,
+        repeat: bool,
+        beyond: bool,
+        waiting: Collection[int],
+        usual_ms: float,
+        room: bool,
+    ) -> tuple[int, float, float, bool]:
+        """A first try asks for a place, maybe beyond its tenant's share, while those lanes have tasks waiting:
+        its lane, the places that lane comes to, the time that each is held, and whether one is free where the
+        total has room."""
+
+    def spent(self, tenant: int, caller: int) -> None:
+        """A repeat was let in though no place was free."""
 
     def held_off(self, lane: int) -> None: ...
 
@@ -125,14 +140,5 @@
 
     def tick(self, now: float, total: int) -> None: ...
 
-    def slot(self, lane: int, usual_ms: float) -> float:
-        """The time that its tasks hold a place."""
-
-    def part(self, lane: int, waiting: Collection[int]) -> float:
-        """The places it comes to while those pools have tasks waiting."""
-
-    def takes(self, now: float, lane: int, total: int) -> bool:
-        """Whether one more of its tasks may start where the total has room."""
-
-    def next(self, now: float, waiting: Collection[int], total: int) -> int | None:
+    def next(self, now: float, waiting: Collection[int]) -> int | None:
         """The pool whose task starts next, of those that have one waiting."""
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -126,10 +126,7 @@
 def read(name: str, sets: Iterable[str] = ()) -> tuple[Experiment, Path]:
     """Raises BadFile."""
     path = named(name)
-    try:
-        whole = parse(path.read_text(encoding="utf-8"), str(path))
-    except (OSError, UnicodeDecodeError) as error:
-        raise BadFile(f"{path}:1: cannot be read: {error}") from None
+    whole = blocks(path)
     assign(whole, str(path), sets)
     found = load(whole, str(path), Experiment)
     for arm in found.arm:  # what is wrong with an arm's file is said before anything runs
@@ -137,6 +134,26 @@
     return found, path
 
 
+def blocks(path: Path, depth: int = 0) -> Block:
+    """A file's blocks. One that is `like` another takes from it what it does not say itself: each attribute,
+    and each kind of block as a whole."""
+    try:
+        whole = parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadFile(f"{path}:1: cannot be read: {error}") from None
+    if "like" not in whole.attributes:
+        return whole
+    other, line = whole.attributes.pop("like")
+    base = path.parent / str(other)
+    if depth >= 4 or not base.is_file():
+        raise BadFile(f"{path}:{line}: like: {other!r} is no file beside it, or they go in a circle")
+    under = blocks(base, depth + 1)
+    kinds = {block.kind for block in whole.blocks}
+    whole.attributes = {**under.attributes, **whole.attributes}
+    whole.blocks += [block for block in under.blocks if block.kind not in kinds]
+    return whole
+
+
 def plan(arm: Arm, path: Path) -> Any:
     if not arm.pools:
         return None
--- a/pumicenotch/lab/measure.py
+++ b/pumicenotch/lab/measure.py
@@ -7,6 +7,7 @@
 from pumicenotch.lab.ledger import End, Ledger
 from pumicenotch.lab.world import World, names_of
 
+MOST_TENANTS = 12  # of which each has a figure of its own
 MOST_MS, DIGITS = 3_600_000, 3  # of the histogram
 
 
@@ -30,6 +31,8 @@
         wanted = sum(task.tenant == at for task in asked)
         if wanted:
             by_tenant.append(sum(end.task.tenant == at for end in good) / wanted)
+            if len(world.tenant) <= MOST_TENANTS:
+                found[f"service_of_{world.tenant[at].name.replace('-', '_')}"] = by_tenant[-1]
     found["service_worst_tenant"] = min(by_tenant, default=1.0)
     found["utility"] = sum(world.stage[end.task.stage].utility for end in good) / worth if worth else 1.0
     histogram = HdrHistogram(1, MOST_MS * 10, DIGITS)
@@ -43,6 +46,9 @@
     found["cpu_us_per_task"] = cpu_ms * 1000.0 / max(1, read)
     if world.phase:
         found["shift_s"] = shift(world, ledger)
+    lasting = [fault for fault in world.fault if fault.kind not in ("drain", "kill", "reload", "cut_pool")]
+    if lasting:
+        found["recover_s"] = max(recovery(world, ledger, fault.at_s + fault.for_s) for fault in lasting)
     return {name: round(value, 4) for name, value in found.items()}
 
 
@@ -67,33 +73,45 @@
     return [rows[key] for key in sorted(rows)]
 
 
+def by_second(world: World, ledger: Ledger) -> tuple[list[float], list[float]]:
+    """Utility asked for and served in time, by the second of the intended time."""
+    utility = [stage.utility for stage in world.stage]
+    asked, good = [0.0] * (int(world.length_s) + 1), [0.0] * (int(world.length_s) + 1)
+    for task in ledger.asked:
+        asked[int(task.at // 1000.0)] += utility[task.stage]
+    for end in ledger.ends:
+        if in_time(world, end):
+            good[int(end.task.at // 1000.0)] += utility[end.task.stage]
+    return asked, good
+
+
+def settled(asked: list[float], good: list[float], begins: int, ends: int, steady: float) -> float:
+    """Seconds from `begins` until the next three seconds together serve 90% of the steady part: three, or
+    chance alone would hide what is looked for."""
+    for at in range(begins, ends - 2):
+        if sum(good[at : at + 3]) >= 0.9 * steady * sum(asked[at : at + 3]):
+            return float(at - begins)
+    return float(ends - begins)
+
+
 def shift(world: World, ledger: Ledger) -> float:
-    """The longest that service took, after a change of phase, to be at 90% of what it was in the second half
-    of that phase for good: over windows of a second, in seconds."""
+    """The longest that service took, after a change of phase, to be at 90% of what it was in that phase's
+    second half, s."""
+    asked, good = by_second(world, ledger)
     longest = 0.0
-    utility = [stage.utility for stage in world.stage]
     for begins, ends, _, _ in world.loads()[1:]:
-        asked: dict[int, float] = {}
-        good: dict[int, float] = {}
-        for task in ledger.asked:
-            if begins * 1000.0 <= task.at < ends * 1000.0:
-                at = int(task.at / 1000.0 - begins)
-                asked[at] = asked.get(at, 0.0) + utility[task.stage]
-        for end in ledger.ends:
-            if begins * 1000.0 <= end.task.at < ends * 1000.0 and in_time(world, end):
-                at = int(end.task.at / 1000.0 - begins)
-                good[at] = good.get(at, 0.0) + utility[end.task.stage]
-        length = int(ends - begins)
-        half = range(length // 2, length)
-        steady = sum(good.get(at, 0.0) for at in half) / max(1e-9, sum(asked.get(at, 0.0) for at in half))
-        # Three seconds together, or chance alone would hide the shift; the first that is good counts.
-        for at in range(length):
-            span = range(at, min(length, at + 3))
-            if sum(good.get(one, 0.0) for one in span) >= 0.9 * steady * sum(
-                asked.get(one, 0.0) for one in span
-            ):
-                longest = max(longest, float(at))
-                break
-        else:
-            longest = max(longest, float(length))
+        first, last = int(begins), int(ends)
+        half = slice((first + last) // 2, last)
+        steady = sum(good[half]) / max(1e-9, sum(asked[half]))
+        longest = max(longest, settled(asked, good, first, last, steady))
     return longest
+
+
+def recovery(world: World, ledger: Ledger, mended_s: float) -> float:
+    """From the end of a fault until service is at 90% of what it was over the run's last quarter, s. The
+    fault is to end well before that."""
+    asked, good = by_second(world, ledger)
+    last = int(world.length_s)
+    quarter = slice(last - last // 4, last)
+    steady = sum(good[quarter]) / max(1e-9, sum(asked[quarter]))
+    return settled(asked, good, min(last, int(mended_s)), last, steady)
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -31,7 +31,8 @@
 
 class Tenant(Schema):
     name: str
-    share: Positive
+    share: Positive  # as it is told to the servers
+    traffic: Positive | None = None  # its part of what is sent; without it, its share
     allowance_per_s: Positive | None = None
     only: str | None = None  # the one stage that it sends
 
@@ -164,7 +165,7 @@
     found: list[Arrival] = []
     gateways = habits(world)
     weights = np.array([each.weight for each in gateways])
-    tenants = np.array([each.share for each in world.tenant])
+    tenants = np.array([each.traffic or each.share for each in world.tenant])
     names = [stage.name for stage in world.stage]
     for begins, ends, load, by_name in world.loads():
         shares = np.array([by_name[name] for name in names])
--- a/pumicenotch/pools/budget.py
+++ b/pumicenotch/pools/budget.py
@@ -5,38 +5,38 @@
 class Budget:
     """Tokens by key: first tries add a part of one, repeats take one, the burst is the most that is saved.
 
-    The keys seen last are kept. One not seen for long is forgotten and starts anew with one token: who makes
-    up a new name for every try gains one repeat a name, and the budget over all bounds even that."""
+    Kept in two generations of a bounded size: a key that is seen goes to the young one, and when that is full
+    the old one is forgotten. A key not seen for so long starts anew with one token: who makes up a new name
+    for every try gains one repeat a name, and the budget over all bounds even that."""
 
     START = 1.0
 
     def __init__(self, ratio: float, burst: float, most: int) -> None:
         self.ratio, self.burst, self.most = ratio, burst, most
         self.start = min(self.START, burst)
-        self.tokens: dict[int, float] = {}  # the key seen last at the end
+        self.young: dict[int, float] = {}
+        self.old: dict[int, float] = {}
         self.forgotten = 0
 
-    def first(self, key: int) -> None:
-        tokens = self.tokens.pop(key, -1.0)
-        if tokens < 0.0:
-            tokens = self.start
-            self.make_room()
-        self.tokens[key] = min(self.burst, tokens + self.ratio)
+    def get(self, key: int) -> float:
+        tokens = self.young.get(key)
+        return self.old.get(key, self.start) if tokens is None else tokens
 
-    def has(self, key: int) -> bool:
-        return self.tokens.get(key, self.start) >= 1.0
+    def put(self, key: int, tokens: float) -> None:
+        if key not in self.young and len(self.young) >= self.most:
+            self.forgotten += sum(other not in self.young for other in self.old)
+            self.old, self.young = self.young, {}
+        self.young[key] = tokens
 
-    def spend(self, key: int) -> None:
-        tokens = self.tokens.pop(key, -1.0)
-        if tokens < 0.0:
-            tokens = self.start
-            self.make_room()
-        self.tokens[key] = max(0.0, tokens - 1.0)
+    def first(self, key: int) -> None:
+        tokens = self.young.get(key)
+        if tokens is None:
+            self.put(key, min(self.burst, self.get(key) + self.ratio))
+        elif tokens < self.burst:
+            self.young[key] = min(self.burst, tokens + self.ratio)
 
-    def make_room(self) -> None:
-        if len(self.tokens) >= self.most:
-            del self.tokens[next(iter(self.tokens))]
-            self.forgotten += 1
+    def spend(self, key: int) -> None:
+        self.put(key, max(0.0, self.get(key) - 1.0))
 
 
 class Budgets:
@@ -51,13 +51,16 @@
         self.refused = 0
 
     def first(self, caller: int, tenant: int) -> None:
-        self.callers.first(caller)
-        self.tenants.first(tenant)
-        self.whole = min(self.whole_most, self.whole + self.ratio)
-
-    def repeat(self, caller: int, tenant: int) -> bool:
-        """Whether the budgets hold this repeat still; it is spent only by `spend`, once it takes a place."""
-        return self.whole >= 1.0 and self.callers.has(caller) and self.tenants.has(tenant)
+        if self.callers.young.get(caller) != self.callers.burst:  # nothing is to be added to a full one
+            self.callers.first(caller)
+        if self.tenants.young.get(tenant) != self.tenants.burst:
+            self.tenants.first(tenant)
+        if self.whole < self.whole_most:
+            self.whole = min(self.whole_most, self.whole + self.ratio)
+
+    def holds(self, caller: int, tenant: int) -> bool:
+        """Whether one more repeat is within them; it is spent only by `spend`, once it takes a place."""
+        return self.whole >= 1.0 and self.callers.get(caller) >= 1.0 and self.tenants.get(tenant) >= 1.0
 
     def spend(self, caller: int, tenant: int) -> None:
         self.callers.spend(caller)
--- a/pumicenotch/pools/estimate.py
+++ b/pumicenotch/pools/estimate.py
@@ -3,27 +3,29 @@
 from math import exp
 
 
-class Rate:
-    """Events a millisecond, as a mean over about `span_ms`, read at any time without a timer."""
+class Demand:
+    """Arrivals a millisecond, as a mean over about `span_ms`. Counted as they come, folded in when read: an
+    arrival costs an addition."""
 
     def __init__(self, now: float, span_ms: float) -> None:
-        self.span_ms, self.value, self.at = span_ms, 0.0, now
-        self.since = now  # young, the mean is over what there was
-
-    def fade(self, now: float) -> None:
-        if now > self.at:
-            self.value *= exp((self.at - now) / self.span_ms)
-            self.at = now
-
-    def add(self, now: float, amount: float = 1.0) -> None:
-        self.fade(now)
-        self.value += amount
-
-    def read(self, now: float) -> float:
-        """Without the correction a cold start would see a tenth of its load for a second."""
-        self.fade(now)
-        seen = 1.0 - exp(-max(now - self.since, 50.0) / self.span_ms)
-        return self.value / (self.span_ms * seen)
+        self.span_ms, self.at, self.since = span_ms, now, now
+        self.arrived = 0  # since the last fold
+        self.weight = 0.0  # of those before
+
+    def fold(self, now: float) -> float:
+        """The rate up to now. Young, it is the mean over what there was: a cold start would else see a tenth
+        of its load for a second."""
+        past = now - self.at
+        if past > 0.0:
+            half = exp(-0.5 * past / self.span_ms)  # what came since came half as long ago on the mean
+            self.weight = (self.weight * half + self.arrived) * half
+            self.at, self.arrived = now, 0
+            if self.weight < 1e-9:
+                self.weight = 0.0
+        age = now - self.since
+        if age > 5.0 * self.span_ms:
+            return self.weight / self.span_ms
+        return self.weight / (self.span_ms * (1.0 - exp(-max(age, 50.0) / self.span_ms)))
 
 
 class Typical:
@@ -39,9 +41,14 @@
 
     def add(self, sample: float) -> None:
         self.samples += 1
-        if not self.value:
+        value = self.value
+        if not value:
             self.value = max(sample, 0.1)
             return
-        clipped = min(self.CLIP * self.value, max(self.value / self.CLIP, sample))
+        if sample > self.CLIP * value:
+            sample = self.CLIP * value
+        elif sample < value / self.CLIP:
+            sample = value / self.CLIP
         # The first dozen count by number, or the first of all would be remembered for long.
-        self.value += max(self.PULL, 1.0 / self.samples) * (clipped - self.value)
+        pull = self.PULL if self.samples > 12 else 1.0 / self.samples
+        self.value = value + pull * (sample - value)
--- a/pumicenotch/pools/likeness.py
+++ b/pumicenotch/pools/likeness.py
@@ -23,11 +23,17 @@
         """Whether that content was read before; from now on it was. 0 is no content and never seen."""
         if not mark or not self.window_ms:
             return False
+        young = self.young
+        if now - self.since >= self.window_ms or len(young) >= self.MOST:
+            young = self.turn(now)
+        if mark in young:
+            return True
+        young.add(mark)
+        return mark in self.old
+
+    def turn(self, now: float) -> set[int]:
         full = len(self.young) >= self.MOST
-        if full or now - self.since >= self.window_ms:
-            self.cut_short += full
-            self.old = self.young if full or now - self.since < 2.0 * self.window_ms else set()
-            self.young, self.since = set(), now
-        found = mark in self.young or mark in self.old
-        self.young.add(mark)
-        return found
+        self.cut_short += full
+        self.old = self.young if full or now - self.since < 2.0 * self.window_ms else set()
+        self.young, self.since = set(), now
+        return self.young
