--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -39,7 +39,7 @@
         self.first: Task | None = None  # that a repeat waits for
         self.followers: list[Task] = []  # repeats that wait for this one
         self.due = self.limit = self.kb = self.key = self.began = self.call_at = self.off_ms = 0.0
-        self.calls = self.lane = self.caller = 0
+        self.calls = self.lane = self.caller = self.mark = 0
         self.hope, self.repeat = 1.0, False
 
     def __lt__(self, other: "Task") -> bool:
@@ -510,7 +510,7 @@
         self.signals.read += 1
         self.limit.used_kb += kb
         self.duty.take(task)
-        task.lane, task.caller = self.pools.lane(stage_no), caller
+        task.lane, task.caller, task.mark = self.pools.lane(stage_no), caller, mark
         if same and stage.effect is Effect.FINGERPRINTED:
             self.follow(task, same, now)
         else:
@@ -561,7 +561,7 @@
         full = len(queue) >= self.queues.length(slots, slot, self.due_ms)
         part = self.DOUBT if not wait else task.hope * (self.OVER_SHARE if over_share else self.ROOM)
         if full or wait + run > part * left:
-            self.pools.held_off(task.lane)
+            self.pools.held_off(now, task.lane, task.mark)
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
--- a/pumicenotch/pools/pools.py
+++ b/pumicenotch/pools/pools.py
@@ -97,7 +97,8 @@
         side = self.sides[lane]
         side.read += 1
         side.asked_at = now
-        repeat = self.likeness.seen(now, mark) or again
+        likeness = self.likeness
+        repeat = again or (bool(likeness.young or likeness.old) and likeness.seen(now, mark))
         hope = 1.0
         if not repeat:
             budgets = self.budgets
@@ -141,8 +142,10 @@
         """A repeat was let in though no place was free for it."""
         self.budgets.spend(caller, tenant)
 
-    def held_off(self, lane: int) -> None:
+    def held_off(self, now: float, lane: int, mark: int) -> None:
+        """A task was turned away for want of a place, and may be sent again."""
         self.sides[lane].held_off += 1
+        self.likeness.turned_away(now, mark)
 
     def on(self, now: float, lane: int, first: bool) -> None:
         """A task of it came onto the cores, at its start or back from a call."""
