--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -112,6 +112,9 @@
 
 
 def main() -> None:
+    from pumicenotch.cli.cells import cells
+
+    app.command(cells)
     try:
         from pumicenotch.cli.lab import lab
     except ModuleNotFoundError as error:
--- /dev/null
+++ b/pumicenotch/lab/explore.py
@@ -0,0 +1,74 @@
+"""A model checker: all states that a model can reach within its bounds, breadth first, so that the first
+violation found is one of the shortest. A model is plain values and functions of them; what it decides by is
+the real code."""
+
+import time
+from collections import deque
+from collections.abc import Callable, Hashable, Iterable
+from typing import Generic, NamedTuple, TypeVar
+
+State = TypeVar("State", bound=Hashable)
+
+
+class Found(NamedTuple):
+    """What came of it. `trace` leads to the violation, a line a step; without one there was none."""
+
+    states: int
+    steps: int  # transitions that were followed
+    depth: int
+    seconds: float
+    whole: bool  # all that can be reached was seen
+    violation: str
+    trace: tuple[str, ...]
+
+    def text(self) -> str:
+        rate = self.states / max(1e-9, self.seconds)
+        seen = f"{self.states} states, {self.steps} steps, depth {self.depth}"
+        head = f"{seen}, {self.seconds:.1f} s ({rate:.0f} states/s)"
+        if not self.violation:
+            return f"{head}: no violation{'' if self.whole else ', not all was seen'}"
+        lines = [f"{at:>3}. {line}" for at, line in enumerate(self.trace, 1)]
+        return "\n".join([f"{head}: {self.violation}", *lines])
+
+
+class Explorer(Generic[State]):
+    """`after` gives the steps from a state, each with its line for the trace; `wrong` what a state
+    violates."""
+
+    def __init__(
+        self, after: Callable[[State], Iterable[tuple[str, State]]], wrong: Callable[[State], str],
+        most: int = 2_000_000,
+    ) -> None:  # fmt: skip
+        self.after, self.wrong, self.most = after, wrong, most
+
+    def run(self, first: State) -> Found:
+        began = time.perf_counter()
+        came: dict[State, tuple[State | None, str, int]] = {first: (None, "", 0)}
+        waiting, steps, depth = deque([first]), 0, 0
+        while waiting:
+            state = waiting.popleft()
+            depth = came[state][2]
+            for line, new in self.after(state):
+                steps += 1
+                if new in came:
+                    continue
+                came[new] = (state, line, depth + 1)
+                if problem := self.wrong(new):
+                    trace = self.trace(came, new)
+                    return Found(
+                        len(came), steps, depth + 1, time.perf_counter() - began, False, problem, trace
+                    )
+                waiting.append(new)
+            if len(came) >= self.most:
+                return Found(len(came), steps, depth, time.perf_counter() - began, False, "", ())
+        return Found(len(came), steps, depth, time.perf_counter() - began, True, "", ())
+
+    @staticmethod
+    def trace(came: dict[State, tuple[State | None, str, int]], last: State) -> tuple[str, ...]:
+        lines: list[str] = []
+        at: State | None = last
+        while at is not None:
+            at, line, _ = came[at]
+            if line:
+                lines.append(line)
+        return tuple(reversed(lines))
