--- a/pumicenotch/cells/fence.py
+++ b/pumicenotch/cells/fence.py
@@ -26,6 +26,9 @@
     NO_WORD = auto()  # it cannot tell whether it ran: it has not been up for a window
 
 
+WORDS = {Verdict.CLEAR: "clear", Verdict.OLD_MAP: "old", Verdict.NO_WORD: "no-word"}  # as the wire has them
+
+
 class Fence:
     """One node's. `started` and all times in Unix ms."""
 
@@ -59,6 +62,18 @@
         # What ran here before its start is not in its memory: for a window it has no word to give.
         return Verdict.CLEAR if now - self.started >= self.window_ms else Verdict.NO_WORD
 
+    def word(self, now: float, tenant: str, epoch: int, asks: bool, known: bool) -> str:
+        """The same for the wire: nothing where the node goes on with the task, else why it does not."""
+        return WORDS.get(self.judge(now, tenant, epoch, Role.ASK if asks else Role.HOME, known), "")
+
+    def admits(self, node: str, tenant: str, epoch: int | None) -> bool:
+        """Whether a task that has no fingerprint may run on this node of that name. A stamp newer than this
+        node's map is believed: the router knows more. One as old or older is not, nor a caller that brings
+        none."""
+        if self.cells is None or self.cells.serves(node, tenant):
+            return True
+        return epoch is not None and epoch > self.newest(tenant)
+
     def note(self, tenant: str, epoch: int) -> None:
         if tenant not in self.epochs and len(self.epochs) >= self.MOST:
             self.floor = max(self.floor, self.epochs.pop(next(iter(self.epochs))))
--- a/pumicenotch/cli/cells.py
+++ b/pumicenotch/cli/cells.py
@@ -113,9 +113,7 @@
     if found.stage in (moves.Stage.DRAFTED, moves.Stage.TELLING_NODES):
         wrong(f"{map}: epoch {new.epoch} is not known to {', '.join(found.waits_for)}: tell them first")
     if found.stage is moves.Stage.TELLING_ROUTERS and not new.lease_ms:
-        wrong(
-            f"{map}: routers {', '.join(found.waits_for)} have not epoch {new.epoch}, and no lease bounds them"
-        )
+        wrong(f"{map}: routers {', '.join(found.waits_for)} have not epoch {new.epoch}; no lease bounds them")
     kept(moves.settle(new, now()), out)
 
 
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -22,10 +22,12 @@
     return more if hint is None else {"hint": f"{hint:.4f}", **more}
 
 
-def rejected(message: int, hint: float | None, stay_away_ms: float, last: bool) -> bytes:
+def rejected(message: int, hint: float | None, stay_away_ms: float, last: bool, cell: str = "") -> bytes:
     more = {"backoff": str(round(stay_away_ms))} if stay_away_ms >= 0.5 else {}
     if last:
         more["final"] = "1"
+    if cell:  # for routers: why it has not run
+        more["cell"] = cell
     return pack([1, message, ["TryLater", fields(hint, **more)], None])
 
 
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -4,7 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from pumicenotch.control import Agenda, Control
 from pumicenotch.interface import Outcome, Pools
@@ -18,6 +18,10 @@
 from pumicenotch.server.runs import Runs
 from pumicenotch.server.tasks import BadTask, Held, Tasks
 
+if TYPE_CHECKING:  # nothing of cells is loaded where there are none
+    from pumicenotch.cells.fence import Fence
+    from pumicenotch.cells.map import CellMap
+
 REGISTRY = "registry"
 LISTENER = "listener"
 RUN_ENDS = {
@@ -31,6 +35,7 @@
     STOP_MARGIN_MS = 100.0  # left of the notice when the last answers go out: a crowded core is late
     UNHEARD_MS = 300.0  # before the stop the door closes: enough for what crossed it to be answered
     KEPT_PART = 0.125  # of the memory, for results that are kept: they never bring the program down
+    CELL_AGAIN_MS = 200.0  # to come back after a map was old: some reads of a map by a router
     SPARE = 32  # descriptors left for the pool, the registry, the listener, dials and closes on their way
     CALLS_PART = 0.25  # of the descriptors, for calls below: gateways open up to half
 
@@ -38,8 +43,10 @@
         self, *, keywords: dict[str, Any], stages: dict[str, int], tenants: dict[str, int], seed: int,
         stop_ms: float, below: bool, memory_mb: float, sockets: int,
         pools: Callable[[float], Pools] | None = None, decides: type[Control] = Control,
+        fence: "Fence | None" = None, node: str = "",
     ) -> None:  # fmt: skip
         self.keywords, self.seed, self.stop_ms, self.below = keywords, seed, stop_ms, below
+        self.fence, self.node = fence, node  # where this node knows its cells
         self.pools, self.decides = pools, decides  # pools are made anew from the time they start at
         self.control: Control | None = None  # made when the pool is first bound: warmth counts from its start
         self.effects: list[Effect] = []
@@ -47,6 +54,7 @@
         chance = random.Random(seed).uniform
         self.counters, self.kept = Counters(), Kept(int(self.KEPT_PART * memory_mb * 1024 * 1024))
         self.tasks = Tasks(keywords["stages"], stages, tenants)
+        self.tasks.stamped = fence is not None
         links = max(1, int(self.CALLS_PART * sockets))
         most = max(8, sockets - links - self.SPARE)
         self.callers = Callers(self.effects, self.counters, sockets // 2, most)
@@ -267,7 +275,11 @@
             return
         self.callers.taken(conn, message, held)
         self.tasks.add(held)
-        if self.control is None:  # none is to arrive before the pool is up, and nothing of it has run
+        if self.fence is not None and (cell := self.barred(held, unix, fields, same is not None)):
+            self.counters.add(f"cells_{cell}")
+            self.answer(held, "rejected", self.CELL_AGAIN_MS, False, cell)
+            self.tasks.remove(held)
+        elif self.control is None:  # none is to arrive before the pool is up, and nothing of it has run
             self.reject(held.id, False, 0.0)
         else:
             self.control.task(
@@ -275,6 +287,27 @@
                 held.peer, held.again, held.print() if self.pools is not None else 0,
             )  # fmt: skip
 
+    def barred(self, held: Held, unix: float, fields: Mapping[str, str], known: bool) -> str:
+        """Why the task may not run on this node, by the cells that its tenant lives in; nothing if it may. A
+        caller that is no router brings no stamp: it goes by this node's own map. Read at another time than
+        it arrived, a task is judged as of now: what was sworn off in between stays so."""
+        assert self.fence is not None
+        tenant, epoch = fields.get("acct", ""), held.epoch
+        if not held.token:
+            return "" if self.fence.admits(self.node, tenant, epoch) else "old"
+        if epoch is None:
+            if not known and not self.fence.admits(self.node, tenant, None):
+                return "old"
+            epoch = self.fence.newest(tenant)
+        return self.fence.word(unix, tenant, epoch, held.asks, known)
+
+    def remap(self, cells: "CellMap", text: str) -> None:
+        """A newer map stands in this node's file."""
+        self.counters.add("remaps")
+        self.effects.append(Log(f"reload: {text}"))
+        if self.fence is not None:
+            self.fence.map(cells)
+
     def cancel(self, conn: int, message: int) -> None:
         connection = self.callers.connections.get(conn)
         held = connection.open.get(message) if connection is not None else None
@@ -509,7 +542,7 @@
     name: getattr(Server, name)
     for name in (
         "start", "time", "leave", "show_counters", "reported", "linked", "unlinked", "opened", "eof", "reset",
-        "condemn", "reload", "repool",
+        "condemn", "reload", "repool", "remap",
         "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished",
         "chatter", "unknown", "replied",
     )
--- a/pumicenotch/server/tasks.py
+++ b/pumicenotch/server/tasks.py
@@ -18,6 +18,7 @@
     name: re.compile(form, re.ASCII)
     for name, form in (
         ("rid", "[0-9a-f]{16}"), ("t0", "[0-9]{1,15}"), ("peer", "[0-9]{1,15}"), ("again", "1"),
+        ("epoch", "[0-9]{1,15}"), ("ask", "1"),
         ("token", "[0-9a-f]{32}"), ("obj", "[0-9a-f]{16}"), ("acct", ".{1,64}"),
     )
 }  # fmt: skip
@@ -29,6 +30,8 @@
     stage: Stage
     stage_number = tenant = peer = 0
     again = False  # marked as a further try
+    epoch: int | None = None  # of a router's map, since when the tenant's nodes are what they are
+    asks = False  # this node is asked as a former home
     token = ""  # of a fingerprinted task
     mark = b""  # what must be the same in every try under that token: the stage and the body
     work: float | None = None
@@ -69,6 +72,7 @@
 class Tasks:
     def __init__(self, stages: list[Stage], numbers: dict[str, int], tenants: dict[str, int]) -> None:
         self.stages, self.numbers, self.tenants = stages, numbers, tenants
+        self.stamped = False  # routers stamp tasks, and this node looks at it
         self.ids = count(1)
         self.by_id: dict[int, Held] = {}
         self.by_name: dict[str, Held] = {}
@@ -99,6 +103,9 @@
         held.again = "again" in fields and word(fields, "again") == "1"
         if "obj" in fields:
             word(fields, "obj")
+        if self.stamped and "epoch" in fields:
+            held.epoch = int(word(fields, "epoch"))
+            held.asks = "ask" in fields and word(fields, "ask") == "1"
         if self.tenants:
             account = word(fields, "acct")
             if account not in self.tenants:
