--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -75,7 +75,8 @@
     """A file that cannot be read whole leaves the running values in force, those of the other file too."""
     try:
         new = read()
-        plan = await replanned(values["config"])
+        ours = await replanned(values["config"])
+        cells = map_of(ours)
     except ValueError as error:
         hub.put("met", "reloads_failed", f"reload: {error}; the running values stay in force")
         return
@@ -86,8 +87,12 @@
     others = sorted(path for path in old.keys() | pairs.keys() if old.get(path) != pairs.get(path))
     hub.put("reload", moved, " ".join(path for path in others if path not in moved) or "nothing")
     values["pairs"] |= {name: pairs[name] for name in moved}
-    if plan is not UNPLANNED and plan != values["plan"]:
-        values["plan"] = plan
+    if cells is not None and hub.core.fence is not None:
+        held = hub.core.fence.cells
+        if held is None or cells.epoch > held.epoch:
+            hub.put("remap", cells, f"the cell map of epoch {cells.epoch} is in force")
+    if ours is not UNPLANNED and ours.plan != values["ours"].plan:
+        values["ours"], plan = ours, ours.plan
         hub.put(
             "repool", maker(plan, values), "class pools of the file are in force" if plan else "pools are off"
         )
@@ -122,9 +127,32 @@
     return compiled.taken(config, done.returncode, done.stdout, done.stderr)
 
 
+def map_of(ours: Any) -> Any:
+    """The cell map that the file of ours names, if it names one. ValueError says what is wrong with it."""
+    if ours is UNPLANNED or not ours.map:
+        return None
+    from pumicenotch.cells.map import BadMap, load
+
+    try:
+        with open(ours.map, encoding="utf-8") as file:
+            return load(file.read(), ours.map)
+    except OSError as error:
+        raise BadMap(f"{ours.map}:1: cannot be read: {error.strerror}") from None
+
+
+def fence_of(values: dict[str, Any]) -> Any:
+    """The node's side of cells; nothing of it is loaded where there are none."""
+    cells = map_of(values["ours"])
+    if cells is None:
+        return None
+    from pumicenotch.cells.fence import Fence
+
+    return Fence(Clock().unix(), cells.window_ms, cells)
+
+
 def maker(plan: Any, values: dict[str, Any]) -> Callable[[float], Any] | None:
     """Makes pools from the time that they begin at; nothing of them is loaded where there are none."""
-    if plan is UNPLANNED or plan is None:
+    if plan is None:
         return None
     from pumicenotch.pools import Pools
     from pumicenotch.pools.plan import unknown
@@ -198,7 +226,9 @@
 
 def made(values: dict[str, Any], decides: type[Control]) -> Server:
     return Server(
-        below=values["db"] is not None, pools=maker(values["plan"], values), decides=decides,
+        below=values["db"] is not None, decides=decides,
+        pools=maker(getattr(values["ours"], "plan", None), values),
+        fence=fence_of(values), node=getattr(values["ours"], "node", ""),
         **{
             name: values[name]
             for name in ("keywords", "stages", "tenants", "seed", "stop_ms", "memory_mb", "sockets")
@@ -225,7 +255,7 @@
     try:
         values = read()
         values["config"] = os.environ.get("PUMICENOTCH_CONFIG", "")
-        values["plan"] = planned(values["config"])
+        values["ours"] = planned(values["config"])
         core = made(values, decides)
     except ValueError as error:
         sys.exit(f"pumicenotch: {error}")
--- a/pumicenotch/cells/map.py
+++ b/pumicenotch/cells/map.py
@@ -97,6 +97,13 @@
     def serves(self, node: str, name: str) -> bool:
         return any(each.name == node for each in self.nodes(name))
 
+    def addresses(self) -> dict[str, str]:
+        """Of every node that serves a tenant or may know of its fingerprints."""
+        formers = [former for cell in self.cells.values() for former in cell.former]
+        formers += [former for tenant in self.tenants.values() for former in tenant.former]
+        found = {node.name: node.address for former in formers for node in former.nodes}
+        return found | {node.name: node.address for cell in self.cells.values() for node in cell.nodes}
+
     def digest(self) -> str:
         return blake2b(json.dumps(plain(self), sort_keys=True).encode(), digest_size=12).hexdigest()
 
--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -4,7 +4,7 @@
 import json
 import os
 import sys
-from typing import Annotated, Any, NoReturn
+from typing import Annotated, NoReturn
 
 from cyclopts import App, CycloptsError, Parameter
 
@@ -23,8 +23,8 @@
     sys.exit(WRONG)
 
 
-def plan_of(path: str) -> Any:
-    """The plan of an HCL file, or of one that was compiled; what is wrong with it ends the command."""
+def ours_of(path: str) -> compiled.Ours:
+    """What an HCL file says, or one that was compiled; what is wrong with it ends the command."""
     if path.endswith(".json"):
         try:
             return compiled.from_file(path)
@@ -32,7 +32,7 @@
             wrong(error)
     try:
         from pumicenotch.config.file import BadFile
-        from pumicenotch.config.file import plan_of as read
+        from pumicenotch.config.file import ours_of as read
     except ModuleNotFoundError as error:
         wrong(f"pumicenotch: HCL needs {error.name}: pip install 'pumicenotch[cli]'")
     try:
@@ -54,7 +54,7 @@
     """
     environment = dict(os.environ)
     if config:
-        environment = compiled.environment(os.path.abspath(config), plan_of(config))
+        environment = compiled.environment(os.path.abspath(config), ours_of(config))
     if json_logs:
         environment["PUMICENOTCH_LOG"] = "json"
     if not environment.get("LB_CONFIG"):
@@ -64,6 +64,22 @@
     os.execve(sys.executable, [sys.executable, "-m", "pumicenotch"], environment)
 
 
+@app.command
+def route(*, config: str, json_logs: bool = False) -> None:
+    """Run a router in front of cells, by the gateways' protocol on both sides.
+
+    Parameters
+    ----------
+    config
+        The router's HCL file. Its cell map is read again whenever that file changes.
+    json_logs
+        One JSON object a line on standard error.
+    """
+    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
+    command = [sys.executable, "-m", "pumicenotch.route", os.path.abspath(config)]
+    os.execve(sys.executable, command, environment)
+
+
 @app.command
 def check(
     file: str, /, *, as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
@@ -82,9 +98,9 @@
     settings
         A JSON file as LB_CONFIG names it: stages of the plan that it does not have are told.
     """
-    plan = plan_of(file)
+    ours = ours_of(file)
     if compile:
-        print(compiled.dump(plan))
+        print(compiled.dump(ours))
         return
     stages: list[str] = []
     if settings:
@@ -95,7 +111,7 @@
             wrong(f"{settings}:1: cannot be read: {error}")
         inside = {path.removeprefix("settings."): text for path, text in pairs.items()}
         stages = list(start.names(inside, "classes"))
-    told = compiled.describe(plan, stages)
+    told = compiled.describe(ours, stages)
     if as_json:
         print(json.dumps(told))
         return
--- a/pumicenotch/config/__main__.py
+++ b/pumicenotch/config/__main__.py
@@ -3,12 +3,12 @@
 import sys
 
 from pumicenotch.config.compiled import dump
-from pumicenotch.config.file import BadFile, plan_of
+from pumicenotch.config.file import BadFile, ours_of
 
 
 def main() -> None:
     try:
-        made = plan_of(sys.argv[1])
+        made = ours_of(sys.argv[1])
     except BadFile as error:
         print(error, file=sys.stderr)
         sys.exit(2)
--- a/pumicenotch/config/compiled.py
+++ b/pumicenotch/config/compiled.py
@@ -3,7 +3,7 @@
 import json
 import os
 import sys
-from typing import Any
+from typing import Any, NamedTuple
 
 from pumicenotch.pools.plan import BadPlan, Plan, Pool, check
 
@@ -14,14 +14,21 @@
     """The file or the line cannot be taken; the text says why, for each fault a line."""
 
 
-def dump(plan: Plan | None) -> str:
-    if plan is None:
-        return json.dumps({"form": FORM, "plan": None})
-    told = {**plan._asdict(), "pools": [pool._asdict() for pool in plan.pools]}
-    return json.dumps({"form": FORM, "plan": told})
+class Ours(NamedTuple):
+    """All that a file of ours says."""
+
+    plan: Plan | None = None
+    node: str = ""  # this node's name in the cell map
+    map: str = ""  # the file of the cell map; "": the node knows of no cells
+
+
+def dump(ours: Ours) -> str:
+    plan = ours.plan
+    told = {**plan._asdict(), "pools": [pool._asdict() for pool in plan.pools]} if plan is not None else None
+    return json.dumps({"form": FORM, "plan": told, "cells": {"node": ours.node, "map": ours.map}})
 
 
-def load(text: str, name: str) -> Plan | None:
+def load(text: str, name: str) -> Ours:
     """Raises BadConfig on anything that `dump` does not write."""
     try:
         told = json.loads(text)
@@ -29,8 +36,11 @@
             raise BadConfig(
                 f"{name}:1: form: {told['form']!r} is unknown, {FORM} is allowed: compile it anew"
             )
+        node, map_file = told["cells"]["node"], told["cells"]["map"]
+        if not isinstance(node, str) or not isinstance(map_file, str):
+            raise TypeError("no names")
         if told["plan"] is None:
-            return None
+            return Ours(None, node, map_file)
         pools = tuple(Pool(**{**pool, "stages": tuple(pool["stages"])}) for pool in told["plan"]["pools"])
         plan = Plan(**{**told["plan"], "pools": pools})
         check(plan)
@@ -40,7 +50,7 @@
         if isinstance(error, BadConfig):
             raise
         raise BadConfig(f"{name}:1: no compiled plan ({type(error).__name__}): compile it anew") from None
-    return plan
+    return Ours(plan, node, map_file)
 
 
 def command(path: str) -> list[str]:
@@ -48,7 +58,7 @@
     return [sys.executable, "-m", "pumicenotch.config", path]
 
 
-def taken(path: str, status: int, out: bytes, errors: bytes) -> Plan | None:
+def taken(path: str, status: int, out: bytes, errors: bytes) -> Ours:
     """What such a process made of the file. Raises BadConfig with what it said."""
     if status:
         raise BadConfig(
@@ -57,7 +67,7 @@
     return load(out.decode(errors="replace"), path)
 
 
-def from_file(path: str) -> Plan | None:
+def from_file(path: str) -> Ours:
     """A compiled plan, by its ending `.json`. Raises BadConfig."""
     try:
         with open(path, encoding="utf-8") as file:
@@ -66,16 +76,19 @@
         raise BadConfig(f"{path}:1: cannot be read: {getattr(error, 'strerror', None) or error}") from None
 
 
-def environment(path: str, plan: Plan | None) -> dict[str, str]:
+def environment(path: str, ours: Ours) -> dict[str, str]:
     """For a server that is started by one who has read the file already."""
-    return {**os.environ, "PUMICENOTCH_CONFIG": path, "PUMICENOTCH_PLAN": dump(plan)}
+    return {**os.environ, "PUMICENOTCH_CONFIG": path, "PUMICENOTCH_PLAN": dump(ours)}
 
 
-def describe(plan: Plan | None, stages: list[str]) -> dict[str, Any]:
-    """What a plan means, for a person."""
+def describe(ours: Ours, stages: list[str]) -> dict[str, Any]:
+    """What it means, for a person."""
+    plan = ours.plan
+    cells = f"node {ours.node} by the map {ours.map}" if ours.map else ""
     if plan is None:
-        return {"pools": [], "meaning": "no pools: all classes are as one"}
+        return {"pools": [], "meaning": "no pools: all classes are as one", "cells": cells}
     return {
+        "cells": cells,
         "pools": [pool._asdict() for pool in plan.pools],
         "limits": "fixed parts" if plan.fixed else "follow demand and capacity",
         "repeats": f"{plan.retry_ratio:g} for a first try while places are short, up to {plan.retry_burst:g}",
--- a/pumicenotch/config/file.py
+++ b/pumicenotch/config/file.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field, model_validator
 
+from pumicenotch.config.compiled import Ours
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.config.schema import Schema, read
 from pumicenotch.pools import plan
@@ -33,11 +34,17 @@
     reserve: Part = 0.5
 
 
+class Cells(Schema):
+    node: Annotated[str, Field(min_length=1, max_length=64)]
+    map: Annotated[str, Field(min_length=1)]  # the file of the map, beside this one unless absolute
+
+
 class File(Schema):
     pool: tuple[Pool, ...] = ()
     retries: Retries = Retries()
     reading: Reading = Reading()
     fixed_limits: bool = False
+    cells: Cells | None = None
 
     @model_validator(mode="after")
     def carries(self) -> "File":
@@ -67,4 +74,12 @@
     return read(path, File).plan()
 
 
-__all__ = ["BadFile", "File", "plan_of"]
+def ours_of(path: str | Path) -> Ours:
+    """All that an HCL file says. Raises BadFile."""
+    told = read(path, File)
+    if told.cells is None:
+        return Ours(told.plan())
+    return Ours(told.plan(), told.cells.node, str((Path(path).parent / told.cells.map).resolve()))
+
+
+__all__ = ["BadFile", "File", "ours_of", "plan_of"]
--- a/pumicenotch/lab/clients.py
+++ b/pumicenotch/lab/clients.py
@@ -43,7 +43,8 @@
         self.habits = habits(world)
         chance = random.Random(seed ^ 0x5EED)
         self.spread = chance.uniform
-        self.gateways = [Gateway(chance.random() < each.heeds, world.servers) for each in self.habits]
+        self.servers = world.routers or world.servers  # what the gateways see of the world
+        self.gateways = [Gateway(chance.random() < each.heeds, self.servers) for each in self.habits]
         self.rids = chance.getrandbits
         self.open = 0
 
@@ -67,8 +68,8 @@
 
     def choose(self, now: float, gateway: Gateway, before: int | None) -> int:
         """Round its list, past those it was asked to stay away from while there are others."""
-        for _ in range(self.world.servers):
-            gateway.turn = (gateway.turn + 1) % self.world.servers
+        for _ in range(self.servers):
+            gateway.turn = (gateway.turn + 1) % self.servers
             if gateway.turn != before and not (gateway.heeds and now < gateway.away[gateway.turn]):
                 break
         return gateway.turn
@@ -93,9 +94,9 @@
         pause = habit.pause_ms * 2.0 ** min(sent.number - 1, self.MOST_DOUBLINGS) * self.spread(0.5, 1.0)
         if gateway.heeds:
             gateway.away[sent.server] = max(gateway.away[sent.server], now + stay_away_ms)
-            if last and self.world.servers > 1 and habit.server == "next":
+            if last and self.servers > 1 and habit.server == "next":
                 pause = float("inf")
-            elif habit.server == "same" or self.world.servers == 1:
+            elif habit.server == "same" or self.servers == 1:
                 pause = max(pause, stay_away_ms)
         again = kind in ("rejected", "refused") or (kind == "lost" and stage.effect != "side-effecting")
         if again and sent.number < habit.tries and now + pause < sent.task.at + stage.limit_ms:
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -75,13 +75,19 @@
                     )
         if len(set(names_of(self.stage))) < len(self.stage):
             raise ValueError("two stages have one name")
+        if self.routers and self.carrier == "simulated":
+            raise ValueError("routers: on loopback only")
+        if self.cells > self.servers:
+            raise ValueError(f"cells: {self.cells} of {self.servers} servers: one server each at the least")
         for fault in self.fault:
-            if fault.server >= self.servers:
+            if fault.server >= (self.routers if fault.kind == "kill_router" else self.servers):
                 raise ValueError(
                     f"fault at {fault.at_s:g} s: server {fault.server} of {self.servers}, from 0"
                 )
-            if fault.kind == "kill" and self.carrier == "simulated":
-                raise ValueError("fault kill: on loopback only")
+            if fault.kind in ("kill", "kill_router", "move") and self.carrier == "simulated":
+                raise ValueError(f"fault {fault.kind}: on loopback only")
+            if fault.kind == "move" and not self.routers:
+                raise ValueError("fault move: needs routers")
         return self
 
 
@@ -168,7 +174,7 @@
         return None
     file = path.parent / arm.pools
     try:
-        return from_file(str(file)) if file.suffix == ".json" else plan_of(file)
+        return from_file(str(file)).plan if file.suffix == ".json" else plan_of(file)
     except BadConfig as error:
         raise BadFile(str(error)) from None
 
--- a/pumicenotch/lab/ledger.py
+++ b/pumicenotch/lab/ledger.py
@@ -23,6 +23,7 @@
 
 class Ledger:
     def __init__(self, world: World, grace_ms: float = 2000.0) -> None:
+        self.fleet = world.routers > 0  # one run of a fingerprint in the whole fleet, not one on each server
         self.world, self.grace_ms = world, grace_ms
         self.asked: list[Arrival] = []
         self.ends: list[End] = []
@@ -76,7 +77,9 @@
         if kind == "served" and body != result(stage.name, sent.task.body):
             self.breaks("lost", now, f"{sent.rid} was answered with what no run of it made")
         if kind == "rejected":
-            began = self.ran.get((sent.server, sent.task.token)) if sent.task.token else None
+            began = (
+                self.ran.get((sent.server, sent.task.token)) if sent.task.token else None
+            )  # by a router: not known
             if sent.rid in self.spawned:
                 self.breaks("doubled", now, f"{sent.rid} has run and was rejected")
             elif began is not None and began < sent.sent and now < began + stage.window_ms:
@@ -93,7 +96,7 @@
             return sent.task  # the same command once more, as on a new link: the pool does nothing
         self.spawned.add(rid)
         if sent.task.token:
-            key = (server, sent.task.token)
+            key = (-1 if self.fleet else server, sent.task.token)
             if key in self.ran and sent.sent < self.ran[key] + stage.window_ms:
                 self.breaks("doubled", now, f"{rid}: a second run of one fingerprint within its window")
             self.ran[key] = sent.sent
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -16,6 +16,10 @@
 from pathlib import Path
 from typing import Any
 
+from pumicenotch.cells import moves
+from pumicenotch.cells.map import Cell, CellMap, Tenant, dump
+from pumicenotch.cells.place import Node as PlacedNode
+from pumicenotch.cells.place import bounded
 from pumicenotch.lab import world as world_
 from pumicenotch.lab.clients import Clients, Try
 from pumicenotch.lab.cores import Cores, Work
@@ -53,6 +57,7 @@
         self.ready = asyncio.Event()
         self.killed = self.left = False
         self.config = ""  # the arm's file, copied so that a reload may change it
+        self.log = Path()
 
     def cpu_ms(self) -> float:
         """User and system time of the process so far."""
@@ -64,6 +69,101 @@
         return (int(fields[11]) + int(fields[12])) * 1000.0 / os.sysconf("SC_CLK_TCK")
 
 
+class Plane:
+    """The control plane of the lab: it makes maps, writes them to nodes and routers, and reads in their logs
+    that they are in force."""
+
+    WINDOW_MS = 1000.0  # where no stage is fingerprinted
+    ACK_S = 10.0
+
+    def __init__(self, carrier: "Loopback") -> None:
+        self.carrier, self.world = carrier, carrier.world
+        names = [f"c{at}" for at in range(self.world.cells)]
+        nodes: dict[str, list[PlacedNode]] = {name: [] for name in names}
+        for node in carrier.nodes:
+            nodes[names[node.number % len(names)]].append(PlacedNode(f"n{node.number}", f"{HERE}:1"))
+        cells = {name: Cell(name, tuple(some)) for name, some in nodes.items()}
+        shares = {each.name: each.share for each in self.world.tenant}
+        places = [PlacedNode(name, weight=float(len(some))) for name, some in nodes.items()]
+        homes = bounded(shares, places, 0.25)
+        tenants = {name: Tenant(home) for name, home in homes.items()}
+        window = max(stage.window_ms for stage in self.world.stage) or self.WINDOW_MS
+        self.map = CellMap(1, cells, tenants, window)
+        self.moving = asyncio.Lock()
+        self.moves = 0
+
+    def path(self, name: str) -> Path:
+        return self.carrier.folder / f"{name}-map.json"
+
+    def tell(self, name: str) -> None:
+        path = self.path(name)
+        temporary = path.with_suffix(".new")
+        temporary.write_text(dump(self.map))
+        temporary.replace(path)
+
+    def node_file(self, node: Node, pools: str) -> Path:
+        self.tell(f"n{node.number}")
+        path = self.carrier.folder / f"n{node.number}.hcl"
+        text = Path(pools).read_text() if pools else ""
+        path.write_text(
+            f'{text}\ncells {{\n  node = "n{node.number}"\n  map  = "{self.path(f"n{node.number}")}"\n}}\n'
+        )
+        return path
+
+    def addressed(self) -> None:
+        """Nodes listen where the system let them: known once they have started."""
+        at = {f"n{node.number}": "{}:{}".format(*node.address) for node in self.carrier.nodes}
+        cells = {
+            name: cell._replace(nodes=tuple(node._replace(address=at[node.name]) for node in cell.nodes))
+            for name, cell in self.map.cells.items()
+        }
+        self.map = self.map._replace(cells=cells)
+
+    def router_file(self, router: Node) -> Path:
+        self.tell(f"r{router.number}")
+        path = self.carrier.folder / f"r{router.number}.hcl"
+        path.write_text(
+            f'listen   = "{HERE}:0"\nmap      = "{self.path(f"r{router.number}")}"\n'
+            f'settings = "{self.carrier.folder / "n0.json"}"\nstop_ms  = {self.world.stop_ms:g}\n'
+        )
+        return path
+
+    async def move(self, tenant: str, cell: str) -> None:
+        """Nodes first, then routers, then the map that settles it. One move waits for another."""
+        async with self.moving:
+            held = self.map.tenant(tenant)
+            if held is not None and held.cell == cell:
+                return
+            self.map = moves.move(self.map, [tenant], cell, time.time() * 1000.0)
+            await self.tell_all()
+            self.map = moves.settle(self.map, time.time() * 1000.0)
+            await self.tell_all()
+            self.moves += 1
+
+    async def tell_all(self) -> None:
+        for nodes, letter in ((self.carrier.nodes, "n"), (self.carrier.routers, "r")):
+            live = [node for node in nodes if node.process is not None and node.process.poll() is None]
+            for node in live:
+                self.tell(f"{letter}{node.number}")
+                if letter == "n" and node.process is not None:
+                    node.process.send_signal(signal.SIGHUP)
+            for node in live:
+                await self.acknowledged(node)
+
+    async def acknowledged(self, node: Node) -> None:
+        until = time.monotonic() + self.ACK_S
+        while f"the cell map of epoch {self.map.epoch} is in force" not in node.log.read_text(
+            errors="replace"
+        ):
+            if node.process is None or node.process.poll() is not None:
+                return  # it has ended: it comes back by its file, or not at all
+            if time.monotonic() > until:
+                raise RuntimeError(
+                    f"{node.log.stem} has not taken epoch {self.map.epoch} in {self.ACK_S:g} s"
+                )
+            await asyncio.sleep(0.02)
+
+
 class Loopback:
     def __init__(self, world: World, seed: int, launch: Launch, folder: Path) -> None:
         self.world, self.seed, self.launch, self.folder = world, seed, launch, folder
@@ -72,6 +172,9 @@
         self.nodes = [Node(at, Work(Cores(world.cores, world.speed, world.thrash, world.thrash_at)))
                       for at in range(world.servers)]  # fmt: skip
         self.late: list[float] = []  # of sends behind their intended time, ms
+        self.routers: list[Node] = [Node(at, Work(Cores(1, 1.0, 0.0, 1.0))) for at in range(world.routers)]
+        self.fronts = self.routers or self.nodes  # what gateways send to
+        self.plane = Plane(self) if world.routers else None
         self.database_ms = world.database_ms
         self.spread = random.Random(seed ^ 0xDB).uniform
         self.cpu_ms = 0.0
@@ -87,7 +190,7 @@
         self.loop.call_at((when + self.began) / 1000.0, lambda: do(self.now()))
 
     def send(self, now: float, attempt: Try) -> None:
-        node = self.nodes[attempt.server]
+        node = self.fronts[attempt.server]
         mine = node.conns.setdefault(attempt.task.gateway, [])
         for conn in mine:
             if conn.transport is not None and not conn.draining and len(conn.open) < MOST_OPEN:
@@ -242,18 +345,31 @@
             path = self.folder / f"n{node.number}.json"
             path.write_text(json.dumps(told))
             launch = self.launch
-            if launch.config:
+            if self.plane is not None:
+                launch = Launch(launch.module, str(self.plane.node_file(node, launch.config)))
+            elif launch.config:
                 node.config = str(self.folder / f"n{node.number}-pools{Path(launch.config).suffix}")
                 Path(node.config).write_text(Path(launch.config).read_text())
                 launch = Launch(launch.module, node.config)
-            log = (self.folder / f"n{node.number}.log").open("wb")
-            command = [sys.executable, "-m", launch.module]
-            node.process = subprocess.Popen(command, stderr=log, env=launch.environment(path))
-            log.close()
+            node.log = self.folder / f"n{node.number}.log"
+            self.spawn(node, [launch.module], launch.environment(path))
         async with asyncio.timeout(UP_S):
             for node in self.nodes:
                 await node.ready.wait()
                 node.address = await self.listening(node)
+            if self.plane is not None:
+                self.plane.addressed()
+                for router in self.routers:
+                    router.log = self.folder / f"r{router.number}.log"
+                    self.spawn(
+                        router, ["pumicenotch.route", str(self.plane.router_file(router))], dict(os.environ)
+                    )
+                for router in self.routers:
+                    router.address = await self.listening(router)
+
+    def spawn(self, node: Node, module: list[str], environment: dict[str, str]) -> None:
+        with node.log.open("ab") as log:
+            node.process = subprocess.Popen([sys.executable, "-m", *module], stderr=log, env=environment)
 
     async def listen(self, make: Callable[[], asyncio.Protocol]) -> str:
         server = await self.loop.create_server(make, HERE, 0)
@@ -261,7 +377,7 @@
 
     async def listening(self, node: Node) -> tuple[str, int]:
         """Where it says that it listens."""
-        path = self.folder / f"n{node.number}.log"
+        path = node.log
         while "listening on " not in (said := path.read_text(errors="replace")):
             if node.process is not None and node.process.poll() is not None:
                 raise RuntimeError(f"server {node.number} did not start: {said.strip()[-500:]}")
@@ -297,17 +413,20 @@
     async def stop(self) -> None:
         """Ends the servers that were started here, by their ids; whatever is left after a second is
         killed."""
-        for node in self.nodes:
+        ends = [*self.routers, *self.nodes]  # routers first: they answer what nodes still run
+        for node in ends:
             if node.process is None or node.process.poll() is not None:
                 status = node.process.returncode if node.process is not None else 0
                 if status and not node.killed:
                     self.ledger.fell(self.now(), node.number, f"ended by itself with status {status}")
                 continue
+            if node in self.nodes and self.routers:
+                await self.ended(self.routers)
             node.process.send_signal(signal.SIGCONT)
             node.process.send_signal(signal.SIGTERM)
             self.ledger.leave(self.now(), node.number)
         until = time.monotonic() + self.world.stop_ms / 1000.0 + 1.0
-        for node in self.nodes:
+        for node in ends:
             while node.process is not None and node.process.poll() is None and time.monotonic() < until:
                 await asyncio.sleep(0.02)
             if node.process is not None and node.process.poll() is None:
@@ -315,7 +434,25 @@
                 node.process.kill()
                 node.process.wait()
 
+    async def ended(self, nodes: list[Node]) -> None:
+        until = time.monotonic() + self.world.stop_ms / 1000.0 + 1.0
+        while any(each.process is not None and each.process.poll() is None for each in nodes):
+            if time.monotonic() > until:
+                return
+            await asyncio.sleep(0.02)
+
     def fault(self, fault: world_.Fault, now: float) -> None:
+        if fault.kind == "kill_router":
+            router = self.routers[fault.server]
+            router.killed = router.left = True
+            assert router.process is not None
+            router.process.kill()
+            return
+        if fault.kind == "move" and self.plane is not None:
+            task = self.loop.create_task(self.plane.move(fault.tenant, fault.cell))
+            self.dials.add(task)
+            task.add_done_callback(self.dials.discard)
+            return
         node = self.nodes[fault.server]
         assert node.process is not None
         later = partial(self.loop.call_later, fault.for_s)
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -58,11 +58,16 @@
 
 
 class Fault(Schema):
-    kind: Literal["slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill"]
+    kind: Literal[
+        "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
+        "move", "kill_router", "flood",
+    ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
     factor: Positive = 0.25  # of the speed that slow cores have; times that a slow database takes longer
     server: Annotated[int, Field(ge=0)] = 0
+    tenant: str = ""  # of a move or a flood
+    cell: str = ""  # that it moves to
     pools: str | None = None  # of a reload: the file taken, "" for none
 
 
@@ -73,6 +78,8 @@
     phase: tuple[Phase, ...] = ()
     fault: tuple[Fault, ...] = ()
     servers: Annotated[int, Field(ge=1, le=1000)] = 1
+    routers: Annotated[int, Field(ge=0, le=16)] = 0  # in front; with none, gateways send to the servers
+    cells: Annotated[int, Field(ge=1, le=100)] = 1  # that the servers make, behind routers
     cores: Annotated[int, Field(ge=1, le=64)] = 6
     speed: Positive = 1.0
     thrash: Annotated[float, Field(ge=0.0)] = 0.25  # of the speed lost for each run a core beyond thrash_at
--- /dev/null
+++ b/pumicenotch/route/__main__.py
@@ -0,0 +1,130 @@
+"""Wires the router's reducer to its sockets: `python -m pumicenotch.route FILE`, or `pumicenotch route
+--config FILE`."""
+
+import json
+import os
+import signal
+import sys
+from functools import partial
+from typing import Any, cast
+
+import anyio
+from anyio.abc import SocketAttribute, SocketListener
+from loguru import logger
+
+from pumicenotch import start
+from pumicenotch.__main__ import UNREAD_LEAST, address, as_json
+from pumicenotch.cells.map import BadMap, CellMap, load, newer
+from pumicenotch.config.hcl import BadFile
+from pumicenotch.config.router import RouterFile, router_of
+from pumicenotch.net import gateways
+from pumicenotch.net.clock import Clock
+from pumicenotch.net.hub import Hub
+from pumicenotch.route.decide import LISTENER, PARTY, Router
+from pumicenotch.route.nodes import NodeLinks
+
+LOOK_S = 0.25  # between looks at the map's file: a move is with a router that soon
+FLUSH_S = 0.05  # for the last answers to leave
+
+
+def read_map(path: str) -> tuple[CellMap, float]:
+    """The map, and when its file was last confirmed: written, or touched (Unix ms). Raises BadMap."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            confirmed = os.fstat(file.fileno()).st_mtime * 1000.0
+            return load(file.read(), path), confirmed
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadMap(f"{path}:1: cannot be read: {getattr(error, 'strerror', None) or error}") from None
+
+
+def made(told: RouterFile, clock: Clock) -> Router:
+    """Raises BadMap and BadStart."""
+    cells, confirmed = read_map(told.map)
+    try:
+        with open(told.settings, encoding="utf-8") as file:
+            pairs = start.nested(json.load(file))
+    except (OSError, ValueError) as error:
+        raise start.BadStart(f"{told.settings}:1: cannot be read: {error}") from None
+    inside = {path.removeprefix("settings."): text for path, text in pairs.items()}
+    keywords = start.keywords(inside)
+    return Router(
+        cells=cells, confirmed=confirmed, stages=keywords["stages"], numbers=start.names(inside, "classes"),
+        seed=told.seed, stop_ms=told.stop_ms, sockets=told.sockets,
+    )  # fmt: skip
+
+
+async def signals(hub: Hub) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+        async for number in received:
+            hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+
+
+async def maps(hub: Hub, core: Router, path: str) -> None:
+    """Takes newer maps, and notes when the one that is held is confirmed. One that cannot be taken changes
+    nothing."""
+    seen = 0.0
+    while True:
+        await anyio.sleep(LOOK_S)
+        try:
+            when = os.stat(path).st_mtime * 1000.0
+            if when == seen:
+                continue
+            cells, confirmed = read_map(path)
+            seen = when
+            if newer(core.cells, cells):
+                hub.put("remap", cells, confirmed, f"the cell map of epoch {cells.epoch} is in force")
+            elif cells.epoch == core.cells.epoch:
+                hub.put("remap", core.cells, confirmed, "")
+            else:
+                hub.put("met", "maps_old", f"{path}: epoch {cells.epoch} is older than {core.cells.epoch}")
+        except (BadMap, OSError) as error:
+            hub.put("met", "maps_unreadable", f"{error}; epoch {core.cells.epoch} stays in force")
+
+
+async def serve(told: RouterFile, core: Router, clock: Clock) -> None:
+    hub = Hub(cast(Any, core), clock)
+    host, port = address(told.listen)
+    listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
+    listener = cast(SocketListener, listeners.listeners[0])
+
+    def address_of(node: str) -> tuple[str, int]:
+        return address(core.cells.addresses()[node])
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(signals, hub)
+        hub.diallers[PARTY] = NodeLinks(hub, group, address_of).dial
+        callers = gateways.Gateways(hub, 2 * UNREAD_LEAST)
+        hub.closers[LISTENER] = callers.closing.cancel
+        group.start_soon(callers.accept, listener, group)
+        group.start_soon(maps, hub, core, told.map)
+        hub.put("start")
+        logger.info("listening on {}:{}", *listener.extra(SocketAttribute.local_address)[:2])
+        group.start_soon(partial(clock.run, lambda: hub.put("time")))
+        await hub.exit.wait()
+        await hub.flush(FLUSH_S)
+        group.cancel_scope.cancel()
+
+
+def main() -> None:
+    logger.remove()
+    if os.environ.get("PUMICENOTCH_LOG") == "json":
+        logger.add(as_json)
+    else:
+        logger.add(
+            sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False
+        )
+    clock = Clock()
+    try:
+        told = router_of(sys.argv[1])
+        core = made(told, clock)
+    except (BadFile, BadMap, start.BadStart) as error:
+        print(error, file=sys.stderr)
+        sys.exit(2)
+    try:
+        anyio.run(serve, told, core, clock, backend_options={"use_uvloop": True})
+    except OSError as error:
+        sys.exit(f"pumicenotch route: {error}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pumicenotch/route/decide.py
@@ -0,0 +1,441 @@
+"""The router's reducer: every input enters by `step`, effects go back, as in `server/core`, whose sockets
+carry it too.
+
+A task has one answer: from the walk through its tenant's nodes, or, at its time limit, failed. Nothing is
+held back and nothing is queued: what no node may take is rejected at once, with a time to come back."""
+
+import random
+from collections.abc import Callable, Mapping
+from itertools import count
+from typing import Any
+
+from pumicenotch.cells.fence import Role
+from pumicenotch.cells.map import CellMap
+from pumicenotch.cells.views import Views
+from pumicenotch.cells.walk import End, Said, Step, Walk, walk
+from pumicenotch.control import Agenda
+from pumicenotch.interface import Effect as Repeat
+from pumicenotch.pools.budget import Budget
+from pumicenotch.server.callers import Callers
+from pumicenotch.server.counters import Counters
+from pumicenotch.server.effects import Close, Dial, Effect, Exit, Fault, Log, Wake, Write
+from pumicenotch.server.tasks import BadTask, Held, Tasks
+
+PARTY = "node"
+LISTENER = "listener"
+CELLS = {"clear": Said.CLEAR, "old": Said.OLD_MAP, "no-word": Said.NO_WORD}
+
+
+class Way:
+    """One connection to a node, and what is open on it."""
+
+    def __init__(self, node: str, now: float) -> None:
+        self.node, self.used_at = node, now
+        self.up = self.draining = False
+        self.message = 0
+        self.open: dict[int, Trip] = {}
+        self.waiting: list[Trip] = []  # for the connection to be made
+
+
+class Trip:
+    """A task on its way through nodes."""
+
+    def __init__(self, held: Held, fields: Mapping[str, str], path: Walk, limit: float) -> None:
+        self.held, self.fields, self.path, self.limit = held, dict(fields), path, limit
+        self.way: Way | None = None
+        self.message = 0
+        self.sent_at = 0.0
+        self.written = False  # of this send: it may have arrived
+
+
+class Router:
+    MOST_OPEN = 32  # the protocol's, on one connection
+    WAYS = 8  # connections to one node: as many tasks as a node takes from one caller
+    IDLE_MS = 5000.0  # a connection to a node that nothing used is closed
+    TICK_MS = 25.0
+    MARGIN_MS = 35.0  # before a task's time limit: as the server's
+    UNHEARD_MS = 300.0  # before the stop the door closes
+    STOP_MARGIN_MS = 100.0
+    RETRY, BURST = 0.2, 20.0  # further tries for each first one of a tenant, and saved up
+    SPARE = 64  # descriptors beside those of callers and nodes
+
+    def __init__(
+        self, *, cells: CellMap, confirmed: float, stages: list[Any], numbers: dict[str, int], seed: int,
+        stop_ms: float, sockets: int,
+    ) -> None:  # fmt: skip
+        self.cells, self.confirmed = cells, confirmed
+        self.stages, self.stop_ms = stages, stop_ms
+        self.effects: list[Effect] = []
+        self.counters = Counters()
+        self.tasks = Tasks(stages, numbers, {})
+        self.callers = Callers(
+            self.effects, self.counters, sockets // 2, max(8, sockets // 2 - self.SPARE // 2)
+        )
+        self.most_ways = max(4, sockets // 2 - self.SPARE // 2)
+        chance = random.Random(seed)
+        self.views = Views(chance.random)
+        self.budget = Budget(self.RETRY, self.BURST, 4096)
+        self.agenda = Agenda()
+        self.names = count(1)
+        self.ways: dict[str, Way] = {}
+        self.of_node: dict[str, list[str]] = {}
+        self.trips: dict[int, Trip] = {}
+        self.now = 0.0
+        self.leaving = self.over = self.quiet = False
+
+    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
+        self.now = max(self.now, now)
+        INPUTS[name](self, *details)
+        return self.asked_for()
+
+    def fault(self) -> list[Effect]:
+        self.counters.add("faults")
+        return self.asked_for()
+
+    def asked_for(self) -> list[Effect]:
+        effects = self.effects[:]
+        self.effects.clear()
+        return effects
+
+    # Its own life
+
+    def start(self) -> None:
+        self.effects.append(Wake(self.TICK_MS))
+
+    def time(self) -> None:
+        self.agenda.run(self.now)
+        self.callers.close_idle(self.now)
+        for link, way in list(self.ways.items()):
+            if way.up and not way.open and self.now - way.used_at > self.IDLE_MS:
+                self.close(link)
+        if self.quiet and not self.callers.connections:
+            self.exit(self.now, None)
+        self.effects.append(Wake(self.TICK_MS))
+
+    def leave(self) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        stop = self.now + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
+        self.callers.tell_all(self.now)
+        self.agenda.at(max(self.now, stop - self.UNHEARD_MS), self.close_door, None)
+        self.agenda.at(stop - self.MARGIN_MS, self.give_all_up, None)
+        self.agenda.at(stop, self.exit, None)
+        self.effects.append(Log(f"leaving in {stop - self.now:.0f} ms with {len(self.trips)} tasks open"))
+
+    def close_door(self, now: float, _: None) -> None:
+        self.quiet = True
+        self.callers.tell_all(now)
+        self.effects.append(Close(LISTENER))
+
+    def give_all_up(self, now: float, _: None) -> None:
+        for trip in list(self.trips.values()):
+            self.too_late(now, trip)
+
+    def exit(self, now: float, _: None) -> None:
+        if not self.over:
+            self.over = True
+            self.show_counters()
+            self.effects.append(Exit())
+
+    def show_counters(self) -> None:
+        self.effects.append(
+            Log(f"counters: open={len(self.trips)} epoch={self.cells.epoch} {self.counters.text()}")
+        )
+
+    def remap(self, cells: CellMap, confirmed: float, text: str) -> None:
+        """The map of the file as it is now; what is on its way goes on as it began."""
+        self.counters.add("remaps" if cells is not self.cells else "confirms")
+        self.cells, self.confirmed = cells, max(self.confirmed, confirmed)
+        self.views.keep(node.name for cell in cells.cells.values() for node in cell.nodes)
+        if text:
+            self.effects.append(Log(f"reload: {text}"))
+
+    def met(self, trouble: str, text: str = "") -> None:
+        self.counters.add(trouble)
+        found = str(self.counters.counts[trouble])
+        if text and found.rstrip("0") == "1":
+            self.effects.append(Log(f"{text} ({trouble}={found})"))
+
+    # Gateways
+
+    def opened(self, conn: int) -> None:
+        self.counters.add("connections")
+        self.callers.opened(self.now, conn, told=self.leaving)
+
+    def eof(self, conn: int) -> None:
+        connection = self.callers.connections.get(conn)
+        if connection is not None:
+            connection.ended = True
+            self.callers.close_if_over(conn)
+
+    def reset(self, conn: int) -> None:
+        connection = self.callers.gone(conn)
+        if connection is not None:
+            for held in list(connection.open.values()):
+                self.gone(held)
+
+    def condemn(self, conn: int, trouble: str, text: str) -> None:
+        connection = self.callers.connections.get(conn)
+        if connection is None:
+            return
+        self.met(trouble, f"connection {conn}: {text}")
+        for held in list(connection.open.values()):
+            self.answer(held, "failed")
+            self.let_go(held)
+        self.callers.close(conn)
+
+    def alive(self, conn: int, message: int) -> None:
+        if conn in self.callers.connections:
+            self.callers.heard(self.now, conn, message)
+            self.effects.append(Write(conn, ("alive", message, None, not self.leaving)))
+
+    def task(
+        self, conn: int, message: int, unix: float, stage: str, fields: Mapping[str, str], body: Any
+    ) -> None:
+        connection = self.callers.connections.get(conn)
+        if connection is None:
+            self.counters.add("tasks_crossed")
+            return
+        if not self.callers.heard(self.now, conn, message):
+            self.condemn(conn, "connections_misnumbered", f"message {message} after {connection.last}")
+            return
+        if len(connection.open) >= self.callers.MOST_OPEN:
+            self.condemn(conn, "connections_overfull", f"over {self.callers.MOST_OPEN} tasks are open")
+            return
+        self.counters.add("tasks")
+        try:
+            held = self.tasks.read(conn, message, unix, stage, fields, body)
+        except BadTask as error:
+            self.met("malformed", f"malformed task: {error}")
+            self.counters.add("answered_failed")
+            self.effects.append(Write(conn, ("failed", message, None)))
+            return
+        self.callers.taken(conn, message, held)
+        self.tasks.add(held)
+        tenant = fields.get("acct", "")
+        begun = walk(
+            self.cells,
+            self.confirmed,
+            unix,
+            tenant,
+            held.stage.effect,
+            held.token,
+            self.choices(held, tenant),
+        )
+        if isinstance(begun, End):
+            self.ended(held, begun)
+            return
+        limit = self.now - max(0.0, unix - held.t0) + held.stage.limit_ms - self.MARGIN_MS
+        trip = self.trips[held.id] = Trip(held, fields, begun, limit)
+        self.agenda.at(limit, self.too_late, trip)
+        if not held.again:
+            self.budget.first(hash_of(tenant))
+        self.onward(trip, begun.start())
+
+    def choices(self, held: Held, tenant: str) -> list[str]:
+        """The nodes of its tenant by preference; a task that must not run twice is no probe of a node that
+        may be dead."""
+        if held.token:
+            return []
+        nodes = [(node.name, node.weight) for node in self.cells.nodes(tenant)]
+        probes = held.stage.effect is Repeat.RESTARTABLE
+        return [choice.node for choice in self.views.choose(self.now, nodes, probes)]
+
+    def cancel(self, conn: int, message: int) -> None:
+        connection = self.callers.connections.get(conn)
+        held = connection.open.get(message) if connection is not None else None
+        if held is not None:
+            self.gone(held)
+            self.callers.close_if_over(conn)
+
+    def gone(self, held: Held) -> None:
+        self.counters.add("answered_gone")
+        held.answered = True
+        self.callers.settle(self.now, held)
+        self.let_go(held)
+
+    def let_go(self, held: Held) -> None:
+        """Nobody waits for it. The node is told, and an answer that comes all the same finds nobody."""
+        trip = self.trips.pop(held.id, None)
+        self.tasks.remove(held)
+        if trip is not None and trip.way is not None:
+            way = trip.way
+            if way.open.pop(trip.message, None) is not None and way.up:
+                self.effects.append(Write(self.link_of(way), ("cancel", trip.message)))
+            if trip in way.waiting:
+                way.waiting.remove(trip)
+            self.views.given_up(way.node)
+            trip.way = None
+
+    def answer(self, held: Held, outcome: str, *rest: Any) -> None:
+        if held.answered:
+            return
+        held.answered = True
+        self.counters.add(f"answered_{outcome}")
+        if self.callers.settle(self.now, held):
+            self.effects.append(Write(held.conn, (outcome, held.message, None, *rest)))
+            self.callers.close_if_over(held.conn)
+
+    def ended(self, held: Held, end: End, result: bytes = b"") -> None:
+        """The walk's end is the task's one answer."""
+        self.counters.add(f"ends_{end.why}")
+        rest = {"served": (result,), "rejected": (end.after_ms, False)}.get(end.kind, ())
+        self.answer(held, end.kind, *rest)
+        self.trips.pop(held.id, None)
+        self.tasks.remove(held)
+
+    def too_late(self, now: float, trip: Trip) -> None:
+        if not trip.held.answered:
+            self.counters.add("too_late")
+            self.answer(trip.held, "failed")
+            self.let_go(trip.held)
+
+    # Nodes
+
+    def onward(self, trip: Trip, step: Step, result: bytes = b"") -> None:
+        if isinstance(step, End):
+            self.ended(trip.held, step, result)
+            return
+        way = self.way_to(step.node)
+        if way is None:
+            self.counters.add("ways_crowded")
+            self.onward(trip, trip.path.said(Said.REFUSED))
+            return
+        trip.fields["epoch"] = str(step.epoch)
+        trip.fields.pop("ask", None)
+        if step.role is Role.ASK:
+            trip.fields["ask"] = "1"
+        trip.way, trip.written, trip.sent_at = way, False, self.now
+        self.views.sent(step.node)
+        if way.up:
+            self.write(way, trip)
+        else:
+            way.waiting.append(trip)
+
+    def way_to(self, node: str) -> Way | None:
+        """A connection with room, else a new one, up to the most."""
+        links = self.of_node.setdefault(node, [])
+        ways = [self.ways[link] for link in links]
+        room = [way for way in ways if not way.draining and len(way.open) + len(way.waiting) < self.MOST_OPEN]
+        if room:
+            return min(room, key=lambda way: (not way.up, len(way.open) + len(way.waiting)))
+        if len([way for way in ways if not way.draining]) >= self.WAYS or len(self.ways) >= self.most_ways:
+            return None
+        link = f"{PARTY}-{next(self.names)}-{node}"
+        way = self.ways[link] = Way(node, self.now)
+        links.append(link)
+        self.effects.append(Dial(link, 0.0))
+        return way
+
+    def link_of(self, way: Way) -> str:
+        return next(link for link in self.of_node[way.node] if self.ways[link] is way)
+
+    def write(self, way: Way, trip: Trip) -> None:
+        way.message += 1
+        way.used_at = self.now
+        trip.message, trip.written = way.message, True
+        way.open[way.message] = trip
+        held = trip.held
+        self.effects.append(
+            Write(self.link_of(way), ("task", way.message, held.stage_name, trip.fields, held.body))
+        )
+
+    def linked(self, link: str) -> None:
+        way = self.ways.get(link)
+        if way is None:
+            self.effects.append(Close(link))
+            return
+        way.up, way.used_at = True, self.now
+        waiting, way.waiting = way.waiting, []
+        for trip in waiting:
+            self.write(way, trip)
+
+    def unlinked(self, link: str, fault: Fault) -> None:
+        way = self.ways.get(link)
+        if way is None:
+            return
+        self.met(
+            f"links_lost_{fault.reach.name.lower()}",
+            f"{link}: {fault.text}" if way.open or way.waiting else "",
+        )
+        self.drop(link)
+        for trip in (*way.open.values(), *way.waiting):
+            self.missed(trip, Said.BROKEN if trip.written else Said.REFUSED)
+
+    def missed(self, trip: Trip, said: Said) -> None:
+        if trip.way is not None:
+            self.views.missed(self.now, trip.way.node)
+        trip.way = None
+        if not trip.held.answered:
+            self.onward(trip, trip.path.said(said, self.may_try_on(trip)))
+
+    def may_try_on(self, trip: Trip) -> bool:
+        key = hash_of(trip.fields.get("acct", ""))
+        if self.budget.get(key) < 1.0:
+            self.counters.add("tries_over_budget")
+            return False
+        self.budget.spend(key)
+        return True
+
+    def drains(self, link: str) -> None:
+        """The node wants nothing more on this connection: it leaves, or has enough of idle ones."""
+        way = self.ways.get(link)
+        if way is not None:
+            way.draining = True
+            if not way.open:
+                self.close(link)
+
+    def returned(self, link: str, message: int, kind: str, body: bytes, fields: Mapping[str, str]) -> None:
+        way = self.ways.get(link)
+        trip = way.open.pop(message, None) if way is not None else None
+        if way is None or trip is None:
+            self.counters.add("answers_stale")
+            return
+        way.used_at = self.now
+        cell = fields.get("cell", "")
+        said = CELLS.get(cell) or {"served": Said.SERVED, "rejected": Said.REJECTED}.get(kind, Said.FAILED)
+        load, away = number(fields.get("hint")), number(fields.get("backoff")) or 0.0
+        self.views.answered(
+            self.now, way.node, self.now - trip.sent_at, load, 0.0 if cell else away, kind == "served"
+        )
+        trip.way = None
+        if way.draining and not way.open:
+            self.close(link)
+        step = trip.path.said(said, said is not Said.REJECTED or self.may_try_on(trip))
+        if isinstance(step, End) and step.kind == "rejected" and away > step.after_ms:
+            step = step._replace(after_ms=away)
+        self.onward(trip, step, body)
+
+    def close(self, link: str) -> None:
+        self.drop(link)
+        self.effects.append(Close(link))
+
+    def drop(self, link: str) -> None:
+        way = self.ways.pop(link)
+        self.of_node[way.node].remove(link)
+        if not self.of_node[way.node]:
+            del self.of_node[way.node]
+
+
+def number(text: str | None) -> float | None:
+    """A field's number; what is none says nothing."""
+    try:
+        found = float(text) if text is not None and len(text) < 32 else None
+    except ValueError:
+        return None
+    return found if found is not None and 0.0 <= found < 1e9 else None
+
+
+def hash_of(tenant: str) -> int:
+    """A key of the budget for a name, the same in every process."""
+    return int.from_bytes(tenant.encode("utf-8", "surrogateescape")[:64])
+
+
+INPUTS: dict[str, Callable[..., None]] = {
+    name: getattr(Router, name)
+    for name in (
+        "start", "time", "leave", "show_counters", "remap", "met", "opened", "eof", "reset", "condemn",
+        "alive", "task", "cancel", "linked", "unlinked", "drains", "returned",
+    )
+}  # fmt: skip
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -26,7 +26,7 @@
     [
         ('pool "a" {\n  stages = ["x"]\n  reserv = 0.5\n}', "F:3: pool.reserv: unknown attribute; did"),
         ('pol "a" {\n}', "F:1: pol: unknown block; did you mean pool?"),
-        ('zzz "a" {\n}', "F:1: zzz: unknown block; allowed: pool, reading, retries"),
+        ('zzz "a" {\n}', "F:1: zzz: unknown block; allowed: cells, pool, reading, retries"),
         ('pool "a" {\n  stages = ["x"]\n  reserve = 1.5\n}', "F:3: pool.reserve: should be less than"),
         ('pool "a" {\n  stages = ["x"]\n  lends = 3\n}', "F:3: pool.lends: should be a valid boolean"),
         ('pool "a" {\n}', "F:1: pool.stages: is missing"),
@@ -82,8 +82,9 @@
 @given(st.lists(pools, min_size=1, max_size=5, unique_by=(lambda pool: pool.name, lambda pool: pool.stages)))
 def test_a_compiled_plan_comes_back_as_it_was(some: list[Pool]) -> None:
     plan = Plan(tuple(some), fixed=True, retry_ratio=0.25)
-    assert compiled.load(compiled.dump(plan), "F") == plan
-    assert compiled.load(compiled.dump(None), "F") is None
+    ours = compiled.Ours(plan, "n1", "/map.json")
+    assert compiled.load(compiled.dump(ours), "F") == ours
+    assert compiled.load(compiled.dump(compiled.Ours()), "F") == compiled.Ours()
 
 
 @given(st.one_of(st.text(max_size=60), st.binary(max_size=40).map(lambda raw: raw.decode("latin-1"))))
@@ -95,7 +96,7 @@
 
 
 def test_compiled_forms_that_are_newer_or_torn_are_refused() -> None:
-    line = compiled.dump(Plan((Pool("a", ("x",)),)))
+    line = compiled.dump(compiled.Ours(Plan((Pool("a", ("x",)),))))
     with pytest.raises(compiled.BadConfig, match="form: 9 is unknown, 1 is allowed"):
         compiled.load(line.replace('"form": 1', '"form": 9'), "F")
     with pytest.raises(compiled.BadConfig, match="no compiled plan"):
--- /dev/null
+++ b/tests/test_route.py
@@ -0,0 +1,240 @@
+"""The router's reducer, by scripted nodes: one answer a task whatever nodes do, nothing sent twice that may
+have run."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pumicenotch.cells import moves
+from pumicenotch.cells.map import Cell, CellMap, Tenant
+from pumicenotch.cells.place import Node
+from pumicenotch.interface import Effect, Stage
+from pumicenotch.route.decide import Router
+from pumicenotch.server.effects import Close, Dial, Exit, Fault, Reach, Write
+
+UNIX = 1.7e12
+REFUSED, BROKEN = Fault(Reach.REFUSED, "as the test says"), Fault(Reach.BROKEN, "as the test says")
+
+
+def cells() -> CellMap:
+    made = {"a": Cell("a", (Node("A1"), Node("A2"))), "b": Cell("b", (Node("B1"),))}
+    return CellMap(1, made, {"acme": Tenant("a"), "other": Tenant("b")}, 9000.0)
+
+
+class Played:
+    """A router with one caller on connection 1; nodes answer as the test says."""
+
+    def __init__(self, made: CellMap | None = None) -> None:
+        stages = [
+            Stage(4000.0, 0.0, 8000.0, effect, 9000.0, 1.0, 0.0, 0.0)
+            for effect in (Effect.RESTARTABLE, Effect.FINGERPRINTED, Effect.SIDE_EFFECTING)
+        ]
+        self.core = Router(
+            cells=made or cells(), confirmed=UNIX, stages=stages, seed=1,
+            numbers={"read": 0, "put": 1, "pay": 2}, stop_ms=3000.0, sockets=256,
+        )  # fmt: skip
+        self.now, self.message = 0.0, 0
+        self.out: list[Any] = []
+        self.step("start")
+        self.step("opened", 1)
+
+    def step(self, name: str, *details: Any) -> None:
+        self.out += self.core.step(self.now, name, *details)
+
+    def at(self, now: float) -> None:
+        while self.now < now:
+            self.now = min(now, self.now + 25.0)
+            self.step("time")
+
+    def send(self, stage: str = "read", tenant: str = "acme", **more: str) -> int:
+        self.message += 1
+        fields = {
+            "rid": f"{self.message:016x}", "t0": str(int(UNIX + self.now)), "peer": "1",
+            "acct": tenant, "mem": "2", "prio": "0.5",
+        }  # fmt: skip
+        if stage == "put":
+            fields["token"] = 32 * "a"
+        self.step("task", 1, self.message, UNIX + self.now, stage, fields | more, b"body")
+        return self.message
+
+    def dials(self) -> list[str]:
+        return [each.link for each in self.out if isinstance(each, Dial)]
+
+    def tasks(self) -> list[tuple[str, int, dict[str, str]]]:
+        """What was written to nodes: link, message, fields."""
+        return [(str(each.link), each.message[1], each.message[3]) for each in self.out
+                if isinstance(each, Write) and each.message[0] == "task"]  # fmt: skip
+
+    def answers(self, message: int) -> list[tuple[Any, ...]]:
+        own = [each.message for each in self.out if isinstance(each, Write) and each.link == 1]
+        return [told for told in own if told[0] != "draining" and told[1] == message]
+
+    def link_last(self) -> str:
+        link = self.dials()[-1]
+        self.step("linked", link)
+        return link
+
+
+def test_a_task_goes_to_a_node_of_its_cell_and_its_answer_back() -> None:
+    play = Played()
+    message = play.send()
+    link = play.link_last()
+    assert link.endswith(("A1", "A2"))
+    (written,) = play.tasks()
+    assert written[2]["epoch"] == "1" and "ask" not in written[2]
+    play.step("returned", link, 1, "served", b"done", {"hint": "0.5"})
+    assert play.answers(message) == [("served", message, None, b"done")]
+    assert not play.core.trips and not play.core.tasks.by_id
+
+
+def test_a_restartable_task_tries_the_other_node_and_no_more() -> None:
+    play = Played()
+    message = play.send()
+    first = play.link_last()
+    play.step("unlinked", first, BROKEN)
+    second = play.link_last()
+    assert first.rpartition("-")[2] != second.rpartition("-")[2]
+    play.step("returned", second, 1, "rejected", b"", {"backoff": "900"})
+    assert play.answers(message) == [("rejected", message, None, 900.0, False)]
+
+
+@pytest.mark.parametrize(
+    ("stage", "fault", "kind"),
+    [("pay", BROKEN, "failed"), ("put", BROKEN, "failed"), ("put", REFUSED, "rejected")],
+)
+def test_what_may_have_run_goes_nowhere_else(stage: str, fault: Fault, kind: str) -> None:
+    play = Played()
+    message = play.send(stage)
+    link = play.dials()[-1]
+    if fault is BROKEN:
+        play.step("linked", link)
+    play.step("unlinked", link, fault)
+    assert [answer[0] for answer in play.answers(message)] == [kind]
+    assert len(play.dials()) == 1
+
+
+def test_in_a_move_the_former_home_is_asked_and_only_its_clear_lets_it_run() -> None:
+    play = Played(moves.move(cells(), ["acme"], "b", 0.0))
+    message = play.send("put")
+    asked = play.link_last()
+    assert play.tasks()[-1][2]["ask"] == "1" and play.tasks()[-1][2]["epoch"] == "2"
+    play.step("returned", asked, 1, "rejected", b"", {"cell": "clear", "backoff": "200"})
+    home = play.link_last()
+    assert home.endswith("B1") and "ask" not in play.tasks()[-1][2]
+    play.step("returned", home, 1, "served", b"done", {})
+    assert [answer[0] for answer in play.answers(message)] == ["served"]
+    for cell, kind in (("no-word", "failed"), ("old", "rejected")):
+        message = play.send("put")
+        play.step("returned", asked, play.tasks()[-1][1], "rejected", b"", {"cell": cell})
+        assert [answer[0] for answer in play.answers(message)] == [kind]
+
+
+def test_a_node_that_never_answers_costs_the_task_its_time_limit_and_no_more() -> None:
+    play = Played()
+    message = play.send()
+    play.link_last()
+    play.at(7900.0)
+    assert not play.answers(message)
+    play.at(7990.0)
+    assert [answer[0] for answer in play.answers(message)] == ["failed"]
+    assert any(isinstance(each, Write) and each.message[0] == "cancel" for each in play.out)
+
+
+def test_a_caller_that_cancels_or_resets_is_owed_nothing_and_the_node_is_told() -> None:
+    play = Played()
+    message, other = play.send(tenant="other"), play.send(tenant="other")
+    link = play.link_last()
+    play.step("cancel", 1, message)
+    assert [each for each in play.out if isinstance(each, Write) and each.message == ("cancel", 1)]
+    play.step("reset", 1)
+    play.step("returned", link, 2, "served", b"done", {})
+    assert not play.answers(message) and not play.answers(other)
+    assert play.core.counters.counts["answered_gone"] == 2 and not play.core.trips
+
+
+def test_a_drain_answers_all_and_ends() -> None:
+    play = Played()
+    message = play.send()
+    link = play.link_last()
+    play.step("leave")
+    play.at(1000.0)
+    play.step("returned", link, 1, "served", b"done", {})
+    late = play.send()
+    play.at(3000.0)
+    assert [answer[0] for answer in play.answers(message)] == ["served"]
+    assert len(play.answers(late)) == 1
+    assert any(isinstance(each, Exit) for each in play.out)
+
+
+def test_wrong_fields_and_unknown_tenants_are_answered_at_once() -> None:
+    play = Played()
+    assert [answer[0] for answer in play.answers(play.send("nosuch"))] == ["failed"]
+    assert [answer[0] for answer in play.answers(play.send(mem="x"))] == ["failed"]
+    assert [answer[0] for answer in play.answers(play.send(tenant="nobody"))] == ["rejected"]
+    assert not play.dials()
+
+
+def test_connections_to_a_node_are_bounded_and_idle_ones_closed() -> None:
+    play = Played()
+    for at in range(2, 40):
+        play.step("opened", at)
+    for conn in range(2, 40):
+        for number in range(30):
+            play.message += 1
+            rid, at = f"{play.message:016x}", str(int(UNIX))
+            fields = {"rid": rid, "t0": at, "peer": "1", "acct": "other", "mem": "2", "prio": "0.5"}
+            play.step("task", conn, number + 1, UNIX, "read", fields, b"")
+    assert len(play.dials()) == Router.WAYS
+    assert play.core.counters.counts["answered_rejected"] == 38 * 30 - Router.WAYS * Router.MOST_OPEN
+    for link in play.dials():
+        play.step("linked", link)
+    for link, message, _ in play.tasks():
+        play.step("returned", link, message, "served", b"", {})
+    play.at(6000.0)
+    assert (
+        sum(isinstance(each, Close) and str(each.link).startswith("node") for each in play.out) == Router.WAYS
+    )
+    assert not play.core.ways and not play.core.of_node
+
+
+happenings = st.sampled_from(
+    ["read", "put", "pay", "link", "served", "rejected", "clear", "old", "lost", "cancel", "wait"]
+)
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.lists(happenings, max_size=60), st.booleans())
+def test_whatever_happens_every_task_has_one_answer(stream: list[str], moved: bool) -> None:
+    play = Played(moves.move(cells(), ["acme"], "b", 0.0) if moved else None)
+    gone: set[int] = set()
+    for what in stream:
+        ways = list(play.core.ways)
+        up = [link for link in ways if play.core.ways[link].open]
+        if what in ("read", "put", "pay") and 1 in play.core.callers.connections:
+            if len(play.core.callers.connections[1].open) < 30:
+                play.send(what)
+        elif what == "link" and ways:
+            play.step("linked", ways[0])
+        elif what == "lost" and ways:
+            play.step("unlinked", ways[-1], BROKEN if play.core.ways[ways[-1]].up else REFUSED)
+        elif what == "cancel" and play.core.trips:
+            trip = next(iter(play.core.trips.values()))
+            gone.add(trip.held.message)
+            play.step("cancel", 1, trip.held.message)
+        elif what == "wait":
+            play.at(play.now + 400.0)
+        elif up and what in ("served", "rejected", "clear", "old"):
+            number = next(iter(play.core.ways[up[0]].open))
+            kind = "served" if what == "served" else "rejected"
+            play.step(
+                "returned", up[0], number, kind, b"x", {"cell": what} if what in ("clear", "old") else {}
+            )
+    play.step("leave")
+    play.at(play.now + 9000.0)
+    for message in range(1, play.message + 1):
+        assert len(play.answers(message)) == (0 if message in gone else 1), message
+    assert not play.core.trips and not play.core.tasks.by_id
+    sent = [(fields["rid"], link.rpartition("-")[2]) for link, _, fields in play.tasks()]
+    assert len(set(sent)) == len(sent), "no node gets one try twice"
