--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -183,8 +183,8 @@
     for conn in range(2, 40):
         for number in range(30):
             play.message += 1
-            rid, at = f"{play.message:016x}", str(int(UNIX))
-            fields = {"rid": rid, "t0": at, "peer": "1", "acct": "other", "mem": "2", "prio": "0.5"}
+            rid, t0 = f"{play.message:016x}", str(int(UNIX))
+            fields = {"rid": rid, "t0": t0, "peer": "1", "acct": "other", "mem": "2", "prio": "0.5"}
             play.step("task", conn, number + 1, UNIX, "read", fields, b"")
     assert len(play.dials()) == Router.WAYS
     assert play.core.counters.counts["answered_rejected"] == 38 * 30 - Router.WAYS * Router.MOST_OPEN
