--- a/experiments/cells-kill.hcl
+++ b/experiments/cells-kill.hcl
@@ -1,53 +1,6 @@
-# Six nodes in two cells behind two routers, at 90%: tenants move between the cells while their tasks run. The window is
-# 8 s, so that nodes which have just started can vouch for it when the first move comes.
-like     = "pools.hcl"
-about    = "the same, with a node and a router killed on the way"
-load     = 0.9
-length_s = 40
-warm_s   = 8
-servers  = 6
-cores    = 3
-routers  = 2
-cells    = 2
-
-stage "preview" {
-  share        = 0.51
-  work_ms      = 200
-  cv           = 0.75
-  io_ms        = 60
-  due_ms       = 2500
-  limit_ms     = 6300
-  calls        = 1
-  skip_utility = 0.5
-}
-
-stage "bake" {
-  share    = 0.27
-  work_ms  = 464
-  cv       = 0.9
-  io_ms    = 190
-  due_ms   = 3400
-  limit_ms = 8400
-}
-
-stage "final-submit" {
-  share     = 0.22
-  work_ms   = 332
-  cv        = 0.8
-  io_ms     = 175
-  due_ms    = 5000
-  limit_ms  = 13000
-  utility   = 3
-  effect    = "fingerprinted"
-  window_ms = 8000
-  calls     = 1
-}
-
-gateways {
-  count = 4
-  tries = 3
-  heeds = 0.6
-}
+# The moves of cells-move.hcl, with a node and a router killed on the way.
+like  = "cells-move.hcl"
+about = "the same, with a node and a router killed on the way"
 
 fault {
   kind   = "move"
@@ -97,8 +50,6 @@
   server = 1
 }
 
-arm "cells" {}
-
 bound {
   figure = "service_final_submit"
   arm    = "cells"
--- a/experiments/cells-move.hcl
+++ b/experiments/cells-move.hcl
@@ -9,39 +9,7 @@
 cores    = 3
 routers  = 2
 cells    = 2
-
-stage "preview" {
-  share        = 0.51
-  work_ms      = 200
-  cv           = 0.75
-  io_ms        = 60
-  due_ms       = 2500
-  limit_ms     = 6300
-  calls        = 1
-  skip_utility = 0.5
-}
-
-stage "bake" {
-  share    = 0.27
-  work_ms  = 464
-  cv       = 0.9
-  io_ms    = 190
-  due_ms   = 3400
-  limit_ms = 8400
-}
-
-stage "final-submit" {
-  share     = 0.22
-  work_ms   = 332
-  cv        = 0.8
-  io_ms     = 175
-  due_ms    = 5000
-  limit_ms  = 13000
-  utility   = 3
-  effect    = "fingerprinted"
-  window_ms = 8000
-  calls     = 1
-}
+set      = ["stage.final-submit.window_ms=8000"]
 
 gateways {
   count = 4
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -151,7 +151,7 @@
 
 def blocks(path: Path, depth: int = 0) -> Block:
     """A file's blocks. One that is `like` another takes from it what it does not say itself: each attribute,
-    and each kind of block as a whole."""
+    and each kind of block as a whole; `set` changes single values, as `--set` does."""
     try:
         whole = parse(path.read_text(encoding="utf-8"), str(path))
     except (OSError, UnicodeDecodeError) as error:
@@ -166,6 +166,10 @@
     kinds = {block.kind for block in whole.blocks}
     whole.attributes = {**under.attributes, **whole.attributes}
     whole.blocks += [block for block in under.blocks if block.kind not in kinds]
+    sets, line = whole.attributes.pop("set", ([], 1))
+    if not isinstance(sets, list) or not all(isinstance(each, str) for each in sets):
+        raise BadFile(f"{path}:{line}: set: a list of texts K=V is wanted")
+    assign(whole, str(path), sets)
     return whole
 
 
