--- /dev/null
+++ b/tests/test_ours.py
@@ -0,0 +1,47 @@
+"""The file of ours in a running server: taken whole or not at all, beside whatever else goes on."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.standin import Gateway, Program, result
+
+GOOD = 'pool "cheap" {\n  stages  = ["read"]\n  reserve = 0.5\n}\npool "rest" {\n  stages = ["*"]\n}\n'
+
+
+def test_a_bad_file_changes_nothing_a_good_one_is_taken_and_an_empty_one_switches_pools_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "ours.hcl"
+    file.write_text(GOOD)
+    monkeypatch.setenv("PUMICENOTCH_CONFIG", str(file))
+    with Program(tmp_path) as program:
+        pool = program.bind()
+        gateway = Gateway(program.address)
+        gateway.task(1, "aa", b"body")
+        assert pool.command("spawn")["call"] == "aa"
+        pool.finish("aa", b"done")
+        assert result(gateway.answer()) == b"done"
+        file.write_text(GOOD.replace("reserve", "reserv"))
+        told = program.reload()
+        assert "ours.hcl:3: pool.reserv: unknown attribute; did you mean reserve?" in told
+        assert "the running values stay in force" in told
+        file.write_text("# nothing\n")
+        program.reload()
+        assert "pools are off" in program.logged("(reload.*)")
+        file.write_text(GOOD)
+        program.reload()
+        assert "class pools of the file are in force" in program.logged("(reload.*)")
+        status, counters = program.end()
+    assert status == 0
+    assert "reloads_failed=1" in counters and "repools=2" in counters
+
+
+def test_a_file_that_is_wrong_at_the_start_is_told_and_nothing_runs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "ours.hcl"
+    file.write_text("pol {\n}\n")
+    monkeypatch.setenv("PUMICENOTCH_CONFIG", str(file))
+    with pytest.raises(AssertionError, match="pol: unknown block; did you mean pool"), Program(tmp_path):
+        pass
