Derive in the router and the pools what was kept twice; budgets by any key

Cause: read again, the change kept a connection's name beside a search for it, a second table of the nodes' words, names turned to numbers for a budget that can take any key, a sentinel where None serves, and the search for unknown stages twice; a docstring had lost its end. Change: each once. No decision changes.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -34,7 +34,6 @@
 # connection may have open. The kernel holds as much again before any of it counts.
 UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
-UNPLANNED = object()  # no file of ours was named
 READER_S = 30.0  # for a file of ours to be read: a second on a quiet machine
 MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
@@ -91,7 +90,7 @@
         held = hub.core.fence.cells
         if held is None or cells.epoch > held.epoch:
             hub.put("remap", cells, f"the cell map of epoch {cells.epoch} is in force")
-    if ours is not UNPLANNED and ours.plan != values["ours"].plan:
+    if ours is not None and ours.plan != values["ours"].plan:
         values["ours"], plan = ours, ours.plan
         hub.put(
             "repool", maker(plan, values), "class pools of the file are in force" if plan else "pools are off"
@@ -99,9 +98,10 @@
 
 
 async def replanned(config: str) -> Any:
-    """The plan as the file has it now. The file is read in a process of its own, while this one goes on."""
+    """What the file of ours says now; None where none was named. The file is read in a process of its own,
+    while this one goes on."""
     if not config:
-        return UNPLANNED
+        return None
     from pumicenotch.config import compiled
 
     if config.endswith(".json"):
@@ -116,7 +116,7 @@
     """The same before anything else runs. Who has read the file already hands the plan over."""
     told = os.environ.pop("PUMICENOTCH_PLAN", "")
     if not config:
-        return UNPLANNED
+        return None
     from pumicenotch.config import compiled
 
     if told:
@@ -129,7 +129,7 @@
 
 def map_of(ours: Any) -> Any:
     """The cell map that the file of ours names, if it names one. ValueError says what is wrong with it."""
-    if ours is UNPLANNED or not ours.map:
+    if ours is None or not ours.map:
         return None
     from pumicenotch.cells.map import BadMap, load
 
--- a/pumicenotch/config/compiled.py
+++ b/pumicenotch/config/compiled.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Any, NamedTuple
 
-from pumicenotch.pools.plan import BadPlan, Plan, Pool, check
+from pumicenotch.pools.plan import BadPlan, Plan, Pool, check, unknown
 
 FORM = 1  # of the line; a server refuses what it does not know
 
@@ -94,6 +94,5 @@
         "repeats": f"{plan.retry_ratio:g} for a first try while places are short, up to {plan.retry_burst:g}",
         "unmarked_repeats": f"same within {plan.likeness_ms:g} ms" if plan.likeness_ms else "not seen",
         "reading": f"{plan.reading:g} of what is read is kept for reserved pools while reading is behind",
-        "unknown_stages": [name for pool in plan.pools for name in pool.stages
-                           if stages and name != "*" and name not in stages],
+        "unknown_stages": unknown(plan, stages) if stages else [],
     }  # fmt: skip
--- a/pumicenotch/pools/budget.py
+++ b/pumicenotch/pools/budget.py
@@ -1,6 +1,8 @@
 """Budgets of repeated attempts: for each first try a caller may send so many repeats while places are
 short."""
 
+from collections.abc import Hashable
+
 
 class Budget:
     """Tokens by key: first tries add a part of one, repeats take one, the burst is the most that is saved.
@@ -14,28 +16,28 @@
     def __init__(self, ratio: float, burst: float, most: int) -> None:
         self.ratio, self.burst, self.most = ratio, burst, most
         self.start = min(self.START, burst)
-        self.young: dict[int, float] = {}
-        self.old: dict[int, float] = {}
+        self.young: dict[Hashable, float] = {}
+        self.old: dict[Hashable, float] = {}
         self.forgotten = 0
 
-    def get(self, key: int) -> float:
+    def get(self, key: Hashable) -> float:
         tokens = self.young.get(key)
         return self.old.get(key, self.start) if tokens is None else tokens
 
-    def put(self, key: int, tokens: float) -> None:
+    def put(self, key: Hashable, tokens: float) -> None:
         if key not in self.young and len(self.young) >= self.most:
             self.forgotten += sum(other not in self.young for other in self.old)
             self.old, self.young = self.young, {}
         self.young[key] = tokens
 
-    def first(self, key: int) -> None:
+    def first(self, key: Hashable) -> None:
         tokens = self.young.get(key)
         if tokens is None:
             self.put(key, min(self.burst, self.get(key) + self.ratio))
         elif tokens < self.burst:
             self.young[key] = min(self.burst, tokens + self.ratio)
 
-    def spend(self, key: int) -> None:
+    def spend(self, key: Hashable) -> None:
         self.put(key, max(0.0, self.get(key) - 1.0))
 
 
--- a/pumicenotch/pools/pools.py
+++ b/pumicenotch/pools/pools.py
@@ -56,9 +56,8 @@
 class Pools:
     """Pools by `plan` for stages that are numbered as in `numbers`. Times in ms; no clock and no chance."""
 
-    RETURN_MS = (
-        600.0  # a lent place must come back within a second: the mean time to the next end is at most this
-    )
+    # A lent place must come back within a second: the mean time to the next end is this at most.
+    RETURN_MS = 600.0
     BEYOND = 0.05  # of its weight for what is beyond a tenant's share: each server only guesses what that is
     EVERY_MS = 300.0  # between two divisions: less than half of the demand's span
 
@@ -122,7 +121,7 @@
         """Where a task would wait: its lane, the places that lane comes to, the time that each is held, and
         whether one is free now. Demand is what is asked for first: a caller that repeats makes no reserve
         larger. What is beyond its tenant's share waits apart, so that a tenant that floods makes neither a
-        reserve its own nor"""
+        reserve its own nor takes the places that a reserve has filled."""
         if beyond and not self.plan.fixed:
             lane = self.beyond
             self.sides[lane].asked_at = now
--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -9,10 +9,10 @@
 from itertools import count
 from typing import Any
 
-from pumicenotch.cells.fence import Role
+from pumicenotch.cells.fence import WORDS, Role
 from pumicenotch.cells.map import CellMap
 from pumicenotch.cells.views import Views
-from pumicenotch.cells.walk import End, Said, Step, Walk, walk
+from pumicenotch.cells.walk import SAYS, End, Said, Step, Walk, walk
 from pumicenotch.control import Agenda
 from pumicenotch.interface import Effect as Repeat
 from pumicenotch.pools.budget import Budget
@@ -23,14 +23,14 @@
 
 PARTY = "node"
 LISTENER = "listener"
-CELLS = {"clear": Said.CLEAR, "old": Said.OLD_MAP, "no-word": Said.NO_WORD}
+CELLS = {word: SAYS[verdict] for verdict, word in WORDS.items()}  # what a node says on the wire
 
 
 class Way:
     """One connection to a node, and what is open on it."""
 
-    def __init__(self, node: str, now: float) -> None:
-        self.node, self.used_at = node, now
+    def __init__(self, link: str, node: str, now: float) -> None:
+        self.link, self.node, self.used_at = link, node, now
         self.up = self.draining = False
         self.message = 0
         self.open: dict[int, Trip] = {}
@@ -40,8 +40,8 @@
 class Trip:
     """A task on its way through nodes."""
 
-    def __init__(self, held: Held, fields: Mapping[str, str], path: Walk, limit: float) -> None:
-        self.held, self.fields, self.path, self.limit = held, dict(fields), path, limit
+    def __init__(self, held: Held, fields: Mapping[str, str], path: Walk) -> None:
+        self.held, self.fields, self.path = held, dict(fields), path
         self.way: Way | None = None
         self.message = 0
         self.sent_at = 0.0
@@ -64,7 +64,7 @@
         stop_ms: float, sockets: int,
     ) -> None:  # fmt: skip
         self.cells, self.confirmed = cells, confirmed
-        self.stages, self.stop_ms = stages, stop_ms
+        self.stop_ms = stop_ms
         self.effects: list[Effect] = []
         self.counters = Counters()
         self.tasks = Tasks(stages, numbers, {})
@@ -227,10 +227,10 @@
             self.ended(held, begun)
             return
         limit = self.now - max(0.0, unix - held.t0) + held.stage.limit_ms - self.MARGIN_MS
-        trip = self.trips[held.id] = Trip(held, fields, begun, limit)
+        trip = self.trips[held.id] = Trip(held, fields, begun)
         self.agenda.at(limit, self.too_late, trip)
         if not held.again:
-            self.budget.first(hash_of(tenant))
+            self.budget.first(tenant)
         self.onward(trip, begun.start())
 
     def choices(self, held: Held, tenant: str) -> list[str]:
@@ -262,7 +262,7 @@
         if trip is not None and trip.way is not None:
             way = trip.way
             if way.open.pop(trip.message, None) is not None and way.up:
-                self.effects.append(Write(self.link_of(way), ("cancel", trip.message)))
+                self.effects.append(Write(way.link, ("cancel", trip.message)))
             if trip in way.waiting:
                 way.waiting.remove(trip)
             self.views.given_up(way.node)
@@ -323,23 +323,18 @@
         if len([way for way in ways if not way.draining]) >= self.WAYS or len(self.ways) >= self.most_ways:
             return None
         link = f"{PARTY}-{next(self.names)}-{node}"
-        way = self.ways[link] = Way(node, self.now)
+        way = self.ways[link] = Way(link, node, self.now)
         links.append(link)
         self.effects.append(Dial(link, 0.0))
         return way
 
-    def link_of(self, way: Way) -> str:
-        return next(link for link in self.of_node[way.node] if self.ways[link] is way)
-
     def write(self, way: Way, trip: Trip) -> None:
         way.message += 1
         way.used_at = self.now
         trip.message, trip.written = way.message, True
         way.open[way.message] = trip
         held = trip.held
-        self.effects.append(
-            Write(self.link_of(way), ("task", way.message, held.stage_name, trip.fields, held.body))
-        )
+        self.effects.append(Write(way.link, ("task", way.message, held.stage_name, trip.fields, held.body)))
 
     def linked(self, link: str) -> None:
         way = self.ways.get(link)
@@ -371,11 +366,11 @@
             self.onward(trip, trip.path.said(said, self.may_try_on(trip)))
 
     def may_try_on(self, trip: Trip) -> bool:
-        key = hash_of(trip.fields.get("acct", ""))
-        if self.budget.get(key) < 1.0:
+        tenant = trip.fields.get("acct", "")
+        if self.budget.get(tenant) < 1.0:
             self.counters.add("tries_over_budget")
             return False
-        self.budget.spend(key)
+        self.budget.spend(tenant)
         return True
 
     def drains(self, link: str) -> None:
@@ -427,11 +422,6 @@
     return found if found is not None and 0.0 <= found < 1e9 else None
 
 
-def hash_of(tenant: str) -> int:
-    """A key of the budget for a name, the same in every process."""
-    return int.from_bytes(tenant.encode("utf-8", "surrogateescape")[:64])
-
-
 INPUTS: dict[str, Callable[..., None]] = {
     name: getattr(Router, name)
     for name in (
