Read maps, write files whole, set up logs and split start values in one place each

Cause: the cell map was read from its file in three places, files were replaced whole in three, logs were set up in two, settings were taken out of start values in three; the router imported the server's program for an address and an answer to a signal came with the import. Change: config/files, net/logs, start.settings and start.address, gateways.unread serve all; the router blocks SIGHUP by itself, in plain sight.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -20,7 +20,7 @@
 
 from pumicenotch import start
 from pumicenotch.control import Control
-from pumicenotch.net import database, gateways, pool
+from pumicenotch.net import database, gateways, logs, pool
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.dial import Links
 from pumicenotch.net.hub import Hub
@@ -30,21 +30,11 @@
 
 UNREAD_PART = 0.125  # of the memory, for what the pool leaves unread while it hangs
 CALL_MOST = 64 * 1024  # a link below carries one call, of some KB
-# One gateway's is its part of as much, from eight full answers for one that stands still to the 32 that a
-# connection may have open. The kernel holds as much again before any of it counts.
-UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
 READER_S = 30.0  # for a file of ours to be read: a second on a quiet machine
 MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
 
-def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError("no host:port")
-    return host.strip("[]"), int(port)
-
-
 async def signals(hub: Hub, reloads: "Reloads") -> None:
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
     with anyio.open_signal_receiver(*numbers) as received:
@@ -131,13 +121,9 @@
     """The cell map that the file of ours names, if it names one. ValueError says what is wrong with it."""
     if ours is None or not ours.map:
         return None
-    from pumicenotch.cells.map import BadMap, load
+    from pumicenotch.config.files import cell_map
 
-    try:
-        with open(ours.map, encoding="utf-8") as file:
-            return load(file.read(), ours.map)
-    except OSError as error:
-        raise BadMap(f"{ours.map}:1: cannot be read: {error.strerror}") from None
+    return cell_map(ours.map)[0]
 
 
 def fence_of(values: dict[str, Any]) -> Any:
@@ -180,7 +166,7 @@
             reader = partial(database.Reader, hub)
             db_links = Links(hub, group, values["db"], database.FRAMES, reader, CALL_MOST)
             hub.diallers[calls.PARTY], hub.movers[calls.PARTY] = db_links.dial, db_links.move
-        callers = gateways.Gateways(hub, max(UNREAD_LEAST, min(UNREAD_MOST, unread // core.callers.most)))
+        callers = gateways.Gateways(hub, gateways.unread(unread, core.callers.most))
         hub.closers[LISTENER] = callers.closing.cancel
         group.start_soon(callers.accept, listener, group)
         if values["registry"] is not None:
@@ -208,9 +194,10 @@
     except (OSError, ValueError) as error:
         raise start.BadStart(f"LB_CONFIG {path}: {error}") from None
     pairs = start.nested(told)
-    inside = "settings."
-    settings = {path.removeprefix(inside): text for path, text in pairs.items() if path.startswith(inside)}
-    values = {name: start.read(name, pairs, address, None) for name in ("listen", "pool", "registry", "db")}
+    settings = start.settings(pairs)
+    values = {
+        name: start.read(name, pairs, start.address, None) for name in ("listen", "pool", "registry", "db")
+    }
     for name in ("listen", "pool"):
         if values[name] is None:
             raise start.BadStart(f"missing start value {name}")
@@ -236,22 +223,8 @@
     )  # fmt: skip
 
 
-def as_json(message: Any) -> None:
-    """One object a line, for those that collect logs by machine."""
-    record = message.record
-    told = {"time": record["time"].isoformat(), "level": record["level"].name, "message": record["message"]}
-    if record["exception"] is not None:
-        told["exception"] = repr(record["exception"].value)
-    sys.stderr.write(json.dumps(told) + "\n")
-
-
 def main(decides: type[Control] = Control) -> None:
-    logger.remove()
-    if os.environ.get("PUMICENOTCH_LOG") == "json":
-        logger.add(as_json)
-    else:
-        form = "{time:HH:mm:ss.SSS} {level} {message}"
-        logger.add(sys.stderr, format=form, backtrace=False, diagnose=False)
+    logs.to_stderr()
     try:
         values = read()
         values["config"] = os.environ.get("PUMICENOTCH_CONFIG", "")
--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -109,8 +109,7 @@
                 pairs = start.nested(json.load(opened))
         except (OSError, ValueError) as error:
             wrong(f"{settings}:1: cannot be read: {error}")
-        inside = {path.removeprefix("settings."): text for path, text in pairs.items()}
-        stages = list(start.names(inside, "classes"))
+        stages = list(start.names(start.settings(pairs), "classes"))
     told = compiled.describe(ours, stages)
     if as_json:
         print(json.dumps(told))
--- a/pumicenotch/cli/cells.py
+++ b/pumicenotch/cli/cells.py
@@ -10,7 +10,8 @@
 from cyclopts import App, Parameter
 
 from pumicenotch.cells import moves
-from pumicenotch.cells.map import BadMap, CellMap, dump, load
+from pumicenotch.cells.map import BadMap, CellMap, dump
+from pumicenotch.config.files import cell_map, put
 from pumicenotch.config.hcl import BadFile
 
 cells = App(name="cells", help="Cell maps: make the first, move tenants, see how far a move has come.")
@@ -24,9 +25,7 @@
 
 def held(path: Path) -> CellMap:
     try:
-        return load(path.read_text(encoding="utf-8"), str(path))
-    except (OSError, UnicodeDecodeError) as error:
-        wrong(f"{path}:1: cannot be read: {getattr(error, 'strerror', None) or error}")
+        return cell_map(path)[0]
     except BadMap as error:
         wrong(error)
 
@@ -37,10 +36,8 @@
         before = held(out)
         if before.epoch >= made.epoch:
             wrong(f"{out}: holds epoch {before.epoch} already: epoch {made.epoch} does not replace it")
-    temporary = out.with_name(out.name + ".new")
     try:
-        temporary.write_text(dump(made) + "\n")
-        temporary.replace(out)
+        put(out, dump(made) + "\n")
     except OSError as error:
         wrong(f"{out}: cannot be written: {error.strerror}")
     print(f"{out}: epoch {made.epoch}, {len(made.cells)} cells, {len(made.tenants)} tenants")
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -2,6 +2,7 @@
 kept as `summary.json` and `windows.csv`."""
 
 import csv
+import io
 import json
 import os
 import subprocess
@@ -18,6 +19,7 @@
 
 from pumicenotch.config.compiled import BadConfig, from_file
 from pumicenotch.config.file import BadFile, plan_of
+from pumicenotch.config.files import put
 from pumicenotch.config.hcl import Block, parse
 from pumicenotch.config.schema import Schema, load
 from pumicenotch.lab.ledger import Ledger
@@ -313,20 +315,13 @@
 def keep(folder: Path, told: dict[str, Any], found: list[Run]) -> None:
     """Each file whole or not at all: a full disk leaves what was there."""
     folder.mkdir(parents=True, exist_ok=True)
-    write(folder / "summary.json", json.dumps(told, indent=1) + "\n")
-    temporary = folder / "windows.csv.new"
-    with temporary.open("w", newline="") as file:
-        rows = csv.DictWriter(file, ["arm", "seed", "second", "class", "asked", "served", "rejected", "late"])
-        rows.writeheader()
-        for run in found:
-            rows.writerows({"arm": run.arm, "seed": run.seed, **row} for row in run.rows)
-    temporary.replace(folder / "windows.csv")
-
-
-def write(path: Path, text: str) -> None:
-    temporary = path.with_suffix(path.suffix + ".new")
-    temporary.write_text(text)
-    temporary.replace(path)
+    put(folder / "summary.json", json.dumps(told, indent=1) + "\n")
+    table = io.StringIO(newline="")
+    rows = csv.DictWriter(table, ["arm", "seed", "second", "class", "asked", "served", "rejected", "late"])
+    rows.writeheader()
+    for run in found:
+        rows.writerows({"arm": run.arm, "seed": run.seed, **row} for row in run.rows)
+    put(folder / "windows.csv", table.getvalue())
 
 
 def kept_summary(folder: Path) -> dict[str, Any]:
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -20,6 +20,7 @@
 from pumicenotch.cells.map import Cell, CellMap, Tenant, dump
 from pumicenotch.cells.place import Node as PlacedNode
 from pumicenotch.cells.place import bounded
+from pumicenotch.config.files import put
 from pumicenotch.lab import world as world_
 from pumicenotch.lab.clients import Clients, Try
 from pumicenotch.lab.cores import Cores, Work
@@ -96,10 +97,7 @@
         return self.carrier.folder / f"{name}-map.json"
 
     def tell(self, name: str) -> None:
-        path = self.path(name)
-        temporary = path.with_suffix(".new")
-        temporary.write_text(dump(self.map))
-        temporary.replace(path)
+        put(self.path(name), dump(self.map))
 
     def node_file(self, node: Node, pools: str) -> Path:
         self.tell(f"n{node.number}")
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -15,9 +15,17 @@
 READ_MOST = 8 * 1024  # bytes taken at once: some tasks, so that one at full speed keeps no other waiting long
 BACKLOG = 1024  # every gateway may connect at once after a start
 LAST_S = 0.02  # without a new connection before the listener is closed: dials on one network take less
+# One gateway's is its part of as much, from eight full answers for one that stands still to the 32 that a
+# connection may have open. The kernel holds as much again before any of it counts.
+UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 EMPTY_S = 0.05  # pause after a failed accept: out of descriptors, some come back soon
 
 
+def unread(whole: int, callers: int) -> int:
+    """What one gateway may leave unread, of so much for so many of them."""
+    return max(UNREAD_LEAST, min(UNREAD_MOST, whole // callers))
+
+
 def fields(hint: float | None, **more: str) -> dict[str, str]:
     return more if hint is None else {"hint": f"{hint:.4f}", **more}
 
--- a/pumicenotch/route/__main__.py
+++ b/pumicenotch/route/__main__.py
@@ -13,11 +13,11 @@
 from loguru import logger
 
 from pumicenotch import start
-from pumicenotch.__main__ import UNREAD_LEAST, address, as_json
-from pumicenotch.cells.map import BadMap, CellMap, load, newer
+from pumicenotch.cells.map import BadMap, newer
+from pumicenotch.config.files import cell_map
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.config.router import RouterFile, router_of
-from pumicenotch.net import gateways
+from pumicenotch.net import gateways, logs
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.hub import Hub
 from pumicenotch.route.decide import LISTENER, PARTY, Router
@@ -27,25 +27,15 @@
 FLUSH_S = 0.05  # for the last answers to leave
 
 
-def read_map(path: str) -> tuple[CellMap, float]:
-    """The map, and when its file was last confirmed: written, or touched (Unix ms). Raises BadMap."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            confirmed = os.fstat(file.fileno()).st_mtime * 1000.0
-            return load(file.read(), path), confirmed
-    except (OSError, UnicodeDecodeError) as error:
-        raise BadMap(f"{path}:1: cannot be read: {getattr(error, 'strerror', None) or error}") from None
-
-
 def made(told: RouterFile, clock: Clock) -> Router:
     """Raises BadMap and BadStart."""
-    cells, confirmed = read_map(told.map)
+    cells, confirmed = cell_map(told.map)
     try:
         with open(told.settings, encoding="utf-8") as file:
             pairs = start.nested(json.load(file))
     except (OSError, ValueError) as error:
         raise start.BadStart(f"{told.settings}:1: cannot be read: {error}") from None
-    inside = {path.removeprefix("settings."): text for path, text in pairs.items()}
+    inside = start.settings(pairs)
     keywords = start.keywords(inside)
     return Router(
         cells=cells, confirmed=confirmed, stages=keywords["stages"], numbers=start.names(inside, "classes"),
@@ -69,7 +59,7 @@
             when = os.stat(path).st_mtime * 1000.0
             if when == seen:
                 continue
-            cells, confirmed = read_map(path)
+            cells, confirmed = cell_map(path)
             seen = when
             if newer(core.cells, cells):
                 hub.put("remap", cells, confirmed, f"the cell map of epoch {cells.epoch} is in force")
@@ -83,17 +73,17 @@
 
 async def serve(told: RouterFile, core: Router, clock: Clock) -> None:
     hub = Hub(cast(Any, core), clock)
-    host, port = address(told.listen)
+    host, port = start.address(told.listen)
     listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
     listener = cast(SocketListener, listeners.listeners[0])
 
     def address_of(node: str) -> tuple[str, int]:
-        return address(core.cells.addresses()[node])
+        return start.address(core.cells.addresses()[node])
 
     async with anyio.create_task_group() as group:
         group.start_soon(signals, hub)
         hub.diallers[PARTY] = NodeLinks(hub, group, address_of).dial
-        callers = gateways.Gateways(hub, 2 * UNREAD_LEAST)
+        callers = gateways.Gateways(hub, 2 * gateways.UNREAD_LEAST)
         hub.closers[LISTENER] = callers.closing.cancel
         group.start_soon(callers.accept, listener, group)
         group.start_soon(maps, hub, core, told.map)
@@ -106,13 +96,9 @@
 
 
 def main() -> None:
-    logger.remove()
-    if os.environ.get("PUMICENOTCH_LOG") == "json":
-        logger.add(as_json)
-    else:
-        logger.add(
-            sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False
-        )
+    # The map is looked at by itself, and nothing else is read again: this signal is for servers.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    logs.to_stderr()
     clock = Clock()
     try:
         told = router_of(sys.argv[1])
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -92,6 +92,19 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+def settings(pairs: dict[str, str]) -> dict[str, str]:
+    """Of all that a program is told, the settings, by their paths inside."""
+    inside = "settings."
+    return {path.removeprefix(inside): text for path, text in pairs.items() if path.startswith(inside)}
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError("no host:port")
+    return host.strip("[]"), int(port)
+
+
 def names(pairs: dict[str, str], what: str) -> dict[str, int]:
     """The places of stages or tenants by their names."""
     return {pairs.get(f"{what}.{at}.name", str(at)): at for at in range(read(f"{what}.count", pairs, int, 0))}
