--- a/experiments/pools-shift.hcl
+++ b/experiments/pools-shift.hcl
@@ -1,5 +1,6 @@
 # From mostly previews to mostly final-submits within a moment, and back.
 like     = "pools.hcl"
+keep     = ["bound"]
 about    = "a sudden shift of classes, and back: how soon service is what it will be"
 length_s = 70
 load     = 1.1
@@ -20,14 +21,3 @@
   arm    = "pools"
   most   = 3
 }
-bound {
-  figure = "service_preview"
-  arm    = "pools"
-  least  = 0.9
-}
-bound {
-  figure = "utility"
-  arm    = "pools"
-  than   = "off"
-  least  = 0
-}
--- a/pumicenotch/cells/moves.py
+++ b/pumicenotch/cells/moves.py
@@ -7,7 +7,7 @@
 control plane that dies reads the newest map and the acknowledgements again, and goes on or aborts from
 there."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -23,12 +23,12 @@
     return Former(shard(name, cells.cells[held.cell].nodes, held.span), 0)
 
 
-def move(cells: CellMap, names: Iterable[str], cell: str, now: float, span: int = 0) -> CellMap:
-    """The next map, in which those tenants live in that cell. Raises BadMap."""
-    if cell not in cells.cells:
-        raise BadMap(f"no cell {cell!r}; cells: {', '.join(sorted(cells.cells))}")
+def relocate(cells: CellMap, places: Mapping[str, tuple[str, int]], now: float) -> CellMap:
+    """The next map, in which those tenants live in those cells, on so many nodes (0: all). Raises BadMap."""
     tenants, epoch = dict(cells.tenants), cells.epoch + 1
-    for name in names:
+    for name, (cell, span) in places.items():
+        if cell not in cells.cells:
+            raise BadMap(f"no cell {cell!r}; cells: {', '.join(sorted(cells.cells))}")
         held = cells.tenant(name)
         if held is None:
             tenants[name] = Tenant(cell, span, (), epoch)
@@ -42,6 +42,11 @@
     return check(cells._replace(epoch=epoch, tenants=tenants))
 
 
+def move(cells: CellMap, names: Iterable[str], cell: str, now: float, span: int = 0) -> CellMap:
+    """The next map, in which all those tenants live in that cell. Raises BadMap."""
+    return relocate(cells, dict.fromkeys(names, (cell, span)), now)
+
+
 def resize(cells: CellMap, cell: str, nodes: tuple[Node, ...], now: float) -> CellMap:
     """The next map, in which that cell has those nodes. Fingerprints whose home stays are not asked about."""
     held = cells.cells.get(cell) or Cell(cell, ())
@@ -66,13 +71,7 @@
     stay = {name: each.cell for name, each in cells.tenants.items() if each.cell != cell}
     every = {name: weights.get(name, 1.0) for name in cells.tenants}
     found = bounded(every, others, slack, stay)
-    made = cells
-    for target in sorted({found[name] for name in going}):
-        some = [name for name in going if found[name] == target]
-        made = move(made, some, target, now)
-    return made._replace(epoch=cells.epoch + 1, tenants={
-        name: each._replace(since=min(each.since, cells.epoch + 1)) for name, each in made.tenants.items()
-    })  # fmt: skip
+    return relocate(cells, {name: (found[name], 0) for name in going}, now)
 
 
 def settle(cells: CellMap, now: float) -> CellMap:
@@ -167,13 +166,11 @@
     """The map after a move that is taken back: the tenants live where they lived, and what their new place
     may have run counts as long as any other former home. It is a move like every other: there is no way back
     but onward."""
-    made = after
+    back = {}
     for name in changed(before, after):
         old, new = before.tenant(name), after.tenant(name)
         if old is not None and new is not None and (old.cell, old.span) != (new.cell, new.span):
-            made = move(made, [name], old.cell, now, old.span)
-    if made is after:
+            back[name] = (old.cell, old.span)
+    if not back:
         raise BadMap(f"epoch {after.epoch} moved no tenant: nothing to take back")
-    return made._replace(epoch=after.epoch + 1, tenants={
-        name: each._replace(since=min(each.since, after.epoch + 1)) for name, each in made.tenants.items()
-    })  # fmt: skip
+    return relocate(after, back, now)
--- a/pumicenotch/lab/clients.py
+++ b/pumicenotch/lab/clients.py
@@ -19,6 +19,26 @@
         self.wire: Any = None  # where the carrier has it
 
 
+def fields(world: World, sent: Try, t0_ms: float) -> dict[str, str]:
+    """What a gateway tells of a try that reaches the machine at that time (Unix ms)."""
+    task = sent.task
+    told = {
+        "rid": sent.rid,
+        "t0": str(int(t0_ms)),
+        "peer": str(task.gateway),
+        "acct": world.tenant[task.tenant].name,
+        "mem": "25.0",
+        "prio": "0.5",
+    }
+    if task.hint is not None:
+        told["est"] = f"{task.hint:.2f}"
+    if sent.again:
+        told["again"] = "1"
+    if task.token:
+        told["token"] = task.token
+    return told
+
+
 class Wire(Protocol):
     """What a carrier does for the clients. Times in ms from the run's begin."""
 
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -153,7 +153,8 @@
 
 def blocks(path: Path, depth: int = 0) -> Block:
     """A file's blocks. One that is `like` another takes from it what it does not say itself: each attribute,
-    and each kind of block as a whole; `set` changes single values, as `--set` does."""
+    and each kind of block as a whole (those of `keep` beside its own); `set` changes single values, as
+    `--set` does."""
     try:
         whole = parse(path.read_text(encoding="utf-8"), str(path))
     except (OSError, UnicodeDecodeError) as error:
@@ -165,7 +166,10 @@
     if depth >= 4 or not base.is_file():
         raise BadFile(f"{path}:{line}: like: {other!r} is no file beside it, or they go in a circle")
     under = blocks(base, depth + 1)
-    kinds = {block.kind for block in whole.blocks}
+    kept, line = whole.attributes.pop("keep", ([], 1))
+    if not isinstance(kept, list):
+        raise BadFile(f"{path}:{line}: keep: a list of kinds of blocks is wanted")
+    kinds = {block.kind for block in whole.blocks} - set(kept)
     whole.attributes = {**under.attributes, **whole.attributes}
     whole.blocks += [block for block in under.blocks if block.kind not in kinds]
     sets, line = whole.attributes.pop("set", ([], 1))
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -22,7 +22,7 @@
 from pumicenotch.cells.place import bounded
 from pumicenotch.config.files import put
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.clients import Clients, Try
+from pumicenotch.lab.clients import Clients, Try, fields
 from pumicenotch.lab.cores import Cores, Work
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.peers import DatabasePeer, GatewayPeer, PoolPeer, RegistryPeer
@@ -214,22 +214,9 @@
     def write(self, conn: GatewayPeer, sent: Try) -> None:
         if sent.settled:
             return
-        task, stage = sent.task, self.world.stage[sent.task.stage]
-        fields = {
-            "rid": sent.rid,
-            "t0": str(int(time.time() * 1000)),
-            "peer": str(task.gateway),
-            "acct": self.world.tenant[task.tenant].name,
-            "mem": "25.0",
-            "prio": "0.5",
-        }
-        if task.hint is not None:
-            fields["est"] = f"{task.hint:.2f}"
-        if sent.again:
-            fields["again"] = "1"
-        if task.token:
-            fields["token"] = task.token
-        sent.wire = (conn, conn.task(sent, stage.name, fields, task.body))
+        stage = self.world.stage[sent.task.stage].name
+        told = fields(self.world, sent, time.time() * 1000.0)
+        sent.wire = (conn, conn.task(sent, stage, told, sent.task.body))
 
     def answer(self, conn: GatewayPeer, message: int, kind: str, body: bytes, fields: dict[str, str]) -> None:
         sent = conn.open.pop(message, None)
--- a/pumicenotch/lab/simulate.py
+++ b/pumicenotch/lab/simulate.py
@@ -11,7 +11,7 @@
 from pumicenotch.config.file import plan_of
 from pumicenotch.control import Control
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.clients import Clients, Try
+from pumicenotch.lab.clients import Clients, Try, fields
 from pumicenotch.lab.cores import Cores, Work
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.world import World, arrivals
@@ -116,18 +116,9 @@
             self.put(node, "opened", conn)
         message = next(self.messages)
         node.by_conn[conn][message] = sent
-        stage, task = self.world.stage[sent.task.stage], sent.task
-        fields = {
-            "rid": sent.rid, "t0": str(int(sent.sent + WIRE_MS)), "peer": str(task.gateway),
-            "acct": self.world.tenant[task.tenant].name, "mem": "25.0", "prio": "0.5",
-        }  # fmt: skip
-        if task.hint is not None:
-            fields["est"] = f"{task.hint:.2f}"
-        if sent.again:
-            fields["again"] = "1"
-        if task.token:
-            fields["token"] = task.token
-        self.put(node, "task", conn, message, now, stage.name, fields, task.body)
+        stage = self.world.stage[sent.task.stage].name
+        told = fields(self.world, sent, sent.sent + WIRE_MS)
+        self.put(node, "task", conn, message, now, stage, told, sent.task.body)
 
     def cancel(self, now: float, attempt: Try) -> None:
         node = self.nodes[attempt.server]
