Give server and router one front: inputs, connections, and one answer a task

Cause: the router's reducer had written again what the server's core has for gateways' connections, and its copy did not close a connection whose last task was malformed after its gateway had ended writing. Change: server/front holds step, faults, troubles, condemned and lost connections, cancels and the one answer; both reducers stand on it. The router counts resets and cancels too; nothing is decided otherwise.

--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -5,7 +5,7 @@
 held back and nothing is queued: what no node may take is rejected at once, with a time to come back."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from itertools import count
 from typing import Any
 
@@ -16,9 +16,8 @@
 from pumicenotch.control import Agenda
 from pumicenotch.interface import Effect as Repeat
 from pumicenotch.pools.budget import Budget
-from pumicenotch.server.callers import Callers
-from pumicenotch.server.counters import Counters
-from pumicenotch.server.effects import Close, Dial, Effect, Exit, Fault, Log, Wake, Write
+from pumicenotch.server.effects import Close, Dial, Exit, Fault, Log, Wake, Write
+from pumicenotch.server.front import Front
 from pumicenotch.server.tasks import BadTask, Held, Tasks
 
 PARTY = "node"
@@ -48,7 +47,7 @@
         self.written = False  # of this send: it may have arrived
 
 
-class Router:
+class Router(Front):
     MOST_OPEN = 32  # the protocol's, on one connection
     WAYS = 8  # connections to one node: as many tasks as a node takes from one caller
     IDLE_MS = 5000.0  # a connection to a node that nothing used is closed
@@ -63,15 +62,11 @@
         self, *, cells: CellMap, confirmed: float, stages: list[Any], numbers: dict[str, int], seed: int,
         stop_ms: float, sockets: int,
     ) -> None:  # fmt: skip
+        half = sockets // 2 - self.SPARE // 2  # for callers, and as many for nodes
+        super().__init__(Tasks(stages, numbers, {}), sockets // 2, max(8, half))
+        self.most_ways = max(4, half)
         self.cells, self.confirmed = cells, confirmed
         self.stop_ms = stop_ms
-        self.effects: list[Effect] = []
-        self.counters = Counters()
-        self.tasks = Tasks(stages, numbers, {})
-        self.callers = Callers(
-            self.effects, self.counters, sockets // 2, max(8, sockets // 2 - self.SPARE // 2)
-        )
-        self.most_ways = max(4, sockets // 2 - self.SPARE // 2)
         chance = random.Random(seed)
         self.views = Views(chance.random)
         self.budget = Budget(self.RETRY, self.BURST, 4096)
@@ -80,23 +75,8 @@
         self.ways: dict[str, Way] = {}
         self.of_node: dict[str, list[str]] = {}
         self.trips: dict[int, Trip] = {}
-        self.now = 0.0
         self.leaving = self.over = self.quiet = False
 
-    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
-        self.now = max(self.now, now)
-        INPUTS[name](self, *details)
-        return self.asked_for()
-
-    def fault(self) -> list[Effect]:
-        self.counters.add("faults")
-        return self.asked_for()
-
-    def asked_for(self) -> list[Effect]:
-        effects = self.effects[:]
-        self.effects.clear()
-        return effects
-
     # Its own life
 
     def start(self) -> None:
@@ -151,40 +131,12 @@
         if text:
             self.effects.append(Log(f"reload: {text}"))
 
-    def met(self, trouble: str, text: str = "") -> None:
-        self.counters.add(trouble)
-        found = str(self.counters.counts[trouble])
-        if text and found.rstrip("0") == "1":
-            self.effects.append(Log(f"{text} ({trouble}={found})"))
-
     # Gateways
 
     def opened(self, conn: int) -> None:
         self.counters.add("connections")
         self.callers.opened(self.now, conn, told=self.leaving)
 
-    def eof(self, conn: int) -> None:
-        connection = self.callers.connections.get(conn)
-        if connection is not None:
-            connection.ended = True
-            self.callers.close_if_over(conn)
-
-    def reset(self, conn: int) -> None:
-        connection = self.callers.gone(conn)
-        if connection is not None:
-            for held in list(connection.open.values()):
-                self.gone(held)
-
-    def condemn(self, conn: int, trouble: str, text: str) -> None:
-        connection = self.callers.connections.get(conn)
-        if connection is None:
-            return
-        self.met(trouble, f"connection {conn}: {text}")
-        for held in list(connection.open.values()):
-            self.answer(held, "failed")
-            self.let_go(held)
-        self.callers.close(conn)
-
     def alive(self, conn: int, message: int) -> None:
         if conn in self.callers.connections:
             self.callers.heard(self.now, conn, message)
@@ -193,23 +145,12 @@
     def task(
         self, conn: int, message: int, unix: float, stage: str, fields: Mapping[str, str], body: Any
     ) -> None:
-        connection = self.callers.connections.get(conn)
-        if connection is None:
-            self.counters.add("tasks_crossed")
+        if not self.received(conn, message):
             return
-        if not self.callers.heard(self.now, conn, message):
-            self.condemn(conn, "connections_misnumbered", f"message {message} after {connection.last}")
-            return
-        if len(connection.open) >= self.callers.MOST_OPEN:
-            self.condemn(conn, "connections_overfull", f"over {self.callers.MOST_OPEN} tasks are open")
-            return
-        self.counters.add("tasks")
         try:
             held = self.tasks.read(conn, message, unix, stage, fields, body)
         except BadTask as error:
-            self.met("malformed", f"malformed task: {error}")
-            self.counters.add("answered_failed")
-            self.effects.append(Write(conn, ("failed", message, None)))
+            self.malformed(conn, message, error)
             return
         self.callers.taken(conn, message, held)
         self.tasks.add(held)
@@ -242,19 +183,6 @@
         probes = held.stage.effect is Repeat.RESTARTABLE
         return [choice.node for choice in self.views.choose(self.now, nodes, probes)]
 
-    def cancel(self, conn: int, message: int) -> None:
-        connection = self.callers.connections.get(conn)
-        held = connection.open.get(message) if connection is not None else None
-        if held is not None:
-            self.gone(held)
-            self.callers.close_if_over(conn)
-
-    def gone(self, held: Held) -> None:
-        self.counters.add("answered_gone")
-        held.answered = True
-        self.callers.settle(self.now, held)
-        self.let_go(held)
-
     def let_go(self, held: Held) -> None:
         """Nobody waits for it. The node is told, and an answer that comes all the same finds nobody."""
         trip = self.trips.pop(held.id, None)
@@ -268,15 +196,6 @@
             self.views.given_up(way.node)
             trip.way = None
 
-    def answer(self, held: Held, outcome: str, *rest: Any) -> None:
-        if held.answered:
-            return
-        held.answered = True
-        self.counters.add(f"answered_{outcome}")
-        if self.callers.settle(self.now, held):
-            self.effects.append(Write(held.conn, (outcome, held.message, None, *rest)))
-            self.callers.close_if_over(held.conn)
-
     def ended(self, held: Held, end: End, result: bytes = b"") -> None:
         """The walk's end is the task's one answer."""
         self.counters.add(f"ends_{end.why}")
@@ -422,7 +341,7 @@
     return found if found is not None and 0.0 <= found < 1e9 else None
 
 
-INPUTS: dict[str, Callable[..., None]] = {
+Router.inputs = {
     name: getattr(Router, name)
     for name in (
         "start", "time", "leave", "show_counters", "remap", "met", "opened", "eof", "reset", "condemn",
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -2,7 +2,6 @@
 one control and decides nothing; what the control asks for comes back through the methods of its Actions."""
 
 import random
-from collections import deque
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -10,10 +9,9 @@
 from pumicenotch.interface import Outcome, Pools
 from pumicenotch.server import runs
 from pumicenotch.server.backoff import Backoff
-from pumicenotch.server.callers import Callers
 from pumicenotch.server.calls import ENDS, PARTY, Call, Calls
-from pumicenotch.server.counters import Counters
-from pumicenotch.server.effects import Close, Dial, Effect, Exit, Fault, Log, Move, Wake, Write
+from pumicenotch.server.effects import Close, Dial, Exit, Fault, Log, Move, Wake, Write
+from pumicenotch.server.front import Front
 from pumicenotch.server.kept import Kept
 from pumicenotch.server.runs import Runs
 from pumicenotch.server.tasks import BadTask, Held, Tasks
@@ -29,7 +27,7 @@
 }  # fmt: skip
 
 
-class Server:
+class Server(Front):
     REPORT_MS = 1000.0  # a third of the time after which the registry takes a silent server off its list
     HOUSE_MS = 250.0  # between looks for idle connections: a quarter of the shortest time they may idle
     STOP_MARGIN_MS = 100.0  # left of the notice when the last answers go out: a crowded core is late
@@ -45,50 +43,27 @@
         pools: Callable[[float], Pools] | None = None, decides: type[Control] = Control,
         fence: "Fence | None" = None, node: str = "",
     ) -> None:  # fmt: skip
+        links = max(1, int(self.CALLS_PART * sockets))
+        most = max(8, sockets - links - self.SPARE)
+        super().__init__(Tasks(keywords["stages"], stages, tenants), sockets // 2, most)
+        self.tasks.stamped = fence is not None
         self.keywords, self.seed, self.stop_ms, self.below = keywords, seed, stop_ms, below
         self.fence, self.node = fence, node  # where this node knows its cells
         self.pools, self.decides = pools, decides  # pools are made anew from the time they start at
         self.control: Control | None = None  # made when the pool is first bound: warmth counts from its start
-        self.effects: list[Effect] = []
-        self.later: deque[Callable[[], None]] = deque()  # ends that come while the control is in another call
         chance = random.Random(seed).uniform
-        self.counters, self.kept = Counters(), Kept(int(self.KEPT_PART * memory_mb * 1024 * 1024))
-        self.tasks = Tasks(keywords["stages"], stages, tenants)
-        self.tasks.stamped = fence is not None
-        links = max(1, int(self.CALLS_PART * sockets))
-        most = max(8, sockets - links - self.SPARE)
-        self.callers = Callers(self.effects, self.counters, sockets // 2, most)
+        self.kept = Kept(int(self.KEPT_PART * memory_mb * 1024 * 1024))
         self.runs = Runs(self.effects, Backoff(chance))
         self.calls = Calls(self.effects, Backoff(chance), links)
         self.reports = Backoff(chance)
         self.agenda = Agenda()
-        self.now = self.rang_at = self.house_at = 0.0
+        self.rang_at = self.house_at = 0.0
         self.tick_ms = self.HOUSE_MS
         self.gauges: tuple[float, ...] = ()
-        self.hint: float | None = None
         self.good = self.leaving = self.over = False
         self.report_at = 0.0
         self.stop = self.quiet_from = float("inf")
 
-    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
-        """One input at a time; time never goes back."""
-        self.now = max(self.now, now)
-        INPUTS[name](self, *details)
-        while self.later:
-            self.later.popleft()()
-        return self.asked_for()
-
-    def fault(self) -> list[Effect]:
-        """An input failed with an exception: what had been asked for until then still goes out."""
-        self.counters.add("faults")
-        self.later.clear()
-        return self.asked_for()
-
-    def asked_for(self) -> list[Effect]:
-        effects = self.effects[:]
-        self.effects.clear()
-        return effects
-
     # The program's own life
 
     def start(self) -> None:
@@ -222,56 +197,17 @@
         # another for each task, and a handshake costs the cores as much as some tasks.
         self.callers.opened(self.now, conn, told=self.quiet_from < float("inf"))
 
-    def condemn(self, conn: int, trouble: str, text: str) -> None:
-        """What it sends cannot be told apart any more, so nothing that it has open is answered as served: a
-        gateway keeps to the protocol. All is answered failed at once, and the connection closed. Guards
-        against what is no gateway; harms the open tasks of one that errs once."""
-        connection = self.callers.connections.get(conn)
-        if connection is None:
-            return
-        self.met(trouble, f"connection {conn}: {text}")
-        for held in list(connection.open.values()):
-            self.answer(held, "failed")
-            self.let_go(held)
-        self.callers.close(conn)
-
-    def eof(self, conn: int) -> None:
-        connection = self.callers.connections.get(conn)
-        if connection is not None:
-            connection.ended = True
-            self.callers.close_if_over(conn)
-
-    def reset(self, conn: int) -> None:
-        """The connection is gone, and with it whoever waited for answers on it."""
-        connection = self.callers.gone(conn)
-        if connection is not None:
-            self.counters.add("connections_reset")
-            for held in list(connection.open.values()):
-                self.gone(held)
-
     def task(
         self, conn: int, message: int, unix: float, stage: str, fields: Mapping[str, str], body: Any
     ) -> None:
-        connection = self.callers.connections.get(conn)
-        if connection is None:
-            self.counters.add("tasks_crossed")  # on its way while the connection was closed: sent again
-            return
-        if not self.callers.heard(self.now, conn, message):
-            self.condemn(conn, "connections_misnumbered", f"message {message} after {connection.last}")
+        if not self.received(conn, message):
             return
-        if len(connection.open) >= self.callers.MOST_OPEN:
-            self.condemn(conn, "connections_overfull", f"over {self.callers.MOST_OPEN} tasks are open")
-            return
-        self.counters.add("tasks")
         try:
             held = self.tasks.read(conn, message, unix, stage, fields, body)
             waited = max(0.0, unix - held.t0)
             same = self.kept.same(held, self.now - waited) if held.token else None
         except BadTask as error:
-            self.met("malformed", f"malformed task: {error}")
-            self.count_answer("failed")
-            self.effects.append(Write(conn, ("failed", message, self.hint)))
-            self.callers.close_if_over(conn)
+            self.malformed(conn, message, error)
             return
         self.callers.taken(conn, message, held)
         self.tasks.add(held)
@@ -308,23 +244,6 @@
         if self.fence is not None:
             self.fence.map(cells)
 
-    def cancel(self, conn: int, message: int) -> None:
-        connection = self.callers.connections.get(conn)
-        held = connection.open.get(message) if connection is not None else None
-        if held is None:
-            self.counters.add("cancels_late")
-        else:
-            self.counters.add("cancels")
-            self.gone(held)
-            self.callers.close_if_over(conn)
-
-    def gone(self, held: Held) -> None:
-        """No answer is owed any more."""
-        self.count_answer("gone")
-        held.answered = True
-        self.callers.settle(self.now, held)
-        self.let_go(held)
-
     def let_go(self, held: Held) -> None:
         """Nobody waits for it: what runs goes on to its end, the rest is over. The result of a fingerprinted
         task is kept, and a further try is worth it only with its call."""
@@ -336,13 +255,6 @@
         if self.control is not None:
             self.control.caller_gone(self.now, held.id)
 
-    def met(self, trouble: str, text: str = "") -> None:
-        """Counts a trouble. The first, tenth and so on of a kind is logged: a log may be read slowly."""
-        self.counters.add(trouble)
-        found = str(self.counters.counts[trouble])
-        if text and found.rstrip("0") == "1":
-            self.effects.append(Log(f"{text} ({trouble}={found})"))
-
     def alive(self, conn: int, message: int) -> None:
         self.counters.add("checks")
         connection = self.callers.connections.get(conn)
@@ -351,19 +263,6 @@
             good = self.good and self.control is not None
             self.effects.append(Write(conn, ("alive", message, self.hint, good)))
 
-    def answer(self, held: Held, outcome: str, *rest: Any) -> None:
-        """The one answer, on the connection that the task came by."""
-        if held.answered:
-            return
-        held.answered = True
-        self.count_answer(outcome)
-        if self.callers.settle(self.now, held):
-            self.effects.append(Write(held.conn, (outcome, held.message, self.hint, *rest)))
-            self.callers.close_if_over(held.conn)
-
-    def count_answer(self, outcome: str) -> None:
-        self.counters.add(f"answered_{outcome}")
-
     # The pool
 
     def bound(self, how: str, for_ms: float) -> None:
@@ -538,7 +437,7 @@
         self.effects.append(Log(text))
 
 
-INPUTS: dict[str, Callable[..., None]] = {
+Server.inputs = {
     name: getattr(Server, name)
     for name in (
         "start", "time", "leave", "show_counters", "reported", "linked", "unlinked", "opened", "eof", "reset",
