Size a credit by what the server gets through by its due time, among its gateways

Change (Signals.sample): at each sample the credit is the limit plus the queue's length (what the limit gets through in 0.7 of a due time), over the gateways; shut as before.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -403,7 +403,8 @@
     def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
                  idle_ms: float) -> None:
         self.actions, self.signal, self.idle_ms, self.idle_most_ms = actions, signal, idle_ms, idle_ms
-        self.credit = 2.0 * cores / max(1, callers)  # one running, one held
+        # One running and one held a core until a sample is taken; then what gets through by the due time.
+        self.callers, self.credit = max(1, callers), 2.0 * cores / max(1, callers)
         self.many_links = self.LINKS * cores
         self.read = self.turned_away = 0
         self.shut, self.said, self.leaving = 0.0, -1.0, False
@@ -415,7 +416,10 @@
         self.actions.health(False, stored=True)
         self.say(0.0)
 
-    def sample(self, speed: float, links: float) -> None:
+    def sample(self, speed: float, links: float, room: float) -> None:
+        """Room: the tasks that may be here at once, running or queued, and still be answered in time. Two a
+        core among 180 gateways left each 0.02, which gateways settle by chance: most saw no willing one."""
+        self.credit = room / self.callers
         away = self.turned_away / self.read if self.read else 0.0
         self.read = self.turned_away = 0
         self.shut = self.OPEN * self.shut + self.GAIN * away * (self.MOST - self.shut)
@@ -705,7 +709,9 @@
             self.sampled_at = now
             self.limit.sample()
             self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
-            self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0))
+            total = self.limit.total(now)
+            room = total + self.queues.length(total, self.slot(now), self.due_ms)
+            self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0), room)
         self.work(now)
 
     def give_up(self, now: float, task: Task) -> None:
--- /dev/null
+++ b/tests/test_move.py
@@ -0,0 +1,35 @@
+"""Decisions that the move to deployments of a new shape (lagos-roster, delsol-avrakning) changed."""
+
+from typing import Any
+
+from pumicenotch.control import SAMPLE_MS, TICK_MS, Control
+from pumicenotch.interface import Effect, Signal, Stage
+
+STAGE = Stage(1600.0, 0.0, 5400.0, Effect.RESTARTABLE, 0.0, 1.0, 0.2, 0.0)
+
+
+class Told:
+    """Keeps what callers were told; every other action is taken and forgotten."""
+
+    def __init__(self) -> None:
+        self.said: list[float] = []
+
+    def say(self, value: float) -> None:
+        self.said.append(value)
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_, **__: None
+
+
+def test_a_credit_covers_what_the_server_gets_through_by_the_due_time_not_two_tasks_a_core() -> None:
+    """With 180 gateways and two cores, two tasks a core gave each gateway 0.022, which most of them settle
+    as no room at all; the credit is now what the limit and a queue get through by the due time."""
+    told = Told()
+    control = Control(told, 0.0, seed=1, stages=[STAGE], tenants=[], gauges=[], cores=2, callers=180,
+                      signal=Signal.CREDIT, crowd_multiple=5.0)
+    now = 0.0
+    while now <= SAMPLE_MS:
+        now += TICK_MS
+        control.tick(now, ())
+    assert told.said[0] == 2.0 * 2 / 180
+    assert told.said[-1] > 2.0 * (2.0 * 2 / 180)
