Check the settings' shape at start: a credit without its callers is refused by key

Change: start.shape, called from start.keywords (simulator and real server alike): 'credit' where family-info.signal=tokens, else 'share'; a credit without family-info.callers, or a negative count, is refused with the key named. The real server logs the shape at start. Tests: tests/test_move.py, the shape from settings, and the real server on loopback against the stand-ins refusing the mixed file and starting with the callers named.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -177,6 +177,7 @@
         hub.put("start")
         bound = listener.extra(SocketAttribute.local_address)
         logger.info("listening on {}:{}", *bound[:2])
+        logger.info("callers are told a {}: the settings are of that shape", values["shape"])
         group.start_soon(clock.run, lambda: hub.put("time"))
         await hub.exit.wait()
         await hub.flush(FLUSH_S)
@@ -206,6 +207,7 @@
     values["memory_mb"] = start.read("limits.memory_mb", pairs, float, 192.0)
     values["stop_ms"] = start.read("stop_ms", pairs, float, 0.0)
     values["sockets"] = start.read("limits.sockets", pairs, int, 1024)
+    values["shape"] = start.shape(settings)
     values["keywords"] = start.keywords(settings)
     values["stages"], values["tenants"] = start.names(settings, "classes"), start.names(settings, "tenants")
     return values
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -110,7 +110,24 @@
     return {pairs.get(f"{what}.{at}.name", str(at)): at for at in range(read(f"{what}.count", pairs, int, 0))}
 
 
+def shape(pairs: dict[str, str]) -> str:
+    """Which shape of deployment the settings describe: 'credit' where callers are told how many tasks each
+    may have out here (lagos-roster, delsol-avrakning), 'share' where they are told a share or a level, as
+    before the move. Settings that mix them (a credit without the number of callers) are refused by path."""
+    credit = pairs.get("family-info.signal") == "tokens"
+    callers = read("family-info.callers", pairs, int, None)
+    if credit and callers is None:
+        raise BadStart(
+            "family-info.callers is missing: a credit (family-info.signal=tokens) is shared among the"
+            " callers; name how many there are, or tell a share (bias) or a level (min_rank)"
+        )
+    if callers is not None and callers < 0:
+        raise BadStart(f"family-info.callers={callers}: a count of callers is 0 or more; give their number")
+    return "credit" if credit else "share"
+
+
 def keywords(pairs: dict[str, str]) -> dict[str, Any]:
+    shape(pairs)
     found = {word: read(path, pairs, kind, None) for path, (word, kind) in KEYWORDS.items() if path in pairs}
     skips = read("family-info.class-skip-worth", pairs, floats, [])
     found["stages"] = [stage(pairs, at, skips) for at in range(read("classes.count", pairs, int, 0))]
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,6 +1,7 @@
 """Decisions that the move to deployments of a new shape (lagos-roster, delsol-avrakning) changed."""
 
-from typing import Any
+from pathlib import Path
+from typing import Any, cast
 
 from pumicenotch.control import SAMPLE_MS, TICK_MS, Control
 from pumicenotch.interface import Effect, Signal, Stage
@@ -51,3 +52,37 @@
     plenty.recent_ms, plenty.free_at = 100.0, 0.0
     plenty.in_hand.update({1, 2, 3})
     assert plenty.turn_ms(0.0) == 0.0
+
+
+def test_the_shape_follows_from_the_settings_and_a_mix_is_refused_by_its_key() -> None:
+    import pytest
+
+    from pumicenotch import start
+
+    old = {"family-info.signal": "bias", "family-info.callers": "6", "classes.count": "1",
+           "classes.0.effect": "by_key", "classes.0.memory-span": "9000000", "classes.0.deadline": "9000000"}
+    new = {"family-info.signal": "tokens", "family-info.callers": "180", "classes.count": "1",
+           "classes.0.effect": "once", "classes.0.deadline": "11000000"}
+    assert start.shape(old) == "share" and start.shape(new) == "credit"
+    assert start.shape({}) == "share"  # as before the move: nothing named, nothing told
+    with pytest.raises(start.BadStart, match=r"family-info\.callers is missing"):
+        start.keywords({key: text for key, text in new.items() if key != "family-info.callers"})
+    assert start.shape(new | {"classes.0.memory-span": "26595000"}) == "credit"  # as the wire gives it
+    with pytest.raises(start.BadStart, match=r"family-info\.callers=-1"):
+        start.shape(old | {"family-info.callers": "-1"})
+
+
+def test_the_real_server_refuses_a_credit_without_its_callers_and_starts_with_them(tmp_path: Path) -> None:
+    """On loopback, against the stand-ins of tests/standin.py: the mixed file stops the start with the key
+    named, and the same file with the number of callers serves, saying its shape."""
+    import pytest
+
+    from tests.standin import SETTINGS, Program
+
+    family: dict[str, Any] = {**cast(dict[str, Any], SETTINGS["family-info"]), "signal": "tokens"}
+    mixed = SETTINGS | {"family-info": family}
+    refused = pytest.raises(AssertionError, match=r"family-info\.callers is missing")
+    with refused, Program(tmp_path, settings=mixed):
+        pass
+    with Program(tmp_path, settings=SETTINGS | {"family-info": family | {"callers": 180}}) as program:
+        assert program.logged(r"callers are told a (\w+)") == "credit"
