--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -110,6 +110,25 @@
     return {pairs.get(f"{what}.{at}.name", str(at)): at for at in range(read(f"{what}.count", pairs, int, 0))}
 
 
+# Path -> the least and the most that a value may be: beyond them no deployment makes sense, and the decisions
+# would divide by nothing or take no task at all.
+BOUNDS: dict[str, tuple[float, float]] = {
+    "family-info.cores": (1, float("inf")),
+    "family-info.memory-kb": (1e-9, float("inf")),
+    "family-info.run-factor": (1, float("inf")),
+    "family-info.call-share": (0, float("inf")),
+    "rules.fall-multiple": (1e-9, float("inf")),
+    "rules.cold-share": (0, 1),
+}
+
+
+def bounded(pairs: dict[str, str]) -> None:
+    for path, (least, most) in BOUNDS.items():
+        value = read(path, pairs, float, None)
+        if value is not None and not least <= value <= most:
+            raise BadStart(f"{path}={pairs[path]}: out of range; give a value from {least:g} to {most:g}")
+
+
 def shape(pairs: dict[str, str]) -> str:
     """Which shape of deployment the settings describe: 'credit' where callers are told how many tasks each
     may have out here (lagos-roster, delsol-avrakning), 'share' where they are told a share or a level, as
@@ -128,6 +147,7 @@
 
 def keywords(pairs: dict[str, str]) -> dict[str, Any]:
     shape(pairs)
+    bounded(pairs)
     found = {word: read(path, pairs, kind, None) for path, (word, kind) in KEYWORDS.items() if path in pairs}
     skips = read("family-info.class-skip-worth", pairs, floats, [])
     found["stages"] = [stage(pairs, at, skips) for at in range(read("classes.count", pairs, int, 0))]
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -86,3 +86,15 @@
         pass
     with Program(tmp_path, settings=SETTINGS | {"family-info": family | {"callers": 180}}) as program:
         assert program.logged(r"callers are told a (\w+)") == "credit"
+
+
+def test_a_value_out_of_its_range_is_refused_by_its_key_with_the_range() -> None:
+    import pytest
+
+    from pumicenotch import start
+
+    with pytest.raises(start.BadStart, match=r"family-info\.cores=0: out of range; give a value from 1"):
+        start.keywords({"family-info.cores": "0"})
+    with pytest.raises(start.BadStart, match=r"rules\.cold-share=1\.5: out of range"):
+        start.keywords({"rules.cold-share": "1.5"})
+    assert start.keywords({"family-info.cores": "2", "rules.cold-share": "0.21"})["cores"] == 2
