Read the limit and slot once a sample; check the count of callers with the other bounds

Found on reading the move's change again: - Control.tick took limit.total(now) and slot(now) twice at each sample, for the queues and for the credit's room; now once, passed to both. - start.shape checked family-info.callers < 0 beside start.bounded, its twin; the count is now one more entry of BOUNDS, and shape only asks whether the key is there. The message is the bounds' one (value, 'out of range', the range); the test asks keywords for it. - Signals took max(1, callers) twice; now once.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -411,7 +411,8 @@
                  idle_ms: float) -> None:
         self.actions, self.signal, self.idle_ms, self.idle_most_ms = actions, signal, idle_ms, idle_ms
         # One running and one held a core until a sample is taken; then what gets through by the due time.
-        self.callers, self.credit = max(1, callers), 2.0 * cores / max(1, callers)
+        self.callers = max(1, callers)
+        self.credit = 2.0 * cores / self.callers
         self.many_links = self.LINKS * cores
         self.read = self.turned_away = 0
         self.shut, self.said, self.leaving = 0.0, -1.0, False
@@ -719,9 +720,9 @@
         if now - self.sampled_at >= SAMPLE_MS:
             self.sampled_at = now
             self.limit.sample()
-            self.queues.sample(self.limit.total(now), self.slot(now), self.due_ms)
-            total = self.limit.total(now)
-            room = total + self.queues.length(total, self.slot(now), self.due_ms)
+            total, slot = self.limit.total(now), self.slot(now)
+            self.queues.sample(total, slot, self.due_ms)
+            room = total + self.queues.length(total, slot, self.due_ms)
             self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0), room)
         self.work(now)
 
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -117,6 +117,7 @@
     "family-info.memory-kb": (1e-9, float("inf")),
     "family-info.run-factor": (1, float("inf")),
     "family-info.call-share": (0, float("inf")),
+    "family-info.callers": (0, float("inf")),
     "rules.fall-multiple": (1e-9, float("inf")),
     "rules.cold-share": (0, 1),
 }
@@ -134,14 +135,11 @@
     may have out here (lagos-roster, delsol-avrakning), 'share' where they are told a share or a level, as
     before the move. Settings that mix them (a credit without the number of callers) are refused by path."""
     credit = pairs.get("family-info.signal") == "tokens"
-    callers = read("family-info.callers", pairs, int, None)
-    if credit and callers is None:
+    if credit and "family-info.callers" not in pairs:
         raise BadStart(
             "family-info.callers is missing: a credit (family-info.signal=tokens) is shared among the"
             " callers; name how many there are, or tell a share (bias) or a level (min_rank)"
         )
-    if callers is not None and callers < 0:
-        raise BadStart(f"family-info.callers={callers}: a count of callers is 0 or more; give their number")
     return "credit" if credit else "share"
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -69,7 +69,7 @@
         start.keywords({key: text for key, text in new.items() if key != "family-info.callers"})
     assert start.shape(new | {"classes.0.memory-span": "26595000"}) == "credit"  # as the wire gives it
     with pytest.raises(start.BadStart, match=r"family-info\.callers=-1"):
-        start.shape(old | {"family-info.callers": "-1"})
+        start.keywords(old | {"family-info.callers": "-1"})
 
 
 def test_the_real_server_refuses_a_credit_without_its_callers_and_starts_with_them(tmp_path: Path) -> None:
