--- /dev/null
+++ b/pumicenotch/lab/agreeing.py
@@ -0,0 +1,291 @@
+"""A model of voters for the checker: elections, the log, snapshots, changes of seats, reads, with messages
+that are late, lost or come twice, stops and restarts. Everything that is decided is decided by `agree/`.
+
+Time is left out on purpose: any voter may run out of patience at any moment, and forget that it heard a
+leader. What holds here holds whatever clocks do."""
+
+import argparse
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from pumicenotch.agree.log import Log
+from pumicenotch.agree.messages import (
+    Append,
+    AskVote,
+    Commit,
+    Entry,
+    Message,
+    Readable,
+    Seats,
+    Send,
+    Store,
+    Vote,
+)  # fmt: skip
+from pumicenotch.agree.voter import FOLLOWER, LEADER, Voter
+from pumicenotch.lab.explore import Explorer
+
+NEVER = float("-inf")
+KEPT = ("term", "voted")
+PLAIN = ("role", "commit", "round", "target", "pieces", "pieces_of")
+TABLES = ("next", "match", "answered_round", "offsets")
+
+
+class Letter(NamedTuple):
+    sender: str
+    to: str
+    message: Message
+
+
+class State(NamedTuple):
+    voters: tuple[tuple[Any, ...], ...]  # frozen, in the order of the model's names
+    wire: frozenset[Letter]
+    agreed: tuple[Entry, ...]  # by anyone, ever
+    led: frozenset[tuple[int, str]]
+    asked: tuple[tuple[str, int], ...]  # open reads: at whom, and how much was agreed when it was asked
+    left: tuple[int, ...]  # of each bound, as `Bounds` names them
+    bad: str = ""
+
+
+class Bounds(NamedTuple):
+    """How often each may happen at the most."""
+
+    timeouts: int = 2
+    proposals: int = 1
+    reads: int = 0
+    restarts: int = 0
+    copies: int = 0
+    changes: int = 0
+    snapshots: int = 0
+    hand_overs: int = 0
+
+
+def frozen(voter: Voter) -> tuple[Any, ...]:
+    log = voter.log
+    return (
+        *(getattr(voter, name) for name in KEPT + PLAIN),
+        *(tuple(sorted(getattr(voter, name).items())) for name in TABLES),
+        (log.seats_at_base, log.base, log.base_term, log.state, tuple(log.entries)),
+        frozenset(voter.votes), tuple(voter.reads), voter.heard_at == 0.0,
+    )  # fmt: skip
+
+
+class Agreement:
+    """`voter` is the class that decides; `cut` are pairs between which nothing comes through."""
+
+    def __init__(
+        self, names: list[str], seats: Seats, bounds: Bounds, *, voter: type[Voter] = Voter,
+        cut: frozenset[tuple[str, str]] = frozenset(), changes: tuple[Seats, ...] = (),
+        patient: frozenset[str] = frozenset(),
+    ) -> None:  # fmt: skip
+        self.names, self.seats, self.bounds, self.voter, self.cut = names, seats, bounds, voter, cut
+        self.changes, self.patient = changes, patient  # the patient never run for an election by themselves
+
+    def new(self, name: str) -> Voter:
+        return self.voter(name, 0.0, self.seats, lambda low, high: low)
+
+    def first(self, **prepared: dict[str, Any]) -> State:
+        """`prepared` sets attributes of voters by name; `entries` of its log."""
+        voters = []
+        for name in self.names:
+            voter = self.new(name)
+            told = dict(prepared.get(name, {}))
+            for entry in told.pop("entries", ()):
+                voter.log.append(entry)
+            for key, value in told.items():
+                setattr(voter, key, value)
+            voters.append(voter)
+        most = max(voters, key=lambda voter: voter.commit)
+        agreed = tuple(most.log.entries[: most.commit])
+        led = frozenset((voter.term, voter.me) for voter in voters if voter.role == LEADER)
+        return State(tuple(map(frozen, voters)), frozenset(), agreed, led, (), tuple(self.bounds))
+
+    def thawed(self, state: State, at: int) -> Voter:
+        voter, values = self.new(self.names[at]), state.voters[at]
+        for name, value in zip(KEPT + PLAIN, values, strict=False):
+            setattr(voter, name, value)
+        many = len(KEPT + PLAIN)
+        for name, value in zip(TABLES, values[many:], strict=False):
+            setattr(voter, name, dict(value))
+        (seats, base, base_term, kept, entries), votes, reads, heard = values[many + len(TABLES) :]
+        voter.log = Log(seats, base, base_term, kept)
+        voter.log.entries = list(entries)
+        voter.log.find_seats()
+        voter.votes, voter.reads = set(votes), list(reads)
+        voter.heard_at = 0.0 if heard else NEVER
+        voter.answered_at = dict.fromkeys(voter.next, 0.0)
+        voter.stored_index = voter.log.last
+        voter.due = NEVER
+        return voter
+
+    # What may happen next
+
+    def after(self, state: State) -> Iterator[tuple[str, State]]:
+        if state.bad:
+            return
+        left = Bounds(*state.left)
+        for letter in sorted(state.wire, key=repr):
+            at = self.names.index(letter.to)
+            gone = state._replace(wire=state.wire - {letter})
+            what = f"{letter.to} gets {self.told(letter)}"
+            forgets = isinstance(letter.message, AskVote) and state.voters[at][-1]
+            yield what, self.stepped(gone, at, "message", letter.sender, letter.message)
+            if forgets:
+                yield (
+                    f"{what}, long after it heard a leader",
+                    self.stepped(gone, at, "message", letter.sender, letter.message, heard_at=NEVER),
+                )
+            if left.copies:
+                kept = self.spent(state, left, "copies")
+                yield f"{what}, and a copy", self.stepped(kept, at, "message", letter.sender, letter.message)
+        for at, name in enumerate(self.names):
+            yield from self.moves(state, left, at, name)
+
+    def moves(self, state: State, left: Bounds, at: int, name: str) -> Iterator[tuple[str, State]]:
+        role = state.voters[at][len(KEPT)]
+        if left.timeouts and (role == LEADER or name not in self.patient):
+            what = "beats" if role == LEADER else "hears no leader"
+            spent = self.spent(state, left, "timeouts")
+            yield f"{name} {what}", self.stepped(spent, at, "time", heard_at=NEVER)
+        if left.restarts:
+            yield f"{name} restarts", self.restarted(self.spent(state, left, "restarts"), at)
+        if role != LEADER:
+            return
+        if left.proposals:
+            data = f"{name}.{left.proposals}"
+            spent = self.spent(state, left, "proposals")
+            yield f"{name} proposes {data}", self.stepped(spent, at, "propose", data)
+        if left.reads:
+            spent = self.spent(state, left, "reads")
+            asked = spent._replace(asked=(*state.asked, (name, len(state.agreed))))
+            yield f"{name} is asked for a read", self.stepped(asked, at, "read", len(asked.asked) - 1)
+        if left.hand_overs:
+            spent = self.spent(state, left, "hand_overs")
+            yield f"{name} hands over", self.stepped(spent, at, "hand_over", "")
+        if left.changes:
+            spent = self.spent(state, left, "changes")
+            for seats in self.changes:
+                yield f"{name} wants the seats {seats.voters}", self.stepped(spent, at, "change", seats)
+        if left.snapshots:
+            voter = self.thawed(state, at)
+            if voter.log.base < voter.commit:
+                voter.compact(voter.commit, b"state")
+                spent = self.spent(state, left, "snapshots")
+                yield f"{name} makes a snapshot", self.put(spent, at, voter)
+
+    @staticmethod
+    def spent(state: State, left: Bounds, name: str) -> State:
+        return state._replace(left=tuple(left._replace(**{name: getattr(left, name) - 1})))
+
+    @staticmethod
+    def put(state: State, at: int, voter: Voter) -> State:
+        voters = (*state.voters[:at], frozen(voter), *state.voters[at + 1 :])
+        return state._replace(voters=voters)
+
+    def restarted(self, state: State, at: int) -> State:
+        """What was stored is there again, and nothing else."""
+        old, voter = self.thawed(state, at), self.new(self.names[at])
+        voter.term, voter.voted, voter.log, voter.commit = old.term, old.voted, old.log, old.log.base
+        reads = tuple(read for read in state.asked if read[0] != voter.me)
+        return self.put(state, at, voter)._replace(asked=reads if not state.asked else state.asked)
+
+    def stepped(
+        self, state: State, at: int, name: str, *details: Any, heard_at: float | None = None
+    ) -> State:
+        voter = self.thawed(state, at)
+        if heard_at is not None:
+            voter.heard_at = heard_at
+        todo, wire, agreed, bad = voter.step(0.0, name, *details), set(state.wire), list(state.agreed), ""
+        while todo:
+            effect = todo.pop(0)
+            match effect:
+                case Store(serial):
+                    todo += voter.step(0.0, "stored", serial)
+                case Send(to, message) if to in self.names and (voter.me, to) not in self.cut:
+                    wire.add(Letter(voter.me, to, message))
+                case Commit(index, entry):
+                    if index <= len(agreed) and agreed[index - 1] != entry:
+                        bad = f"two entries are agreed at {index}: {agreed[index - 1]} and {entry}"
+                    elif index == len(agreed) + 1:
+                        agreed.append(entry)
+                    elif index > len(agreed):
+                        bad = f"{voter.me} skips to {index}"
+                case Readable(key, index) if index < state.asked[key][1]:
+                    bad = (
+                        f"stale read: {voter.me} reads as of {index}, {state.asked[key][1]} was agreed before"
+                    )
+        new = self.put(state, at, voter)._replace(wire=frozenset(wire), agreed=tuple(agreed), bad=bad)
+        if voter.role == LEADER and (voter.term, voter.me) not in state.led:
+            new = new._replace(led=new.led | {(voter.term, voter.me)}, bad=bad or self.unfit(state, voter))
+        return new
+
+    @staticmethod
+    def unfit(state: State, voter: Voter) -> str:
+        for term, other in state.led:
+            if term == voter.term and other != voter.me:
+                return f"two leaders in term {term}: {other} and {voter.me}"
+        for index, entry in enumerate(state.agreed, 1):
+            if index > voter.log.base and voter.log.term(index) != entry.term:
+                return f"{voter.me} leads term {voter.term} without entry {index}, which is agreed"
+        return ""
+
+    @staticmethod
+    def wrong(state: State) -> str:
+        return state.bad
+
+    @staticmethod
+    def told(letter: Letter) -> str:
+        message = letter.message
+        more = ""
+        if isinstance(message, Append):
+            more = f" of {len(message.entries)} after {message.at}, agreed {message.commit}"
+        elif isinstance(message, AskVote):
+            more = " (only asks)" if message.pre else ""
+        elif isinstance(message, Vote):
+            more = " yes" if message.granted else " no"
+        return f"{type(message).__name__}{more} of term {message.term} from {letter.sender}"
+
+    def explore(self, first: State, most: int) -> Any:
+        return Explorer(self.after, self.wrong, most).run(first)
+
+
+SEATS = Seats(("a/1", "b/1", "c/1"))
+ROOT = Entry(1, "noop", None)
+LONG = (
+    ("elections and the log", Bounds(timeouts=3, proposals=2, copies=1)),
+    ("restarts", Bounds(timeouts=3, proposals=1, restarts=2)),
+    ("reads", Bounds(timeouts=3, proposals=1, reads=2)),
+    ("changes of seats", Bounds(timeouts=3, proposals=1, changes=2)),
+    ("snapshots and hand-over", Bounds(timeouts=3, proposals=1, snapshots=1, hand_overs=1)),
+)  # fmt: skip
+
+
+def long_form(bounds: Bounds, most: int) -> Any:
+    """Three voters, or a fourth for changes; `a/1` leads in term 1 to begin with."""
+    names = list(SEATS.voters) + (["d/1"] if bounds.changes else [])
+    changes = (Seats((*SEATS.voters, "d/1")), Seats(("b/1", "c/1")))
+    model = Agreement(names, SEATS, bounds, changes=changes)
+    return model.explore(led(model), most)
+
+
+def led(model: Agreement) -> State:
+    """Its first voter leads in term 1, and the others have its first entry, agreed."""
+    followers = {name: {"term": 1, "voted": model.names[0], "entries": (ROOT,), "commit": 1}
+                 for name in model.seats.voters}  # fmt: skip
+    numbers = dict.fromkeys(model.seats.voters, 1)
+    leads = {"role": LEADER, "next": dict.fromkeys(model.seats.voters, 2), "match": numbers}
+    followers[model.names[0]] |= leads
+    return model.first(**followers)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="The long form of the checks on agreement.")
+    parser.add_argument("--most", type=int, default=1_000_000, help="states for each of the models")
+    most = parser.parse_args().most
+    for name, bounds in LONG:
+        print(f"{name}, {bounds}: {long_form(bounds, most).text()}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["FOLLOWER", "Agreement", "Bounds", "State", "led", "long_form"]
