Agree on drains across the fleet: members' opinion, budgets, permits, halts, the command fleet

SIGTERM to ten of twelve nodes takes ten out: nobody counts.

Change: members/ (SWIM with suspicion, incarnations, Lifeguard's self-awareness), fleet/ (the state that the log's entries make; budgets by fleet, zone, region, cell, service, callers; a permit follows from the log and ends only when its member is back as a new process, gives it back, or by an operator's word; beginning a drain is an entry of its own), fleet/mate and fleet/seat (a process in a fleet, a voter's process), net/mates and net/fleet on a listener of their own, fleet {} in the file of ours, pumicenotch voter and fleet. lab/fleets plays a whole fleet in simulated time over the same code, lab/draining is the explorer's model of drains.

It goes now only where its groups are within their budgets with it. A new leader that had heard of nobody took 'silent' back; that takes a majority and the member's own word now.

Nothing of it is loaded without fleet {} in a file of ours.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -15,7 +15,7 @@
 from typing import Any, cast
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener
+from anyio.abc import SocketAttribute, SocketListener, TaskGroup
 from loguru import logger
 
 from pumicenotch import start
@@ -149,6 +149,14 @@
     return lambda now: Pools(now, plan, stages, numbers)
 
 
+async def join(hub: Hub, group: TaskGroup, side: Any, seed: int) -> Any:
+    """This server's place in its fleet. Its work never waits for any of it; nothing of it is loaded where
+    the file of ours names none. Returns what is told when the server leaves and ends."""
+    from pumicenotch.net import fleet
+
+    return await fleet.member(hub, group, side, seed)
+
+
 async def serve(values: dict[str, Any], core: Server) -> None:
     clock = Clock()
     hub = Hub(core, clock)
@@ -179,7 +187,12 @@
         logger.info("listening on {}:{}", *bound[:2])
         logger.info("callers are told a {}: the settings are of that shape", values["shape"])
         group.start_soon(clock.run, lambda: hub.put("time"))
+        side = getattr(values["ours"], "fleet", None)
+        mates = await join(hub, group, side, values["seed"]) if side is not None else None
         await hub.exit.wait()
+        if mates is not None:
+            mates.put("left")
+            await mates.flush(FLUSH_S)
         await hub.flush(FLUSH_S)
         group.cancel_scope.cancel()
 
--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -126,10 +126,28 @@
             print(f"{name.replace('_', ' ')}: {', '.join(value) if isinstance(value, list) else value}")
 
 
+@app.command
+def voter(*, config: str, json_logs: bool = False) -> None:
+    """Run a voter of a fleet: it keeps what the fleet has agreed, with the other voters.
+
+    Parameters
+    ----------
+    config
+        The voter's HCL file.
+    json_logs
+        One JSON object a line on standard error.
+    """
+    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
+    command = [sys.executable, "-m", "pumicenotch.net.fleet", os.path.abspath(config)]
+    os.execve(sys.executable, command, environment)
+
+
 def main() -> None:
     from pumicenotch.cli.cells import cells
+    from pumicenotch.cli.fleet import fleet
 
     app.command(cells)
+    app.command(fleet)
     try:
         from pumicenotch.cli.lab import lab
     except ModuleNotFoundError as error:
--- a/pumicenotch/config/compiled.py
+++ b/pumicenotch/config/compiled.py
@@ -3,10 +3,13 @@
 import json
 import os
 import sys
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from pumicenotch.pools.plan import BadPlan, Plan, Pool, check, unknown
 
+if TYPE_CHECKING:  # nothing of a fleet is loaded where there is none
+    from pumicenotch.fleet.side import Side
+
 FORM = 1  # of the line; a server refuses what it does not know
 
 
@@ -20,12 +23,15 @@
     plan: Plan | None = None
     node: str = ""  # this node's name in the cell map
     map: str = ""  # the file of the cell map; "": the node knows of no cells
+    fleet: "Side | None" = None  # its place in a fleet, if it is in one
 
 
 def dump(ours: Ours) -> str:
     plan = ours.plan
     told = {**plan._asdict(), "pools": [pool._asdict() for pool in plan.pools]} if plan is not None else None
-    return json.dumps({"form": FORM, "plan": told, "cells": {"node": ours.node, "map": ours.map}})
+    fleet = ours.fleet._asdict() if ours.fleet is not None else None
+    cells = {"node": ours.node, "map": ours.map}
+    return json.dumps({"form": FORM, "plan": told, "cells": cells, "fleet": fleet})
 
 
 def load(text: str, name: str) -> Ours:
@@ -39,8 +45,13 @@
         node, map_file = told["cells"]["node"], told["cells"]["map"]
         if not isinstance(node, str) or not isinstance(map_file, str):
             raise TypeError("no names")
+        fleet = None
+        if told.get("fleet") is not None:
+            from pumicenotch.fleet.side import side_of
+
+            fleet = side_of(told["fleet"])
         if told["plan"] is None:
-            return Ours(None, node, map_file)
+            return Ours(None, node, map_file, fleet)
         pools = tuple(Pool(**{**pool, "stages": tuple(pool["stages"])}) for pool in told["plan"]["pools"])
         plan = Plan(**{**told["plan"], "pools": pools})
         check(plan)
@@ -50,7 +61,7 @@
         if isinstance(error, BadConfig):
             raise
         raise BadConfig(f"{name}:1: no compiled plan ({type(error).__name__}): compile it anew") from None
-    return Ours(plan, node, map_file)
+    return Ours(plan, node, map_file, fleet)
 
 
 def command(path: str) -> list[str]:
@@ -85,10 +96,13 @@
     """What it means, for a person."""
     plan = ours.plan
     cells = f"node {ours.node} by the map {ours.map}" if ours.map else ""
+    side = ours.fleet
+    fleet = f"{side.name} of {side.fleet}, among instances on {side.listen}" if side is not None else ""
     if plan is None:
-        return {"pools": [], "meaning": "no pools: all classes are as one", "cells": cells}
+        return {"pools": [], "meaning": "no pools: all classes are as one", "cells": cells, "fleet": fleet}
     return {
         "cells": cells,
+        "fleet": fleet,
         "pools": [pool._asdict() for pool in plan.pools],
         "limits": "fixed parts" if plan.fixed else "follow demand and capacity",
         "repeats": f"{plan.retry_ratio:g} for a first try while places are short, up to {plan.retry_burst:g}",
--- a/pumicenotch/config/file.py
+++ b/pumicenotch/config/file.py
@@ -6,6 +6,7 @@
 from pydantic import Field, model_validator
 
 from pumicenotch.config.compiled import Ours
+from pumicenotch.config.fleet import FleetBlock
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.config.schema import Schema, read
 from pumicenotch.pools import plan
@@ -45,6 +46,7 @@
     reading: Reading = Reading()
     fixed_limits: bool = False
     cells: Cells | None = None
+    fleet: FleetBlock | None = None
 
     @model_validator(mode="after")
     def carries(self) -> "File":
@@ -77,9 +79,10 @@
 def ours_of(path: str | Path) -> Ours:
     """All that an HCL file says. Raises BadFile."""
     told = read(path, File)
+    fleet = told.fleet.side() if told.fleet is not None else None
     if told.cells is None:
-        return Ours(told.plan())
-    return Ours(told.plan(), told.cells.node, str((Path(path).parent / told.cells.map).resolve()))
+        return Ours(told.plan(), fleet=fleet)
+    return Ours(told.plan(), told.cells.node, str((Path(path).parent / told.cells.map).resolve()), fleet)
 
 
 __all__ = ["BadFile", "File", "ours_of", "plan_of"]
--- /dev/null
+++ b/pumicenotch/fleet/mate.py
@@ -0,0 +1,322 @@
+"""One process in a fleet: what it thinks of the others, and its own drains by permit.
+
+Whatever it hears or does not hear, its work goes on: only steps that nobody forces wait for agreement."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any, ClassVar
+
+from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Member
+from pumicenotch.fleet.effects import Ask, Effect, Leave, Log, Post, Reply, Wake
+from pumicenotch.fleet.state import NAMES_MOST, TEXT_MOST, told
+from pumicenotch.members import messages
+from pumicenotch.members.members import Members
+from pumicenotch.members.messages import Changed, Opinion, Refused, Send, Standing, Who
+
+NOT_LEADER, NO_MAJORITY, REFUSED, UNKNOWN = "NotLeader", "NoMajority", "Refused", "UnknownVerb"
+STANDINGS = {SERVING: Standing.SERVING, DRAINING: Standing.DRAINING, OUT: Standing.OUT}
+HALT = "halt"  # the key under which members hand a halt on
+
+
+class Mate:
+    # for an answer: an agreed step takes some round trips between regions, then another is asked
+    ASK_MS = 700.0
+    AGAIN_MS = 250.0  # after a refusal or silence, doubling
+    AGAIN_MOST_MS = 2000.0
+    MINE_MS = 500.0  # between words to the leader, unless it names a longer time
+
+    INPUTS: ClassVar = frozenset(
+        ("start", "time", "told", "asked", "closed", "answered", "serve", "leave", "left")
+    )
+
+    def __init__(
+        self, *, fleet: str, me: Who, member: Member, voters: Iterable[str], seeds: Iterable[str], now: float,
+        seed: int,
+    ) -> None:  # fmt: skip
+        """`voters` are the addresses of all voters; `member` is what the fleet counts of this process."""
+        self.fleet, self.me, self.member, self.now = fleet, me, member, now
+        self.chance = random.Random(seed)
+        self.effects: list[Effect] = []
+        self.counts: Counter[str] = Counter()
+        self.members = Members(me, now, seeds, self.chance)
+        self.voters = sorted(voters)
+        self.voter_at = self.chance.randrange(len(self.voters)) if self.voters else 0
+        self.numbers = 0
+        self.ask: tuple[int, str, float] | None = None  # number, verb, until: one at a time
+        self.ask_at, self.failures = now, 0
+        self.mine_at = now
+        # What is agreed of this process, as far as it was told.
+        self.joined = self.agreed_serving = self.gone_told = self.leaving_told = False
+        self.permit, self.began = 0, False
+        # that permit is agreed as begun, though this process has not heard so when it asked
+        self.begun = False
+        self.agreed_halt = ""
+        # What it is.
+        self.serves = self.leaving = self.over = self.overloaded = False
+        self.why = ""
+        self.taken = ""  # by whom the name is taken
+
+    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
+        """One input: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
+        message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
+        whether it is overloaded past use), `leave` (why), `left`. Time never goes back."""
+        self.now = max(self.now, now)
+        assert name in self.INPUTS, name
+        getattr(self, name)(*details)
+        self.want()
+        effects, self.effects = self.effects, []
+        effects.append(Wake(self.due()))
+        return effects
+
+    def due(self) -> float:
+        found = [self.members.due()]
+        found.append(self.ask[2] if self.ask is not None else max(self.ask_at, self.now + 1.0))
+        return min(found)
+
+    def start(self) -> None:
+        self.time()
+
+    def time(self) -> None:
+        self.of_members("time")
+        if self.ask is not None and self.now >= self.ask[2]:
+            self.counts["asks_unanswered"] += 1
+            self.failed()
+
+    # Members
+
+    def of_members(self, name: str, *details: Any) -> None:
+        for effect in self.members.step(self.now, name, *details):
+            match effect:
+                case Send(address, message):
+                    self.post(address, "members", *messages.plain(message))
+                case Changed(news):
+                    self.changed(news)
+                case Refused(other):
+                    self.counts["names_taken"] += 1
+                    self.log(f"another process goes by the name {other.name}: {other.address} ({other.life})")
+
+    def changed(self, news: messages.News) -> None:
+        if news.opinion is not Opinion.ALIVE:
+            self.log(f"{news.who.name} is thought {news.opinion.name.lower()} by {news.by}")
+
+    def told(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+        """A notification of another process of this fleet."""
+        try:
+            self.hear(sender, method, params)
+        except ValueError as error:
+            self.counts["notices_unreadable"] += 1
+            self.log(f"{sender[0]}: {method}: {error}")
+
+    def hear(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+        match method:
+            case "members":
+                self.of_members("message", sender[2], messages.message_of(params))
+            case "permitted" if params and type(params[0]) is int:
+                self.permit = max(self.permit, params[0])
+            case _:
+                self.counts["notices_unknown"] += 1
+
+    # Halt
+
+    def marker(self) -> tuple[int, str, str, str]:
+        """The halt that members hand on: its rank, id, by, why; without an id there is none."""
+        rank, key, by, why = self.members.extras.get(HALT, (0, "", "", ""))
+        return rank, key, by, why
+
+    def halted(self) -> str:
+        """Why this process takes no step that it need not take; "" if it may."""
+        _, key, by, why = self.marker()
+        if key:
+            return f"halted: by {by}: {why}"
+        return self.agreed_halt
+
+    def mark(self, key: str, by: str, why: str) -> None:
+        self.members.hand(HALT, (self.marker()[0] + 1, key, by, why))
+
+    # Requests of operators and of other processes
+
+    def asked(self, conn: int, message: int, verb: str, args: Any) -> None:
+        match [verb, *args] if isinstance(args, list | tuple) else [verb]:
+            case ["local"]:
+                self.reply(conn, message, self.local())
+            case ["halt", str(key), str(by), str(why)] if (
+                key and by and why and len(key + by + why) <= TEXT_MOST
+            ):
+                if self.marker()[1] != key:
+                    self.mark(key, by, why)
+                    self.log(f"HALT by {by}: {why}")
+                self.reply(
+                    conn, message, {"text": "halted here, and handed on to the others", "agreed": False}
+                )
+            case _:
+                self.refuse(conn, message, UNKNOWN, f"{verb}: ask a voter: {', '.join(self.voters)}")
+
+    def closed(self, conn: int) -> None:
+        """Nobody waits on that connection any more."""
+
+    def local(self) -> dict[str, Any]:
+        """What this process thinks by itself: an opinion."""
+        rows = [
+            {
+                "name": name,
+                "zone": news.who.zone,
+                "region": news.who.region,
+                "standing": news.standing.name.lower(),
+                "opinion": news.opinion.name.lower(),
+                "life": news.who.life,
+                "address": news.who.address,
+            }
+            for name, news in sorted(self.members.table().items())
+        ]
+        many = Counter(row["opinion"] for row in rows)
+        return {
+            "fleet": self.fleet,
+            "name": self.me.name,
+            "life": self.me.life,
+            "halted": self.halted(),
+            "permit": self.permit,
+            "joined": self.joined,
+            "members": rows[:NAMES_MOST],
+            "opinions": dict(many),
+            "counts": dict(self.counts),
+            "taken": self.taken,
+        }
+
+    def reply(self, conn: int, message: int, result: Any) -> None:
+        self.effects.append(Reply(conn, message, None, result))
+
+    def refuse(self, conn: int, message: int, code: str, text: str, more: Any = None) -> None:
+        self.effects.append(Reply(conn, message, (code, text, more)))
+
+    # What it wants agreed of itself: every request may come twice, or late, and changes nothing then
+
+    def want(self) -> None:
+        if self.ask is not None or self.now < self.ask_at or not self.voters:
+            return
+        name, life = self.me.name, self.me.life
+        if self.over:
+            if not self.gone_told and self.joined:
+                self.send("gone", name, life)
+        elif self.leaving and self.joined and not self.leaving_told:
+            self.send("leaving", name, life, self.why)
+        elif self.leaving:
+            return
+        elif not self.joined:
+            self.send("join", told(self.member._replace(life=life)))
+        elif self.permit and not self.began and (self.begun or not self.halted()):
+            self.send("began", name, life, self.permit)
+        elif self.serves and not self.agreed_serving:
+            self.send("serving", name, life)
+        elif self.now >= self.mine_at:
+            self.mine_at = self.now + self.MINE_MS
+            self.send("mine", name, life, self.overloaded)
+        else:
+            self.ask_at = self.mine_at
+
+    def send(self, verb: str, *args: Any) -> None:
+        self.numbers += 1
+        self.ask = (self.numbers, verb, self.now + self.ASK_MS)
+        self.effects.append(Ask(self.voters[self.voter_at], self.numbers, verb, args))
+
+    def failed(self, towards: str = "") -> None:
+        """Another voter is asked, the one that is said to lead if any."""
+        self.ask = None
+        self.failures += 1
+        if towards in self.voters:
+            self.voter_at = self.voters.index(towards)
+            wait = self.AGAIN_MS / 5.0 if self.failures < 3 else self.AGAIN_MS
+        else:
+            self.voter_at = (self.voter_at + 1) % len(self.voters)
+            wait = min(self.AGAIN_MOST_MS, self.AGAIN_MS * 2.0 ** min(self.failures - 1, 8))
+        self.ask_at = self.now + wait * self.chance.uniform(0.5, 1.0)
+
+    def answered(self, number: int, error: Any, result: Any) -> None:
+        if self.ask is None or self.ask[0] != number:
+            self.counts["answers_late"] += 1
+            return
+        verb = self.ask[1]
+        if error is None:
+            self.ask, self.failures, self.ask_at = None, 0, self.now
+            self.agreed(verb, result if isinstance(result, dict) else {})
+            return
+        code, text, more = (*error, None, None, None)[:3] if isinstance(error, list | tuple) else ("", "", "")
+        if code == REFUSED:
+            self.refused(verb, str(text))
+            self.failed(self.voters[self.voter_at])
+        else:
+            self.failed(more if isinstance(more, str) else "")
+
+    def agreed(self, verb: str, result: dict[str, Any]) -> None:
+        match verb:
+            case "join":
+                self.joined, self.taken = True, ""
+            case "serving":
+                self.agreed_serving = True
+            case "leaving":
+                self.leaving_told = True
+            case "gone":
+                self.gone_told = True
+            case "began":
+                self.began = True
+                self.effects.append(Leave(f"by permit of epoch {self.permit}"))
+            case "mine":
+                self.heard_mine(result)
+
+    def heard_mine(self, result: dict[str, Any]) -> None:
+        """What the leader says is agreed: a hint, since it may have stopped leading. No step rests on it."""
+        again, permit = result.get("again_ms"), result.get("permit")
+        if isinstance(again, int | float) and 0 < again <= 60_000:
+            self.mine_at = self.now + max(self.MINE_MS, again)
+        self.joined = bool(result.get("known"))
+        self.agreed_serving = result.get("standing") == SERVING
+        self.permit, self.begun = permit if type(permit) is int else 0, bool(result.get("begun"))
+        self.agreed_halt = str(result.get("halted", ""))[:1000]
+
+    def refused(self, verb: str, text: str) -> None:
+        self.counts[f"{verb}_refused"] += 1
+        if verb == "join":
+            if text != self.taken:
+                self.log(f"cannot join the fleet: {text}")
+            self.taken = text
+        elif verb == "began":
+            self.permit = 0
+            self.log(f"permit refused: {text}")
+        else:
+            self.joined = False  # it knows another life, or none: say all again
+
+    # This process
+
+    def serve(self, good: bool, overloaded: bool) -> None:
+        self.overloaded = overloaded
+        if good != self.serves:
+            self.serves = good
+            if not self.leaving:
+                self.stand(Standing.SERVING if good else Standing.JOINING)
+
+    def leave(self, why: str) -> None:
+        """It drains from now on, whether anybody agreed or not."""
+        if not self.leaving:
+            self.leaving, self.why = True, why[:TEXT_MOST] or "asked to leave"
+            self.stand(Standing.DRAINING)
+            self.hurry()
+
+    def left(self) -> None:
+        """It is about to end."""
+        if not self.over:
+            self.leaving = self.over = True
+            self.stand(Standing.OUT)
+            self.hurry()
+
+    def hurry(self) -> None:
+        """The next word goes out at once, whatever the last one came to."""
+        self.ask, self.ask_at, self.failures = None, self.now, 0
+
+    def stand(self, standing: Standing) -> None:
+        self.of_members("stand", standing)
+
+    def post(self, address: str, method: str, *params: Any) -> None:
+        self.effects.append(Post(address, method, params))
+
+    def log(self, text: str) -> None:
+        self.effects.append(Log(text))
--- /dev/null
+++ b/pumicenotch/fleet/seat.py
@@ -0,0 +1,495 @@
+"""A voter's process: a mate that has a seat in the agreement too. Whoever leads proposes what is asked for,
+judges by all voters' observations who is out against its will, and tells holders of their permits."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from pumicenotch.agree import messages as agree
+from pumicenotch.agree.found import Founding, Say, seated
+from pumicenotch.agree.messages import Commit, Led, Readable, Restore, Seats, Send, Store, Unreadable, name_of
+from pumicenotch.agree.voter import LEADER, Voter
+from pumicenotch.fleet import state as state_
+from pumicenotch.fleet.budgets import SERVING, Budget, Member, Tallies
+from pumicenotch.fleet.effects import Exit
+from pumicenotch.fleet.mate import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN, Mate
+from pumicenotch.fleet.state import ENTRIES, BadEntry, Said, State
+from pumicenotch.members.messages import Opinion
+
+OWN = ("begin", "against")  # entries that only a leader makes
+READS = ("status", "why", "log", "halts")
+ROWS_MOST = 200  # of a table in one answer: some 30 KB
+SILENT, OVERLOADED = "silent", "overloaded"
+
+
+class Pending(NamedTuple):
+    """A proposal on its way, by its index."""
+
+    term: int
+    conn: int  # -1: nobody asked
+    message: int
+    until: float
+
+
+class Seat(Mate):
+    DUTY_MS = 250.0  # between looks at what a leader has to propose: a part of what a person notices
+    SEEN_MS = 1000.0  # between a voter's words to the leader on whom it thinks dead
+    SEEN_LASTS_MS = 5000.0  # of such a word: some lost ones change nothing
+    TAKEN_MS = 3000.0  # a name's process that was heard from so lately keeps it
+    # for a proposal, before its asker hears that nobody agreed: a change of leaders fits in
+    AGREE_MS = 3000.0
+    COMPACT_AT = 1024  # entries after which they make way for a snapshot: some hundred KB
+    LEAVE_MS = 1500.0  # for the handing over and the word of its leaving, before the process ends
+    MINE_A_MEMBER_MS = 5.0  # so that all members' words cost a leader a bounded part of a core
+
+    def __init__(
+        self,
+        *,
+        names: dict[str, str],
+        budgets: Iterable[Budget] = (),
+        hands: Iterable[Member] = (),
+        **rest: Any,
+    ) -> None:
+        """`names` are all voters' addresses by name, this one's too; budgets and members by hand are those
+        that a new fleet begins with."""
+        super().__init__(voters=names.values(), **rest)
+        self.names = names
+        self.seat = f"{self.me.name}/{self.me.life}"
+        self.founding = Founding(self.seat, names)
+        self.voter = self.new_voter(Seats())
+        self.begins_with = (tuple(budgets), tuple(hands))
+        self.state = State()
+        self.pending: dict[int, Pending] = {}
+        self.reads: dict[int, tuple[int, int, str, Any]] = {}  # key -> conn, message, verb, args
+        self.keys = 0
+        self.wanting: dict[str, str] = {}  # name -> seat of processes that want one
+        self.sees: dict[str, tuple[float, frozenset[str]]] = {}  # by name of the observer
+        self.heard_mine_at: dict[str, tuple[str, float]] = {}  # member -> life, when
+        # since it leads: when each spoke last, whether overloaded
+        self.words: dict[str, tuple[float, bool]] = {}
+        self.since: dict[str, float] = {}  # of those that wait or hold a permit: when this process saw it
+        self.durations: list[float] = []  # of the last permits, as this process saw them
+        self.duty_at = self.seen_at = self.now
+        self.leave_at = float("inf")
+
+    def new_voter(self, seats: Seats) -> Voter:
+        return Voter(self.seat, self.now, seats, self.chance.uniform)
+
+    @property
+    def leads(self) -> bool:
+        return self.voter.role == LEADER
+
+    def due(self) -> float:
+        return min(super().due(), self.voter.due, self.duty_at, self.leave_at)
+
+    def start(self) -> None:
+        self.serve(True, False)
+        super().start()
+
+    def time(self) -> None:
+        super().time()
+        if self.now >= self.voter.due:
+            self.of_voter("time")
+        if self.now >= self.duty_at:
+            self.duty_at = self.now + self.DUTY_MS
+            self.found()
+            self.duty()
+        if self.now >= self.leave_at or (self.over and self.gone_told):
+            self.leave_at = float("inf")
+            self.effects.append(Exit())
+
+    # A seat
+
+    def found(self) -> None:
+        """Until it has a seat it asks for one; once it has, it passes the founding on for a while."""
+        if self.voter.log.last > 0 and self.seat in self.voter.log.seats.all:
+            return
+        self.say(self.founding.time(self.now))
+        self.seated_by_founding()
+
+    def seated_by_founding(self) -> None:
+        seats = self.founding.seats
+        if seats is not None and not self.voter.log.seats.voters and self.voter.log.last == 0:
+            self.voter = self.new_voter(seats)
+            self.log(f"the fleet is founded: {', '.join(seats.voters)}")
+            self.say(self.founding.time(self.now))
+
+    def say(self, told: list[Say]) -> None:
+        for each in told:
+            if each.to in self.names:
+                self.post(self.names[each.to], "found", *each.told)
+
+    def hear(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+        name, life, _ = sender
+        seat = f"{name}/{life}"
+        match method:
+            case "agree":
+                self.of_voter("message", seat, agree.message_of(params))
+            case "found":
+                if name not in self.names:
+                    raise agree.BadMessage(f"{name} is no voter of this fleet")
+                if params and params[0] == "who" and self.leads and seat not in self.voter.log.seats.voters:
+                    self.wanting[name] = seat
+                self.say(self.founding.said(seat, params))
+                self.seated_by_founding()
+            case "sees":
+                self.sees[name] = (self.now, frozenset(each for each in params if isinstance(each, str)))
+            case _:
+                super().hear(sender, method, params)
+
+    # The voter
+
+    def of_voter(self, name: str, *details: Any) -> None:
+        todo = self.voter.step(self.now, name, *details)
+        while todo:
+            effect = todo.pop(0)
+            match effect:
+                case Store(serial):  # in memory: a process that ends comes back as another seat
+                    todo += self.voter.step(self.now, "stored", serial)
+                case Send(to, message):
+                    if address := self.names.get(name_of(to)):
+                        self.post(address, "agree", *agree.plain(message))
+                case Commit(index, entry):
+                    self.commit(index, entry)
+                case Restore(index, data):
+                    self.state = state_.load(data)
+                    self.log(f"takes the fleet's state as of {index}")
+                case Readable(key, _):
+                    self.readable(key)
+                case Unreadable(key):
+                    self.unread(key)
+                case Led(leader, term):
+                    self.led(leader, term)
+
+    def led(self, leader: str, term: int) -> None:
+        self.log(f"{leader or 'nobody'} leads in term {term}")
+        if leader == self.seat:
+            self.sees, self.words, self.wanting = {}, {}, {}
+            # Whose word went to the former leader counts as heard: a name is not free for want of a memory.
+            self.heard_mine_at = {each.name: (each.life, self.now) for each in self.state.members.values()}
+        elif self.pending:
+            for pending in self.pending.values():
+                self.not_leader(pending.conn, pending.message)
+            self.pending = {}
+
+    def not_leader(self, conn: int, message: int) -> None:
+        leader = self.names.get(name_of(self.voter.leader), "")
+        text = f"{name_of(self.voter.leader)} leads" if leader else "nobody leads just now"
+        self.refuse(conn, message, NOT_LEADER if leader else NO_MAJORITY, text, leader)
+
+    def refuse(self, conn: int, message: int, code: str, text: str, more: Any = None) -> None:
+        if conn >= 0:
+            super().refuse(conn, message, code, text, more)
+
+    def commit(self, index: int, entry: agree.Entry) -> None:
+        if entry.kind != "do":
+            self.state.index = index
+            said = Said(False, "")
+        else:
+            before = set(self.state.permits)
+            said = self.state.apply(index, entry.data)
+            self.timed(before)
+        pending = self.pending.pop(index, None)
+        if pending is not None and pending.term != entry.term:
+            self.not_leader(pending.conn, pending.message)
+        elif pending is not None and pending.conn >= 0:
+            if said.good:
+                self.reply(
+                    pending.conn,
+                    pending.message,
+                    {"text": said.text, "value": said.value, "index": index, "agreed": True},
+                )
+            else:
+                self.refuse(pending.conn, pending.message, REFUSED, said.text)
+        log = self.voter.log
+        if log.last - log.base > self.COMPACT_AT and self.voter.commit == index:
+            self.voter.compact(index, self.state.dump())
+
+    def timed(self, before: set[str]) -> None:
+        """Notes when permits begin and end, and tells new holders at once: they ask by themselves too."""
+        permits = self.state.permits
+        for name in before - permits.keys():
+            if name in self.since:
+                self.durations = [*self.durations, self.now - self.since.pop(name)][-16:]
+        for name in sorted(permits.keys() - before):
+            self.since[name] = self.now
+            if self.leads and name in self.members.news:
+                self.post(self.members.news[name].who.address, "permitted", permits[name].epoch)
+        for each in self.state.queue:
+            self.since.setdefault(each.name, self.now)
+        for name in [name for name in self.since if name not in permits and name not in self.state.waits]:
+            del self.since[name]
+
+    # Requests
+
+    def asked(self, conn: int, message: int, verb: str, args: Any) -> None:
+        args = tuple(args) if isinstance(args, list | tuple) else ()
+        if verb == "local":
+            super().asked(conn, message, verb, args)
+        elif verb == "halt" and not self.leads:
+            # here at once; the leader finds it among what is handed on
+            super().asked(conn, message, verb, args)
+        elif not self.leads:
+            self.not_leader(conn, message)
+        elif not self.state.fleet:
+            self.refuse(conn, message, NO_MAJORITY, "the fleet has not begun yet")
+        elif verb in READS:
+            self.keys += 1
+            self.reads[self.keys] = (conn, message, verb, args)
+            self.of_voter("read", self.keys)
+        elif verb == "mine":
+            self.mine_asked(conn, message, args)
+        elif verb in ENTRIES and verb not in OWN:
+            self.propose(conn, message, (verb, *args))
+        else:
+            known = sorted({*ENTRIES, *READS, "local", "mine"} - set(OWN))
+            self.refuse(conn, message, UNKNOWN, f"{verb}: unknown; known: {', '.join(known)}")
+
+    def propose(self, conn: int, message: int, entry: tuple[Any, ...]) -> None:
+        """What cannot be read is refused before it is agreed, and what is not safe by what only the leader
+        knows."""
+        try:
+            state_.read(entry)
+        except BadEntry as error:
+            self.refuse(conn, message, REFUSED, str(error))
+            return
+        if why := self.unfit(entry):
+            self.refuse(conn, message, REFUSED, why)
+            return
+        if entry[0] == "halt":  # by this process at once, whenever it is agreed
+            self.mark(*entry[1:])
+        index = self.voter.log.last + 1
+        self.pending[index] = Pending(self.voter.term, conn, message, self.now + self.AGREE_MS)
+        self.of_voter("propose", entry)
+        if self.voter.log.last < index and index in self.pending:  # it hands over just now
+            del self.pending[index]
+            self.refuse(conn, message, NO_MAJORITY, "the leader hands over: ask again", "")
+
+    def unfit(self, entry: tuple[Any, ...]) -> str:
+        if entry[0] == "join":
+            name, life = entry[1][0], entry[1][1]
+            held = self.state.members.get(name)
+            heard = self.heard_mine_at.get(name)
+            lately = heard is not None and self.now - heard[1] < self.TAKEN_MS + self.again_ms()
+            if held is not None and held.life != life and held.standing == SERVING and lately:
+                return f"{name}: the name is taken by a process that is alive ({held.life})"
+        if entry[0] == "began" and self.marker()[1] and self.marker()[1] not in self.state.ids:
+            permit = self.state.permits.get(entry[1])
+            return "" if permit is not None and permit.begun else self.halted()
+        return ""
+
+    def mine_asked(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
+        match args:
+            case [str(name), str(life), bool(overloaded)]:
+                held = self.state.members.get(name)
+                known = held is not None and held.life == life
+                permit = self.state.permits.get(name)
+                if held is not None and known:
+                    self.heard_mine_at[name] = (life, self.now)
+                    self.words[name] = (self.now, overloaded)
+                own = permit is not None and permit.life == life
+                self.reply(conn, message, {
+                    "known": known, "standing": held.standing if held is not None else "",
+                    "permit": permit.epoch if permit is not None and own else 0,
+                    "begun": permit is not None and own and permit.begun,
+                    "halted": self.state.halted(),
+                    "again_ms": self.again_ms(),
+                })  # fmt: skip
+            case _:
+                self.refuse(conn, message, REFUSED, "mine: a name, a life and whether overloaded are wanted")
+
+    def closed(self, conn: int) -> None:
+        for index, pending in list(self.pending.items()):
+            if pending.conn == conn:
+                self.pending[index] = pending._replace(conn=-1)
+        self.reads = {key: read for key, read in self.reads.items() if read[0] != conn}
+
+    # What a leader sees to
+
+    def duty(self) -> None:
+        for index, pending in list(self.pending.items()):
+            if self.now >= pending.until:
+                del self.pending[index]
+                self.refuse(
+                    pending.conn,
+                    pending.message,
+                    NO_MAJORITY,
+                    "no majority of the voters has agreed in time: it may come to pass still",
+                )
+        if self.now >= self.seen_at:
+            self.seen_at = self.now + self.SEEN_MS
+            dead = sorted(name for name, news in self.members.news.items() if news.opinion is Opinion.DEAD)
+            if self.leads:
+                self.sees[self.me.name] = (self.now, frozenset(dead))
+            elif address := self.names.get(name_of(self.voter.leader)):
+                self.post(address, "sees", *dead)
+        if not self.leads or not self.voter.settled():
+            return
+        if not self.state.fleet:
+            budgets, hands = self.begins_with
+            self.propose_own(
+                "begin", self.fleet, tuple(sorted(self.names)), budgets, tuple(map(state_.told, hands))
+            )
+            return
+        self.halts_handed_on()
+        self.judge()
+        seats = seated(self.voter, self.wanting, self.seat_heard)
+        if seats is not None:
+            self.log(f"seats: {', '.join(seats.voters)}; learning: {', '.join(seats.learners) or 'none'}")
+            self.of_voter("change", seats)
+            self.wanting = {name: seat for name, seat in self.wanting.items() if seat not in seats.voters}
+
+    def seat_heard(self, seat: str) -> bool:
+        return self.now - self.voter.answered_at.get(seat, float("-inf")) < self.TAKEN_MS
+
+    def propose_own(self, *entry: Any) -> None:
+        self.propose(-1, 0, entry)
+
+    def halts_handed_on(self) -> None:
+        """A halt that was said to any process is agreed once the leader hears of it; one that is over is
+        taken out of what is handed on."""
+        _, key, by, why = self.marker()
+        if not key:
+            return
+        if key not in self.state.ids:
+            self.propose_own("halt", key, by, why)
+        elif key not in self.state.halts:
+            self.mark("", "", "")
+
+    def judge(self) -> None:
+        """Out against its will is who a majority of the voters thinks dead, or who says so itself. It takes
+        as much to be well again, and its own word: a new leader that has heard of nobody yet knows of no
+        change."""
+        since = self.now - self.SEEN_LASTS_MS
+        fresh = [dead for when, dead in self.sees.values() if when >= since]
+        if 2 * len(fresh) <= len(self.names):
+            return
+        spoke_since = since - self.again_ms()
+        for name, held in list(self.state.members.items()):
+            if not held.life or held.standing != SERVING:
+                continue
+            spoke, overloaded = self.words.get(name, (float("-inf"), False))
+            why = held.against
+            if 2 * sum(name in dead for dead in fresh) > len(self.names):
+                why = SILENT
+            elif spoke >= spoke_since and 2 * sum(name not in dead for dead in fresh) > len(self.names):
+                why = OVERLOADED if overloaded else ""
+            if why != held.against:
+                self.propose_own("against", name, held.life, why)
+
+    def again_ms(self) -> float:
+        return max(self.MINE_MS, self.MINE_A_MEMBER_MS * len(self.state.members))
+
+    # Answers
+
+    def unread(self, key: int) -> None:
+        read = self.reads.pop(key, None)
+        if read is not None:
+            self.not_leader(read[0], read[1])
+
+    def readable(self, key: int) -> None:
+        read = self.reads.pop(key, None)
+        if read is None:
+            return
+        conn, message, verb, args = read
+        match [verb, *args]:
+            case ["status"]:
+                self.reply(conn, message, self.status())
+            case ["halts"]:
+                self.reply(conn, message, {"halts": list(self.state.halts)})
+            case ["log", int(many)]:
+                rows = [{"index": index, "what": what} for index, what in self.state.history[-max(1, many) :]]
+                self.reply(conn, message, {"log": rows[-ROWS_MOST:]})
+            case ["why", str(name)] if name in self.state.members:
+                self.reply(conn, message, self.tell_why(name))
+            case ["why", str(name)]:
+                self.refuse(conn, message, REFUSED, f"no member {name}")
+            case _:
+                self.refuse(conn, message, REFUSED, f"{verb}: other values are wanted")
+
+    def status(self) -> dict[str, Any]:
+        state = self.state
+        out = [each for each in state.members.values() if state.is_out(each)]
+        return {
+            "fleet": state.fleet,
+            "index": state.index,
+            "leader": self.me.name,
+            "term": self.voter.term,
+            "seats": list(self.voter.log.seats.voters),
+            "learners": list(self.voter.log.seats.learners),
+            "halted": state.halted(),
+            "members": len(state.members),
+            "out": len(out),
+            "rows": [self.row(each) for each in out[:ROWS_MOST]],
+            "waiting": [
+                {
+                    "name": each.name,
+                    "by": each.by,
+                    "reason": each.reason,
+                    "why": state.waits.get(each.name, ""),
+                    "ms": self.lasted(each.name),
+                }
+                for each in state.queue[:ROWS_MOST]
+            ],
+            "budgets": [
+                {
+                    "budget": tally.budget.name,
+                    "each": tally.budget.each,
+                    "group": tally.group,
+                    "members": tally.many,
+                    "out": tally.out,
+                    "over": tally.over(),
+                    "most_out": tally.budget.most_out,
+                    "least_serving": tally.budget.least_serving,
+                    "least_capacity": tally.budget.least_capacity,
+                }
+                for tally in list(state.tallies().found.values())[:ROWS_MOST]
+            ],
+            "over": state.over()[:ROWS_MOST],
+        }
+
+    def row(self, member: Member) -> dict[str, Any]:
+        permit = self.state.permits.get(member.name)
+        return {
+            "name": member.name,
+            "zone": member.zone,
+            "standing": member.standing,
+            "against": member.against,
+            "permit": permit.epoch if permit is not None else 0,
+            "kind": permit.kind if permit is not None else "",
+            "reason": permit.reason if permit is not None else "",
+            "ms": self.lasted(member.name),
+        }
+
+    def lasted(self, name: str) -> float:
+        """How long it waits or holds a permit, as far as this process has seen."""
+        return round(self.now - self.since[name]) if name in self.since else 0.0
+
+    def tell_why(self, name: str) -> dict[str, Any]:
+        """Why it waits and about how long, or how else it stands."""
+        state, member = self.state, self.state.members[name]
+        tallies = Tallies(state.budgets, ((each, state.is_out(each)) for each in state.members.values()))
+        told: dict[str, Any] = {**self.row(member), "budgets": [], "waits": state.waits.get(name, "")}
+        for tally in tallies.of(member):
+            outs = [each.name for each in state.members.values() if state.is_out(each)
+                    and any(other is tally for other in tallies.of(each))]  # fmt: skip
+            told["budgets"].append({"budget": tally.place(), "members": tally.many, "out": outs[:ROWS_MOST],
+                                    "over": tally.over()})  # fmt: skip
+        if name in state.waits:
+            before = [each.name for each in state.queue]
+            ahead = before.index(name)
+            took = sorted(self.durations)[len(self.durations) // 2] if self.durations else 0.0
+            told |= {"ahead": ahead, "a_drain_takes_ms": round(took)}
+        return told
+
+    # Leaving
+
+    def left(self) -> None:
+        """Leadership goes to another before this process ends, so that nobody waits for an election."""
+        if not self.over:
+            self.leave_at = self.now + self.LEAVE_MS
+            if self.leads:
+                self.of_voter("hand_over", "")
+        super().left()
+
+
+__all__ = ["UNKNOWN", "Seat"]
--- /dev/null
+++ b/pumicenotch/fleet/side.py
@@ -0,0 +1,57 @@
+"""What a file of ours says of one process in a fleet. Checked by whoever reads the file; plain values
+here."""
+
+from typing import Any, NamedTuple
+
+from pumicenotch.fleet.budgets import Budget, Member
+
+
+class BadSide(ValueError):
+    """It was not written by this program's own reader."""
+
+
+class Side(NamedTuple):
+    """A member's, and with `names` a voter's."""
+
+    fleet: str
+    name: str
+    listen: str  # among instances
+    voters: tuple[str, ...]  # their addresses
+    seeds: tuple[str, ...] = ()  # to join by; none: the voters
+    zone: str = ""
+    region: str = ""
+    cell: str = ""
+    serves: tuple[str, ...] = ()
+    uses: tuple[str, ...] = ()
+    capacity: float = 1.0
+    names: tuple[tuple[str, str], ...] = ()  # voters by name and address
+    budgets: tuple[Budget, ...] = ()
+    hands: tuple[Member, ...] = ()
+
+    def member(self, life: str) -> Member:
+        return Member(
+            self.name,
+            life,
+            self.zone,
+            self.region,
+            self.cell,
+            self.serves,
+            self.uses,
+            self.capacity,
+            bool(self.names),
+        )
+
+
+def side_of(told: Any) -> Side | None:
+    """From the compiled plan, where it has one. Raises BadSide."""
+    if told is None:
+        return None
+    try:
+        lists = ("voters", "seeds", "serves", "uses")
+        values: dict[str, Any] = {key: tuple(told[key]) if key in lists else told[key] for key in told}
+        made = Side(**values)
+        if not all(isinstance(each, str) for each in (made.fleet, made.name, made.listen, *made.voters)):
+            raise TypeError("texts are wanted")
+        return made
+    except (TypeError, AttributeError) as error:
+        raise BadSide(f"fleet: {error}") from None
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -9,7 +9,8 @@
 from anyio.abc import SocketListener, SocketStream, TaskGroup
 
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.link import LOST, Outbox, carry, read
+from pumicenotch.net.link import LOST, Frame, Outbox, carry, read
+from pumicenotch.net.link import Reader as LinkReader
 
 FRAME_MOST = 8 * 1024  # far above any frame: a body has 2 KiB, the fields some hundred bytes
 READ_MOST = 8 * 1024  # bytes taken at once: some tasks, so that one at full speed keeps no other waiting long
@@ -93,8 +94,13 @@
 
 
 class Gateways:
-    def __init__(self, hub: Hub, unread: int) -> None:
-        self.hub, self.unread = hub, unread
+    """Whoever dials this side: gateways, unless other frames and another reader are told."""
+
+    def __init__(
+        self, hub: Hub, unread: int, frames: dict[str, Frame] = FRAMES,
+        reader: Callable[[Hub, int], LinkReader] = Reader,
+    ) -> None:  # fmt: skip
+        self.hub, self.unread, self.frames, self.reader = hub, unread, frames, reader
         self.numbers = count(1)
         self.closing = anyio.CancelScope()
 
@@ -118,7 +124,7 @@
 
     async def serve(self, stream: SocketStream, group: TaskGroup) -> None:
         conn = next(self.numbers)
-        outbox = Outbox(FRAMES, self.unread)
+        outbox = Outbox(self.frames, self.unread)
 
         async def talk() -> None:
             self.hub.add(conn, outbox)
@@ -137,7 +143,7 @@
     async def read(self, stream: SocketStream, conn: int) -> None:
         """To the end of what the gateway writes, or to what is no message."""
         try:
-            await read(stream, Reader(self.hub, conn), READ_MOST)
+            await read(stream, self.reader(self.hub, conn), READ_MOST)
         except ValueError as error:
             self.hub.put("condemn", conn, "connections_misframed", str(error))
         self.hub.put("eof", conn)
