Let islands of members meet by their seeds, and count whom no news has come of as unheard

Change: every exchange of pages goes to a seed too, sooner at first; a voter counts whom it has not heard of for 15 s.

--- a/pumicenotch/agree/voter.py
+++ b/pumicenotch/agree/voter.py
@@ -36,7 +36,7 @@
 class Voter:
     BEAT_MS = 100.0  # between a leader's heartbeats: some round trips between regions
     ELECTION_MS = 1000.0  # of silence, up to twice that by chance: ten lost heartbeats are no accident
-    ENTRIES_MOST = 64  # in one message: some KB each at the most, so that a frame stays under its bound
+    ENTRIES_MOST = 16  # in one message: of 64 KB each at the most, so that a frame stays under its bound
     PIECE_MOST = 16 * 1024  # of a snapshot in one message
 
     def __init__(self, me: str, now: float, seats: Seats, chance: Callable[[float, float], float]) -> None:
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -34,6 +34,7 @@
     DUTY_MS = 250.0  # between looks at what a leader has to propose: a part of what a person notices
     SEEN_MS = 1000.0  # between a voter's words to the leader on whom it thinks dead
     SEEN_LASTS_MS = 5000.0  # of such a word: some lost ones change nothing
+    UNHEARD_MS = 15_000.0  # for news of a member to reach a voter: many times what it takes among a thousand
     TAKEN_MS = 3000.0  # a name's process that was heard from so lately keeps it
     # for a proposal, before its asker hears that nobody agreed: a change of leaders fits in
     AGREE_MS = 3000.0
@@ -63,6 +64,7 @@
         self.keys = 0
         self.wanting: dict[str, str] = {}  # name -> seat of processes that want one
         self.sees: dict[str, tuple[float, frozenset[str]]] = {}  # by name of the observer
+        self.unheard: dict[str, float] = {}  # counted members that no news has come of, since when
         self.heard_mine_at: dict[str, tuple[str, float]] = {}  # member -> life, when
         # since it leads: when each spoke last, whether overloaded
         self.words: dict[str, tuple[float, bool]] = {}
@@ -317,7 +319,7 @@
                 )
         if self.now >= self.seen_at:
             self.seen_at = self.now + self.SEEN_MS
-            dead = sorted(name for name, news in self.members.news.items() if news.opinion is Opinion.DEAD)
+            dead = self.dead()
             if self.leads:
                 self.sees[self.me.name] = (self.now, frozenset(dead))
             elif address := self.names.get(name_of(self.voter.leader)):
@@ -344,6 +346,21 @@
     def propose_own(self, *entry: Any) -> None:
         self.propose(-1, 0, entry)
 
+    def dead(self) -> list[str]:
+        """Of those that the fleet counts: whom this voter thinks dead, or has not heard of for so long that
+        it should have."""
+        found = []
+        for name, held in self.state.members.items():
+            if not held.life or name == self.me.name:
+                continue
+            if name in self.members.news:
+                self.unheard.pop(name, None)
+                if self.members.opinion(name) is Opinion.DEAD:
+                    found.append(name)
+            elif self.now - self.unheard.setdefault(name, self.now) > self.UNHEARD_MS:
+                found.append(name)
+        return sorted(found)
+
     def halts_handed_on(self) -> None:
         """A halt that was said to any process is agreed once the leader hears of it; one that is over is
         taken out of what is handed on."""
--- a/pumicenotch/members/members.py
+++ b/pumicenotch/members/members.py
@@ -69,10 +69,11 @@
         self.slow = 0  # Lifeguard's local health: 0 is well
         self.number = 0
         self.probe: tuple[int, str, float, bool] | None = None  # number, whom, until, whether helped
-        self.nacks = 0  # still expected from helpers of the probe
+        # still expected from helpers of the probe, and whether any was asked
+        self.nacks, self.helped = 0, False
         self.helping: dict[int, tuple[str, int, float]] = {}  # my number -> for whom, its number, until
         self.next_at = now
-        self.page_at = now
+        self.page_at, self.pages_told = now, 0
         self.refused = 0  # of messages that did not fit
 
     INPUTS: ClassVar = frozenset(("time", "message", "stand"))
@@ -126,7 +127,9 @@
             self.next_at = self.now + self.PERIOD_MS * (1 + self.slow)
             self.probe_next()
             if self.now >= self.page_at:
-                self.page_at = self.now + self.PAGE_PERIODS * self.PERIOD_MS
+                # Sooner at first: whoever has just come knows few, and few know it.
+                periods = min(self.PAGE_PERIODS, 2.0**self.pages_told)
+                self.page_at, self.pages_told = self.now + periods * self.PERIOD_MS, self.pages_told + 1
                 self.exchange()
             self.forget()
 
@@ -137,20 +140,17 @@
                 self.spread.pop(name, None)
 
     def exchange(self) -> None:
-        """Joining, or a page with somebody by chance; now and then with one who is held dead, so that two
-        parts that were cut from each other find together again."""
+        """Pages with one of the seeds, so that no two islands form, with somebody by chance, and with one
+        who is held dead, so that two parts that were cut from each other find together again."""
         alive = sorted(self.alive())
+        dead = sorted(name for name, news in self.news.items()
+                      if news.opinion is Opinion.DEAD and news.standing is not Standing.OUT)  # fmt: skip
+        targets = [self.news[self.chance.choice(some)].who.address for some in (alive, dead) if some]
+        if self.seeds:
+            targets.append(self.chance.choice(self.seeds))
         if not alive:
-            targets = self.seeds
-        else:
-            targets = [self.news[self.chance.choice(alive)].who.address]
-            dead = sorted(name for name, news in self.news.items()
-                          if news.opinion is Opinion.DEAD and news.standing is not Standing.OUT)  # fmt: skip
-            if dead:
-                targets.append(self.news[self.chance.choice(dead)].who.address)
-        if not alive:
-            self.page_at = self.now + self.PERIOD_MS
-        for address in targets:
+            self.page_at, self.pages_told = self.now + self.PERIOD_MS, 0
+        for address in dict.fromkeys(targets):
             self.pages(address, True)
 
     def pages(self, address: str, reply: bool) -> None:
@@ -182,15 +182,17 @@
         assert self.probe is not None
         number, name, _, helped = self.probe
         if not helped:
-            helpers = [each for each in sorted(self.alive()) if each != name]
+            # Not among the suspects: in a cut many fail at once, and helpers beyond it would say nothing.
+            helpers = [each for each in sorted(self.alive())
+                       if each != name and self.news[each].opinion is Opinion.ALIVE]  # fmt: skip
             helpers = self.chance.sample(helpers, min(self.HELPERS, len(helpers)))
-            self.nacks = len(helpers)
+            self.nacks, self.helped = len(helpers), bool(helpers)
             self.probe = (number, name, self.now + 2.0 * self.ANSWER_MS * (1 + self.slow), True)
             for each in helpers:
                 self.send(self.news[each].who.address, Help(number, name))
             return
-        # No word from helpers either: then it may well be me (Lifeguard, 4.1).
-        self.slower(1 + self.nacks if self.nacks else 1)
+        # Helpers without a word: then it may well be me (Lifeguard, 4.1).
+        self.slower(self.nacks if self.helped else 1)
         self.probe = None
         news = self.news.get(name)
         if news is not None and news.opinion is Opinion.ALIVE:
