--- a/pumicenotch/config/fleet.py
+++ b/pumicenotch/config/fleet.py
@@ -32,13 +32,14 @@
     name: Name
     member: Name
     listen: Address
+    advertise: Address | None = None  # where the others reach it, if not where it listens
     voters: Annotated[tuple[Address, ...], Field(min_length=1, max_length=7)]
     seeds: tuple[Address, ...] = ()
 
     def side(self) -> Side:
         return Side(
             self.name, self.member, self.listen, self.voters, self.seeds, self.zone, self.region, self.cell,
-            self.serves, self.uses, self.capacity,
+            self.serves, self.uses, self.capacity, advertise=self.advertise or "",
         )  # fmt: skip
 
 
@@ -93,6 +94,7 @@
     fleet: Name
     member: Name
     listen: Address
+    advertise: Address | None = None
     zone: Place = ""
     region: Place = ""
     seeds: tuple[Address, ...] = ()
@@ -130,6 +132,7 @@
             names=names,
             budgets=self.budgets(),
             hands=hands,
+            advertise=self.advertise or "",
         )
 
 
--- a/pumicenotch/fleet/side.py
+++ b/pumicenotch/fleet/side.py
@@ -27,6 +27,11 @@
     names: tuple[tuple[str, str], ...] = ()  # voters by name and address
     budgets: tuple[Budget, ...] = ()
     hands: tuple[Member, ...] = ()
+    advertise: str = ""  # where others reach it, if not where it listens
+
+    @property
+    def address(self) -> str:
+        return self.advertise or self.listen
 
     def member(self, life: str) -> Member:
         return Member(
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from datetime import UTC, datetime
+from functools import partial
 from multiprocessing import get_context
 from pathlib import Path
 from statistics import mean, stdev
@@ -35,6 +36,7 @@
     name: str
     decides: Literal["today", "plain"] = "today"
     pools: str = ""  # a file of ours, beside the experiment's
+    drains: Literal["none", "alone", "agreed"] = "agreed"  # of a fleet: what becomes of its `drain_all`
 
 
 class Bound(Schema):
@@ -77,8 +79,10 @@
                     )
         if len(set(names_of(self.stage))) < len(self.stage):
             raise ValueError("two stages have one name")
-        if self.routers and self.carrier == "simulated":
-            raise ValueError("routers: on loopback only")
+        if (self.routers or self.voters) and self.carrier == "simulated":
+            raise ValueError("routers, voters: on loopback only")
+        if self.routers and self.voters:
+            raise ValueError("voters: of a fleet without routers only")
         if self.cells > self.servers:
             raise ValueError(f"cells: {self.cells} of {self.servers} servers: one server each at the least")
         for fault in self.fault:
@@ -88,6 +92,8 @@
                 )
             if fault.kind in ("kill", "kill_router", "move") and self.carrier == "simulated":
                 raise ValueError(f"fault {fault.kind}: on loopback only")
+            if fault.kind in ("drain_all", "kill_leader", "cut_zone") and not self.voters:
+                raise ValueError(f"fault {fault.kind}: needs voters")
             if fault.kind == "move" and not self.routers:
                 raise ValueError("fault move: needs routers")
         return self
@@ -218,10 +224,17 @@
         config = str(path.parent / arm.pools) if arm.pools else ""
         launch = Launch("pumicenotch.lab.plain" if arm.decides == "plain" else "pumicenotch", config)
         kept = Path(folder) / f"{name}-{seed}" if folder else None
-        on_sockets = run(told, seed, launch, kept)
+        if told.voters:
+            from pumicenotch.lab.fleetrun import FleetRun
+
+            on_sockets = run(told, seed, launch, kept, carrier=partial(FleetRun, drains=arm.drains))
+        else:
+            on_sockets = run(told, seed, launch, kept)
         cpu, ledger, late = on_sockets.cpu_ms, on_sockets.ledger, on_sockets.late or [0.0]
     found = figures(told, ledger, cpu, ledger.sent)
     found["send_late_p99_ms"] = round(float(np.percentile(late, 99)), 2)
+    if told.voters:
+        found |= on_sockets.more()
     return Run(name, seed, found, ledger, windows(told, ledger))
 
 
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -58,6 +58,7 @@
         self.ready = asyncio.Event()
         self.killed = self.left = False
         self.config = ""  # the arm's file, copied so that a reload may change it
+        self.command: tuple[list[str], dict[str, str]] = ([], {})  # that it was started by
         self.log = Path()
 
     def cpu_ms(self) -> float:
@@ -329,15 +330,10 @@
             }
             path = self.folder / f"n{node.number}.json"
             path.write_text(json.dumps(told))
-            launch = self.launch
-            if self.plane is not None:
-                launch = Launch(launch.module, str(self.plane.node_file(node, launch.config)))
-            elif launch.config:
-                node.config = str(self.folder / f"n{node.number}-pools{Path(launch.config).suffix}")
-                Path(node.config).write_text(Path(launch.config).read_text())
-                launch = Launch(launch.module, node.config)
             node.log = self.folder / f"n{node.number}.log"
-            self.spawn(node, [launch.module], launch.environment(path))
+            launch = self.launch_of(node)
+            node.command = ([launch.module], launch.environment(path))
+            self.spawn(node, *node.command)
         async with asyncio.timeout(UP_S):
             for node in self.nodes:
                 await node.ready.wait()
@@ -352,6 +348,18 @@
                 for router in self.routers:
                     router.address = await self.listening(router)
 
+    def launch_of(self, node: Node) -> Launch:
+        """What this server is started with: a file of its own where the arm names one, or the world has
+        cells."""
+        launch = self.launch
+        if self.plane is not None:
+            return Launch(launch.module, str(self.plane.node_file(node, launch.config)))
+        if launch.config:
+            node.config = str(self.folder / f"n{node.number}-pools{Path(launch.config).suffix}")
+            Path(node.config).write_text(Path(launch.config).read_text())
+            return Launch(launch.module, node.config)
+        return launch
+
     def spawn(self, node: Node, module: list[str], environment: dict[str, str]) -> None:
         with node.log.open("ab") as log:
             node.process = subprocess.Popen([sys.executable, "-m", *module], stderr=log, env=environment)
@@ -469,6 +477,10 @@
                 node.process.send_signal(signal.SIGHUP)
         self.look(node)
 
+    def more(self) -> dict[str, float]:
+        """Figures beside those of the ledger."""
+        return {}
+
     def mend(self, node: Node) -> None:
         self.work(node)
         node.work.cores.factor = 1.0
@@ -476,7 +488,8 @@
 
 
 def run(world: World, seed: int, launch: Launch, folder: Path | None = None,
-        progress: Callable[[Loopback], None] | None = None) -> Loopback:  # fmt: skip
+        progress: Callable[[Loopback], None] | None = None,
+        carrier: Callable[[World, int, Launch, Path], Loopback] = Loopback) -> Loopback:  # fmt: skip
     """One run from its start to its end; servers' logs stay in the folder, if one is named."""
     import uvloop
 
@@ -484,5 +497,4 @@
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
-        carrier = Loopback(world, seed, launch, folder)
-        return uvloop.run(carrier.run(progress))
+        return uvloop.run(carrier(world, seed, launch, folder).run(progress))
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -7,6 +7,7 @@
 import numpy as np
 from pydantic import Field
 
+from pumicenotch.config.fleet import BudgetBlock
 from pumicenotch.config.schema import Schema
 
 Part = Annotated[float, Field(ge=0.0, le=1.0)]
@@ -60,7 +61,7 @@
 class Fault(Schema):
     kind: Literal[
         "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
-        "move", "kill_router", "flood",
+        "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone",
     ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
@@ -69,6 +70,7 @@
     tenant: str = ""  # of a move or a flood
     cell: str = ""  # that it moves to
     pools: str | None = None  # of a reload: the file taken, "" for none
+    zone: str = ""  # that is cut off from the others
 
 
 class World(Schema):
@@ -80,6 +82,9 @@
     servers: Annotated[int, Field(ge=1, le=1000)] = 1
     routers: Annotated[int, Field(ge=0, le=16)] = 0  # in front; with none, gateways send to the servers
     cells: Annotated[int, Field(ge=1, le=100)] = 1  # that the servers make, behind routers
+    voters: Literal[0, 1, 3, 5, 7] = 0  # of a fleet that the servers are in
+    zones: Annotated[int, Field(ge=1, le=16)] = 1  # that servers and voters are spread over: z0, z1, ...
+    budget: tuple[BudgetBlock, ...] = ()  # of the fleet
     cores: Annotated[int, Field(ge=1, le=64)] = 6
     speed: Positive = 1.0
     thrash: Annotated[float, Field(ge=0.0)] = 0.25  # of the speed lost for each run a core beyond thrash_at
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -31,7 +31,7 @@
 def who(side: Side) -> tuple[Who, dict[str, Any]]:
     """This process as others know it, with a life of its own, and what every mate is made from."""
     life = secrets.token_hex(6)
-    me = Who(side.name, side.listen, life, int(time.time() * 1000), side.zone, side.region)
+    me = Who(side.name, side.address, life, int(time.time() * 1000), side.zone, side.region)
     seeds = side.seeds or side.voters
     return me, {"fleet": side.fleet, "me": me, "member": side.member(life), "seeds": seeds}
 
