--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -114,6 +114,7 @@
                 self.of_members("message", sender[2], messages.message_of(params))
             case "permitted" if params and type(params[0]) is int:
                 self.permit = max(self.permit, params[0])
+                self.ask_at = min(self.ask_at, self.now)  # not at the next word that is due anyway
             case _:
                 self.counts["notices_unknown"] += 1
 
@@ -288,8 +289,10 @@
     # This process
 
     def serve(self, good: bool, overloaded: bool) -> None:
-        self.overloaded = overloaded
+        if overloaded != self.overloaded:
+            self.overloaded, self.mine_at, self.ask_at = overloaded, self.now, min(self.ask_at, self.now)
         if good != self.serves:
+            self.ask_at = min(self.ask_at, self.now)
             self.serves = good
             if not self.leaving:
                 self.stand(Standing.SERVING if good else Standing.JOINING)
--- a/pumicenotch/fleet/side.py
+++ b/pumicenotch/fleet/side.py
@@ -48,12 +48,13 @@
 
 
 def side_of(told: Any) -> Side | None:
-    """From the compiled plan, where it has one. Raises BadSide."""
+    """A server's, from the compiled plan, where it has one. Raises BadSide."""
     if told is None:
         return None
     try:
-        lists = ("voters", "seeds", "serves", "uses")
-        values: dict[str, Any] = {key: tuple(told[key]) if key in lists else told[key] for key in told}
+        values: dict[str, Any] = {
+            key: tuple(value) if isinstance(value, list) else value for key, value in told.items()
+        }
         made = Side(**values)
         if not all(isinstance(each, str) for each in (made.fleet, made.name, made.listen, *made.voters)):
             raise TypeError("texts are wanted")
--- a/pumicenotch/lab/agreeing.py
+++ b/pumicenotch/lab/agreeing.py
@@ -75,10 +75,11 @@
     def __init__(
         self, names: list[str], seats: Seats, bounds: Bounds, *, voter: type[Voter] = Voter,
         cut: frozenset[tuple[str, str]] = frozenset(), changes: tuple[Seats, ...] = (),
-        patient: frozenset[str] = frozenset(),
+        patient: frozenset[str] = frozenset(), narrow: bool = False,
     ) -> None:  # fmt: skip
         self.names, self.seats, self.bounds, self.voter, self.cut = names, seats, bounds, voter, cut
         self.changes, self.patient = changes, patient  # the patient never run for an election by themselves
+        self.narrow = narrow  # of one kind only the latest is on its way between two: the older is lost
 
     def new(self, name: str) -> Voter:
         return self.voter(name, 0.0, self.seats, lambda low, high: low)
@@ -201,6 +202,9 @@
                 case Store(serial):
                     todo += voter.step(0.0, "stored", serial)
                 case Send(to, message) if to in self.names and (voter.me, to) not in self.cut:
+                    if self.narrow:
+                        wire = {each for each in wire if (each.sender, each.to, type(each.message)) != (
+                            voter.me, to, type(message))}  # fmt: skip
                     wire.add(Letter(voter.me, to, message))
                 case Commit(index, entry):
                     if index <= len(agreed) and agreed[index - 1] != entry:
@@ -259,11 +263,13 @@
 )  # fmt: skip
 
 
-def long_form(bounds: Bounds, most: int) -> Any:
-    """Three voters, or a fourth for changes; `a/1` leads in term 1 to begin with."""
+def long_form(bounds: Bounds, most: int, narrow: bool = False) -> Any:
+    """Three voters, or a fourth for changes; `a/1` leads in term 1 to begin with. Narrow goes deeper: one of
+    them never runs for an election by itself, and of one kind only the latest letter is on its way."""
     names = list(SEATS.voters) + (["d/1"] if bounds.changes else [])
     changes = (Seats((*SEATS.voters, "d/1")), Seats(("b/1", "c/1")))
-    model = Agreement(names, SEATS, bounds, changes=changes)
+    patient = frozenset(SEATS.voters[-1:] if narrow else ())
+    model = Agreement(names, SEATS, bounds, changes=changes, narrow=narrow, patient=patient)
     return model.explore(led(model), most)
 
 
@@ -280,9 +286,10 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description="The long form of the checks on agreement.")
     parser.add_argument("--most", type=int, default=1_000_000, help="states for each of the models")
-    most = parser.parse_args().most
+    parser.add_argument("--narrow", action="store_true", help="deeper, with fewer orders of the letters")
+    told = parser.parse_args()
     for name, bounds in LONG:
-        print(f"{name}, {bounds}: {long_form(bounds, most).text()}", flush=True)
+        print(f"{name}, {bounds}: {long_form(bounds, told.most, told.narrow).text()}", flush=True)
 
 
 if __name__ == "__main__":
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -93,7 +93,7 @@
                 )
             if fault.kind in ("kill", "kill_router", "move") and self.carrier == "simulated":
                 raise ValueError(f"fault {fault.kind}: on loopback only")
-            if fault.kind in ("drain_all", "kill_leader", "cut_zone") and not self.voters:
+            if fault.kind in ("drain_all", "kill_leader", "cut_zone", "link") and not self.voters:
                 raise ValueError(f"fault {fault.kind}: needs voters")
             if fault.kind == "move" and not self.routers:
                 raise ValueError("fault move: needs routers")
@@ -234,8 +234,8 @@
         cpu, ledger, late = on_sockets.cpu_ms, on_sockets.ledger, on_sockets.late or [0.0]
     found = figures(told, ledger, cpu, ledger.sent)
     found["send_late_p99_ms"] = round(float(np.percentile(late, 99)), 2)
-    if told.voters:
-        found |= on_sockets.more()
+    if told.carrier == "loopback":
+        found |= {"memory_mb": round(on_sockets.memory_mb, 1), **on_sockets.more()}
     return Run(name, seed, found, ledger, windows(told, ledger))
 
 
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -149,16 +149,28 @@
             case "kill_leader":
                 self.spawn_task(self.kill_leader(fault.for_s))
             case "cut_zone":
-                inside = [name for name, zone in self.crew.zone.items() if zone == fault.zone]
-                others = [name for name in self.crew.zone if name not in inside]
-                self.crew.relay.set(inside, others, Way(cut=True))
-                self.loop.call_later(fault.for_s, partial(self.crew.relay.set, inside, others, OPEN))
+                self.between((fault.zone,), (), Way(cut=True), True, fault.for_s)
+            case "link":
+                most = fault.bytes_per_s or float("inf")
+                way = Way(fault.cut, fault.delay_ms, fault.loss, fault.copies, most)
+                self.between(fault.between, fault.others, way, not fault.one_way, fault.for_s)
             case "kill":
                 self.against.add(fault.server)
                 super().fault(fault, now)
             case _:
                 super().fault(fault, now)
 
+    def between(
+        self, some: tuple[str, ...], others: tuple[str, ...], way: Way, both: bool, for_s: float
+    ) -> None:
+        """Names or zones; the ways are open again after so long."""
+        zone = self.crew.zone
+        these = [name for name in zone if name in some or zone[name] in some]
+        those = [name for name in zone if name in others or zone[name] in others]
+        those = those or [name for name in zone if name not in these]
+        self.crew.relay.set(these, those, way, both)
+        self.loop.call_later(for_s, partial(self.crew.relay.set, these, those, OPEN, both))
+
     async def kill_leader(self, for_s: float) -> None:
         name = await self.crew.leader()
         self.crew.signal(name, signal.SIGKILL)
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -70,6 +70,15 @@
             return 0.0
         return (int(fields[11]) + int(fields[12])) * 1000.0 / os.sysconf("SC_CLK_TCK")
 
+    def memory_mb(self) -> float:
+        """The most that the process has held in memory."""
+        try:
+            assert self.process is not None
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(text.partition("VmHWM:")[2].split()[0]) / 1024.0
+        except (OSError, AssertionError, IndexError):
+            return 0.0
+
 
 class Plane:
     """The control plane of the lab: it makes maps, writes them to nodes and routers, and reads in their logs
@@ -176,7 +185,7 @@
         self.plane = Plane(self) if world.routers else None
         self.database_ms = world.database_ms
         self.spread = random.Random(seed ^ 0xDB).uniform
-        self.cpu_ms = 0.0
+        self.cpu_ms = self.memory_mb = 0.0  # of all servers; at most of any
         self.stopped = False
         self.began = 0.0
 
@@ -304,6 +313,7 @@
             await self.load(progress)
         finally:
             self.cpu_ms += sum(node.cpu_ms() for node in self.nodes)
+            self.memory_mb = max(node.memory_mb() for node in self.nodes)
             await self.stop()
         self.ledger.close(self.now())
         for node in self.nodes:
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -61,7 +61,7 @@
 class Fault(Schema):
     kind: Literal[
         "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
-        "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone",
+        "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone", "link",
     ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
@@ -71,6 +71,15 @@
     cell: str = ""  # that it moves to
     pools: str | None = None  # of a reload: the file taken, "" for none
     zone: str = ""  # that is cut off from the others
+    # of a link: names or zones; what each says to each of `others` meets the fault
+    between: tuple[str, ...] = ()
+    others: tuple[str, ...] = ()  # none: everybody else
+    one_way: bool = False
+    cut: bool = False
+    delay_ms: Annotated[float, Field(ge=0.0)] = 0.0
+    loss: Part = 0.0  # for each frame, that its connection breaks
+    copies: Part = 0.0  # for each request, that it comes twice
+    bytes_per_s: Positive | None = None
 
 
 class World(Schema):
--- a/pumicenotch/members/members.py
+++ b/pumicenotch/members/members.py
@@ -51,7 +51,8 @@
     SUSPECT_PERIODS = 4.0  # shortest time a suspicion lasts, times the logarithm of the members
     SUSPECT_SPREAD = 6.0  # its longest is so many times the shortest
     SPREAD = 3  # news is handed on so many times the logarithm: SWIM's lambda
-    PAGE_PERIODS = 30  # between exchanges of everything with one other: heals what gossip has missed
+    PAGE_PERIODS = 15  # between exchanges of everything with one other: heals what gossip has missed
+    SEEDED = 4  # exchanges that go to seeds after the first: processes started together meet there
     FORGET_MS = 86_400_000.0  # the dead stay known for a day: a fleet's page shows who is missing
 
     def __init__(self, me: Who, now: float, seeds: Iterable[str], chance: Any) -> None:
@@ -140,18 +141,19 @@
                 self.spread.pop(name, None)
 
     def exchange(self) -> None:
-        """Pages with one of the seeds, so that no two islands form, with somebody by chance, and with one
-        who is held dead, so that two parts that were cut from each other find together again."""
+        """Pages with one other: with seeds at first, so that no two islands form; then in turn with somebody
+        by chance, with one who is held dead, so that two parts that were cut from each other find together
+        again, and with a seed."""
         alive = sorted(self.alive())
         dead = sorted(name for name, news in self.news.items()
                       if news.opinion is Opinion.DEAD and news.standing is not Standing.OUT)  # fmt: skip
-        targets = [self.news[self.chance.choice(some)].who.address for some in (alive, dead) if some]
-        if self.seeds:
-            targets.append(self.chance.choice(self.seeds))
+        kinds = [[self.news[name].who.address for name in some] for some in (alive, dead)] + [self.seeds]
+        first = self.seeds if self.pages_told <= self.SEEDED else kinds[self.pages_told % 3]
+        found = first or self.seeds or kinds[0]
         if not alive:
             self.page_at, self.pages_told = self.now + self.PERIOD_MS, 0
-        for address in dict.fromkeys(targets):
-            self.pages(address, True)
+        if found:
+            self.pages(self.chance.choice(found), True)
 
     def pages(self, address: str, reply: bool) -> None:
         known = [self.mine(), *(self.news[name] for name in sorted(self.news))]
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -35,9 +35,10 @@
 SHORT = 6_000  # states in CI; `python -m pumicenotch.lab.agreeing` goes on to a million each
 
 
+@pytest.mark.parametrize("narrow", [False, True], ids=["wide", "deep"])
 @pytest.mark.parametrize("name, bounds", LONG, ids=[name for name, _ in LONG])
-def test_explored(name: str, bounds: Bounds) -> None:
-    found = long_form(bounds, SHORT)
+def test_explored(name: str, bounds: Bounds, narrow: bool) -> None:
+    found = long_form(bounds, SHORT, narrow)
     assert not found.violation, found.text()
     assert found.states >= SHORT
 
