--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -26,7 +26,7 @@
     [
         ('pool "a" {\n  stages = ["x"]\n  reserv = 0.5\n}', "F:3: pool.reserv: unknown attribute; did"),
         ('pol "a" {\n}', "F:1: pol: unknown block; did you mean pool?"),
-        ('zzz "a" {\n}', "F:1: zzz: unknown block; allowed: cells, pool, reading, retries"),
+        ('zzz "a" {\n}', "F:1: zzz: unknown block; allowed: cells, fleet, pool, reading, retries"),
         ('pool "a" {\n  stages = ["x"]\n  reserve = 1.5\n}', "F:3: pool.reserve: should be less than"),
         ('pool "a" {\n  stages = ["x"]\n  lends = 3\n}', "F:3: pool.lends: should be a valid boolean"),
         ('pool "a" {\n}', "F:1: pool.stages: is missing"),
