Count who drains again in a fleet founded anew, and keep the counts of groups between entries

Cause: all voters that end at once take what was agreed with them; a node in the middle of its drain said nothing more to the next fleet, which would have let another of its zone go. It goes on asking what is known of it and joins and leaves anew where it is not known.

--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -199,15 +199,13 @@
         if self.over:
             if not self.gone_told and self.joined:
                 self.send("gone", name, life)
-        elif self.leaving and self.joined and not self.leaving_told:
-            self.send("leaving", name, life, self.why)
-        elif self.leaving:
-            return
         elif not self.joined:
             self.send("join", told(self.member._replace(life=life)))
-        elif self.permit and not self.began and (self.begun or not self.halted()):
+        elif self.leaving and not self.leaving_told:
+            self.send("leaving", name, life, self.why)
+        elif self.permit and not self.leaving and not self.began and (self.begun or not self.halted()):
             self.send("began", name, life, self.permit)
-        elif self.serves and not self.agreed_serving:
+        elif self.serves and not self.leaving and not self.agreed_serving:
             self.send("serving", name, life)
         elif self.now >= self.mine_at:
             self.mine_at = self.now + self.MINE_MS
@@ -270,6 +268,8 @@
         if isinstance(again, int | float) and 0 < again <= 60_000:
             self.mine_at = self.now + max(self.MINE_MS, again)
         self.joined = bool(result.get("known"))
+        if not self.joined:
+            self.leaving_told = False  # a fleet that was founded anew counts it again
         self.agreed_serving = result.get("standing") == SERVING
         self.permit, self.begun = permit if type(permit) is int else 0, bool(result.get("begun"))
         self.agreed_halt = str(result.get("halted", ""))[:1000]
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -22,6 +22,7 @@
     budget_of,
 )  # fmt: skip
 
+COUNTS_STAY = ("drain", "began", "halt", "resume")  # entries after which as many are out as before
 HISTORY_MOST = 500  # events kept: some days of an ordinary fleet, some 50 KB
 IDS_MOST = 1000  # of answered requests, so that a repeat changes nothing
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
@@ -135,6 +136,10 @@
         self.halts: dict[str, tuple[str, str]] = {}  # id -> by, why
         self.ids: dict[str, tuple[bool, str]] = {}  # request id -> what it came to
         self.history: list[tuple[int, str]] = []
+        # Who is out in each group, and of the voters, while no entry has changed it: among 1,000 members to
+        # count
+        # anew takes milliseconds, and hundreds may ask in a second.
+        self.counted: tuple[Tallies, int] | None = None
 
     # Entries
 
@@ -145,8 +150,11 @@
             verb, args = read(entry)
         except BadEntry as error:
             return Said(False, str(error))
+        if verb not in COUNTS_STAY:
+            self.counted = None
         said: Said = getattr(self, verb)(*args)
-        self.settle()
+        if verb != "drain":  # which has settled by itself, to say what came of it
+            self.settle()
         return said
 
     def begin(self, fleet: str, voters: tuple[str, ...], budgets: tuple[Budget, ...], hands: Any) -> Said:
@@ -433,7 +441,7 @@
         if self.halts:
             self.waits = dict.fromkeys((each.name for each in self.queue), self.halted())
             return
-        tallies, voters_out = self.tallies(), self.voters_out()
+        tallies, voters_out = self.counted or (self.tallies(), self.voters_out())
         barred: dict[int, str] = {}  # tally -> who waits there first
         waiting: list[Request] = []
         for request in self.queue:
@@ -451,7 +459,7 @@
                 voters_out += member.voter
                 for tally in mine:
                     tally.take(member)
-        self.queue = waiting
+        self.queue, self.counted = waiting, (tallies, voters_out)
 
     def blocked(
         self, member: Member, mine: Iterable[Tally], out: bool, barred: dict[int, str], voters_out: int
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -348,3 +348,8 @@
             assert sum(each[0] == zone for each in away) <= 1
         assert len(away) <= 3
         assert load(fleet.state.dump()).dump() == fleet.state.dump()
+        if state.counted is not None:  # what is kept is what counting anew gives
+            tallies, voters_out = state.counted
+            kept = {key: (tally.many, tally.out, tally.gone) for key, tally in tallies.found.items()}
+            anew = {key: (tally.many, tally.out, tally.gone) for key, tally in state.tallies().found.items()}
+            assert (kept, voters_out) == (anew, state.voters_out())
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -7,6 +7,7 @@
 
 from pumicenotch.fleet.budgets import Budget
 from pumicenotch.fleet.seat import Seat
+from pumicenotch.lab import fleets
 from pumicenotch.lab.fleets import Day, usual
 
 NODES = tuple(f"n{at}" for at in range(12))
@@ -202,6 +203,23 @@
     assert day.state().fleet == "day" and len(day.state().members) == 17
 
 
+def test_a_fleet_founded_anew_counts_who_drains(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All voters end at once, and with them what was agreed: who drains still says so again."""
+    monkeypatch.setattr(fleets, "DRAIN_MS", 60_000.0)
+    day = usual(15)
+    watch = Watch(day)
+    drain(day, "n0")
+    day.until(lambda: watch.left == ["n0"])
+    for name in day.voters:
+        day.kill(name)
+    for name in day.voters:
+        day.boot(name)
+    day.until(lambda: bool(day.leader()) and len(day.state().members) == 17, 30_000.0)
+    drain(day, "n3", key="again")
+    day.run(10_000.0)
+    assert watch.left == ["n0"] and day.state().is_out(day.state().members["n0"])
+
+
 def test_a_voter_drains_by_permit_and_hands_over_first() -> None:
     day = usual(10)
     leader = day.leader()
