Bound a fleet's links and frames by a server's limits; walk far into agreement by chance

Cause: the bounds of the links among instances were a voter's everywhere: 4 MB unread a link and 2,048 connections beside a server with 1,024 descriptors. Change: a server gives its fleet a sixteenth of its descriptors, which the core does without, frames of 128 KB, and the way used least lately makes room. Words of agreement and observations come from voters alone.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -149,12 +149,12 @@
     return lambda now: Pools(now, plan, stages, numbers)
 
 
-async def join(hub: Hub, group: TaskGroup, side: Any, seed: int) -> Any:
+async def join(hub: Hub, group: TaskGroup, side: Any, seed: int, sockets: int) -> Any:
     """This server's place in its fleet. Its work never waits for any of it; nothing of it is loaded where
     the file of ours names none. Returns what is told when the server leaves and ends."""
     from pumicenotch.net import fleet
 
-    return await fleet.member(hub, group, side, seed)
+    return await fleet.member(hub, group, side, seed, sockets)
 
 
 async def serve(values: dict[str, Any], core: Server) -> None:
@@ -188,7 +188,7 @@
         logger.info("callers are told a {}: the settings are of that shape", values["shape"])
         group.start_soon(clock.run, lambda: hub.put("time"))
         side = getattr(values["ours"], "fleet", None)
-        mates = await join(hub, group, side, values["seed"]) if side is not None else None
+        mates = await join(hub, group, side, values["seed"], values["sockets"]) if side is not None else None
         await hub.exit.wait()
         if mates is not None:
             mates.put("left")
@@ -227,12 +227,18 @@
 
 
 def made(values: dict[str, Any], decides: type[Control]) -> Server:
+    told = dict(values)
+    if getattr(values["ours"], "fleet", None) is not None:
+        from pumicenotch.net.fleet import links
+
+        # what its fleet takes of the descriptors is not the core's
+        told["sockets"] -= links(values["sockets"])
     return Server(
         below=values["db"] is not None, decides=decides,
         pools=maker(getattr(values["ours"], "plan", None), values),
         fence=fence_of(values), node=getattr(values["ours"], "node", ""),
         **{
-            name: values[name]
+            name: told[name]
             for name in ("keywords", "stages", "tenants", "seed", "stop_ms", "memory_mb", "sockets")
         },
     )  # fmt: skip
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -124,6 +124,8 @@
         name, life, _ = sender
         seat = f"{name}/{life}"
         match method:
+            case "agree" | "sees" if name not in self.names:
+                raise agree.BadMessage(f"{name} is no voter of this fleet")
             case "agree":
                 self.of_voter("message", seat, agree.message_of(params))
             case "found":
--- a/pumicenotch/lab/agreeing.py
+++ b/pumicenotch/lab/agreeing.py
@@ -252,6 +252,7 @@
         return Explorer(self.after, self.wrong, most).run(first)
 
 
+WALK_MOST = 120  # steps: some elections, each of a dozen letters
 SEATS = Seats(("a/1", "b/1", "c/1"))
 ROOT = Entry(1, "noop", None)
 LONG = (
@@ -263,13 +264,17 @@
 )  # fmt: skip
 
 
-def long_form(bounds: Bounds, most: int, narrow: bool = False) -> Any:
+def three(bounds: Bounds, narrow: bool = False) -> Agreement:
     """Three voters, or a fourth for changes; `a/1` leads in term 1 to begin with. Narrow goes deeper: one of
     them never runs for an election by itself, and of one kind only the latest letter is on its way."""
     names = list(SEATS.voters) + (["d/1"] if bounds.changes else [])
     changes = (Seats((*SEATS.voters, "d/1")), Seats(("b/1", "c/1")))
     patient = frozenset(SEATS.voters[-1:] if narrow else ())
-    model = Agreement(names, SEATS, bounds, changes=changes, narrow=narrow, patient=patient)
+    return Agreement(names, SEATS, bounds, changes=changes, narrow=narrow, patient=patient)
+
+
+def long_form(bounds: Bounds, most: int, narrow: bool = False) -> Any:
+    model = three(bounds, narrow)
     return model.explore(led(model), most)
 
 
@@ -287,9 +292,16 @@
     parser = argparse.ArgumentParser(description="The long form of the checks on agreement.")
     parser.add_argument("--most", type=int, default=1_000_000, help="states for each of the models")
     parser.add_argument("--narrow", action="store_true", help="deeper, with fewer orders of the letters")
+    parser.add_argument("--walks", type=int, default=0, help="walks by chance for each, instead")
     told = parser.parse_args()
     for name, bounds in LONG:
-        print(f"{name}, {bounds}: {long_form(bounds, told.most, told.narrow).text()}", flush=True)
+        if told.walks:
+            more = Bounds(*(3 * most for most in bounds))
+            model = three(more, told.narrow)
+            found = Explorer(model.after, model.wrong).wander(led(model), 1, told.walks, WALK_MOST)
+        else:
+            found = long_form(bounds, told.most, told.narrow)
+        print(f"{name}, {bounds}: {found.text()}", flush=True)
 
 
 if __name__ == "__main__":
--- a/pumicenotch/lab/explore.py
+++ b/pumicenotch/lab/explore.py
@@ -2,6 +2,7 @@
 violation found is one of the shortest. A model is plain values and functions of them; what it decides by is
 the real code."""
 
+import random
 import time
 from collections import deque
 from collections.abc import Callable, Hashable, Iterable
@@ -63,6 +64,24 @@
                 return Found(len(came), steps, depth, time.perf_counter() - began, False, "", ())
         return Found(len(came), steps, depth, time.perf_counter() - began, True, "", ())
 
+    def wander(self, first: State, seed: int, walks: int, most_deep: int) -> Found:
+        """Walks by chance to where nothing more can happen, or so deep: far beyond what breadth first
+        reaches. The trace of a violation is its walk, not the shortest."""
+        began, chance = time.perf_counter(), random.Random(seed)
+        steps = depth = 0
+        seen: set[State] = {first}
+        for _ in range(walks):
+            state, lines = first, list[str]()
+            while len(lines) < most_deep and (found := list(self.after(state))):
+                line, state = chance.choice(found)
+                lines.append(line)
+                steps, depth = steps + 1, max(depth, len(lines))
+                seen.add(state)
+                if problem := self.wrong(state):
+                    seconds = time.perf_counter() - began
+                    return Found(len(seen), steps, len(lines), seconds, False, problem, tuple(lines))
+        return Found(len(seen), steps, depth, time.perf_counter() - began, False, "", ())
+
     @staticmethod
     def trace(came: dict[State, tuple[State | None, str, int]], last: State) -> tuple[str, ...]:
         lines: list[str] = []
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -26,6 +26,8 @@
 # of the tasks rejected or failed in that time: what it takes in costs callers more than it helps
 PAST_USE = 0.5
 FLUSH_S = 0.05  # for the last words to leave
+LINKS_PART = 0.0625  # of a server's descriptors: each talks to a few others at a time
+FRAME_MOST = 128 * 1024  # to a server: a page of news has some 10 KB
 
 
 def who(side: Side) -> tuple[Who, dict[str, Any]]:
@@ -36,12 +38,17 @@
     return me, {"fleet": side.fleet, "me": me, "member": side.member(life), "seeds": seeds}
 
 
-async def member(hub: Hub, group: TaskGroup, side: Side, seed: int) -> Mates | None:
+def links(sockets: int) -> int:
+    """How many of a server's descriptors its fleet takes; the core has the others."""
+    return max(16, int(LINKS_PART * sockets))
+
+
+async def member(hub: Hub, group: TaskGroup, side: Side, seed: int, sockets: int) -> Mates | None:
     """A server's. A listener that cannot be had is logged, and the server goes on without its fleet."""
     alarm = Alarm()
     _, told = who(side)
     mate = Mate(voters=side.voters, now=alarm.now(), seed=seed, **told)
-    mates = Mates(mate, alarm, group, lambda why: hub.put("leave"))
+    mates = Mates(mate, alarm, group, lambda why: hub.put("leave"), FRAME_MOST, links(sockets))
     try:
         listener = await listening(start.address(side.listen))
     except OSError as error:
--- a/pumicenotch/net/mates.py
+++ b/pumicenotch/net/mates.py
@@ -24,15 +24,15 @@
 from pumicenotch.net.link import Frame
 
 PARTY = "mate"
-FRAME_MOST = 2 * 1024 * 1024  # 16 entries of the log at their largest, and as much again
+FRAME_MOST = 2 * 1024 * 1024  # among voters: 16 entries of the log at their largest, and as much again
 ASKED_MOST = 64 * 1024  # of a request: 1,024 names
 READ_MOST = 64 * 1024
-UNREAD_MOST = 4 * 1024 * 1024  # that a mate leaves unread: two frames at their largest
+UNREAD_FRAMES = 2  # that a mate leaves unread: so many at their largest
 WAITING_MOST = 256  # messages for a link that is being dialled
 REDIAL_MS = 200.0  # after a refused dial; what is told meanwhile is lost, as on a cut link
 IDLE_MS = 5000.0  # a link without a word is closed: among 1,000 members each talks to some at a time
 ALIVE_MS, DEAF_MS = 1000.0, 2500.0  # between questions on a link in use, and for their answer
-CONNS_MOST = 2048  # that others have dialled: beyond, new ones are closed
+LINKS_MOST = 4096  # of a voter, in and out: a leader hears of a thousand members, each on a link of its own
 
 pack: Callable[[Any], bytes] = msgpack.Packer(autoreset=True).pack
 FRAMES: dict[str, Frame] = {
@@ -49,11 +49,12 @@
 class Unpacker:
     """Whole frames out of what comes; ValueError for what is no MessagePack."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        """Of frames up to so many bytes."""
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=2 * FRAME_MOST,
-            max_str_len=FRAME_MOST,
-            max_bin_len=FRAME_MOST,
+            max_buffer_size=2 * most,
+            max_str_len=most,
+            max_bin_len=most,
             max_array_len=65536,
             max_map_len=4096,
             max_ext_len=0,
@@ -78,7 +79,7 @@
     """What one that has dialled this side says."""
 
     def __init__(self, hub: "Mates", conn: int) -> None:
-        self.hub, self.conn, self.unpacker = hub, conn, Unpacker()
+        self.hub, self.conn, self.unpacker = hub, conn, Unpacker(hub.frame_most)
         self.sender: tuple[str, str, str] | None = None
 
     def feed(self, data: bytes) -> None:
@@ -109,7 +110,7 @@
     """What comes back on a link that this side has dialled."""
 
     def __init__(self, hub: "Mates", link: str) -> None:
-        self.hub, self.link, self.unpacker = hub, link, Unpacker()
+        self.hub, self.link, self.unpacker = hub, link, Unpacker(hub.frame_most)
 
     def feed(self, data: bytes) -> None:
         for frame, _ in self.unpacker.frames(data):
@@ -163,8 +164,14 @@
 class Mates(Hub):
     """Carries a mate: inputs with the time go in, effects come out. `leave` is called when it is to drain."""
 
-    def __init__(self, core: Mate, clock: Alarm, group: TaskGroup, leave: Callable[[str], None]) -> None:
+    def __init__(
+        self, core: Mate, clock: Alarm, group: TaskGroup, leave: Callable[[str], None],
+        frame_most: int = FRAME_MOST, links_most: int = LINKS_MOST,
+    ) -> None:  # fmt: skip
+        """`links_most` counts both ways together; half of them are for those that others dial."""
         super().__init__(cast(Any, core), clock)
+        self.frame_most, self.unread = frame_most, UNREAD_FRAMES * frame_most
+        self.links_most = max(2, links_most // 2)
         self.mate, self.group, self.leave = core, group, leave
         self.hello: Hello = (core.fleet, core.me.name, core.me.life, core.me.address)
         self.ways: dict[str, Way] = {}  # by link, which is "mate-ADDRESS"
@@ -175,8 +182,8 @@
         match name:
             case "opened":
                 self.conns += 1
-                if self.conns > CONNS_MOST:
-                    self.met("mates_crowded", f"over {CONNS_MOST} connections among instances")
+                if self.conns > self.links_most:
+                    self.met("mates_crowded", f"over {self.links_most} connections among instances")
                     self.close(details[0])
                 return
             case "condemn":
@@ -248,6 +255,8 @@
         link, now = f"{PARTY}-{address}", self.clock.now()
         way = self.ways.get(link)
         if way is None:
+            if len(self.ways) >= self.links_most:
+                self.leave_one()
             way = self.ways[link] = Way(link)
         way.used = now
         if way.up and way.asked_alive is not None and now - way.asked_alive > DEAF_MS:
@@ -272,7 +281,7 @@
             self.unlinked(link, f"{address!r} is no address")
             return
         reader = partial(Outward, self)
-        Links(self, self.group, to, FRAMES, reader, UNREAD_MOST).dial(link, 0.0)
+        Links(self, self.group, to, FRAMES, reader, self.unread).dial(link, 0.0)
 
     def linked(self, link: str) -> None:
         way = self.ways[link]
@@ -296,6 +305,14 @@
             outbox.scope.cancel()
         way.up, way.asked_alive = False, None
 
+    def leave_one(self) -> None:
+        """The way that was used least lately makes room."""
+        found = [way for way in self.ways.values() if not way.dialling]
+        if found:
+            way = min(found, key=lambda each: each.used)
+            self.close(way.link)
+            del self.ways[way.link]
+
     def look(self) -> None:
         """Now and then: links that nobody uses are closed."""
         now = self.clock.now()
@@ -340,7 +357,7 @@
 
 def begin(mates: Mates, listener: SocketListener) -> None:
     """The listener, the timer and the first input, in the mates' task group."""
-    callers = gateways.Gateways(mates, UNREAD_MOST, FRAMES, cast(Any, Inward))
+    callers = gateways.Gateways(mates, mates.unread, FRAMES, cast(Any, Inward))
     mates.group.start_soon(callers.accept, listener, mates.group)
     mates.put("start")
     mates.group.start_soon(mates.clock.run, lambda: mates.put("time"))
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -29,7 +29,8 @@
     plain,
 )  # fmt: skip
 from pumicenotch.agree.voter import CANDIDATE, FOLLOWER, LEADER, Voter
-from pumicenotch.lab.agreeing import LONG, ROOT, Agreement, Bounds, led, long_form
+from pumicenotch.lab.agreeing import LONG, ROOT, Agreement, Bounds, led, long_form, three
+from pumicenotch.lab.explore import Explorer
 
 ABC = Seats(("a/1", "b/1", "c/1"))
 SHORT = 6_000  # states in CI; `python -m pumicenotch.lab.agreeing` goes on to a million each
@@ -43,6 +44,15 @@
     assert found.states >= SHORT
 
 
+@pytest.mark.parametrize("name, bounds", LONG, ids=[name for name, _ in LONG])
+def test_wandered(name: str, bounds: Bounds) -> None:
+    """Walks by chance, each through several elections."""
+    model = three(Bounds(*(3 * most for most in bounds)))
+    found = Explorer(model.after, model.wrong).wander(led(model), 2, 12, 120)
+    assert not found.violation, found.text()
+    assert found.depth > 30
+
+
 class VotesTwice(Voter):
     def may_vote(self, sender: str, asked: AskVote) -> bool:
         return asked.term == self.term or asked.pre
