--- a/experiments/fleet-idle.hcl
+++ b/experiments/fleet-idle.hcl
@@ -12,3 +12,9 @@
 arm "none" {
   drains = "none"
 }
+
+bound {
+  figure = "utility"
+  arm    = "none"
+  least  = 0.9
+}
