--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -51,7 +51,9 @@
         self.permit, self.began = 0, False
         # that permit is agreed as begun, though this process has not heard so when it asked
         self.begun = False
-        self.agreed_halt = ""
+        self.agreed_halt = self.waits = (
+            ""  # why nothing goes on; for what a drain of it waits, and how long about
+        )
         # What it is.
         self.serves = self.leaving = self.over = self.overloaded = False
         self.why = ""
@@ -177,6 +179,7 @@
             "life": self.me.life,
             "halted": self.halted(),
             "permit": self.permit,
+            "waits": self.waits,
             "joined": self.joined,
             "members": rows[:NAMES_MOST],
             "opinions": dict(many),
@@ -273,6 +276,10 @@
         self.agreed_serving = result.get("standing") == SERVING
         self.permit, self.begun = permit if type(permit) is int else 0, bool(result.get("begun"))
         self.agreed_halt = str(result.get("halted", ""))[:1000]
+        waits = str(result.get("waits", ""))[:1000]
+        if waits and not self.waits:
+            self.log(f"a drain of this process is asked for, and waits: {waits}")
+        self.waits = waits
 
     def refused(self, verb: str, text: str) -> None:
         self.counts[f"{verb}_refused"] += 1
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -294,7 +294,8 @@
                 self.reply(conn, message, {
                     "known": known, "standing": held.standing if held is not None else "",
                     "permit": permit.epoch if permit is not None and own else 0,
-                    "begun": permit is not None and own and permit.begun,
+                    "waits": self.waiting_for(name) if name in self.state.waits else "",
+                        "begun": permit is not None and own and permit.begun,
                     "halted": self.state.halted(),
                     "again_ms": self.again_ms(),
                 })  # fmt: skip
@@ -494,12 +495,22 @@
             told["budgets"].append({"budget": tally.place(), "members": tally.many, "out": outs[:ROWS_MOST],
                                     "over": tally.over()})  # fmt: skip
         if name in state.waits:
-            before = [each.name for each in state.queue]
-            ahead = before.index(name)
-            took = sorted(self.durations)[len(self.durations) // 2] if self.durations else 0.0
-            told |= {"ahead": ahead, "a_drain_takes_ms": round(took)}
+            told |= {"ahead": self.ahead(name), "a_drain_takes_ms": self.takes_ms()}
         return told
 
+    def ahead(self, name: str) -> int:
+        """How many asked before it and wait still."""
+        return [each.name for each in self.state.queue].index(name)
+
+    def takes_ms(self) -> int:
+        """The median of the last permits, as long as this process has seen any end."""
+        return round(sorted(self.durations)[len(self.durations) // 2]) if self.durations else 0
+
+    def waiting_for(self, name: str) -> str:
+        """For its holder: why, and about how long."""
+        took = f", of about {self.takes_ms() / 1000.0:.0f} s each" if self.durations else ""
+        return f"{self.state.waits[name]}; {self.ahead(name)} before it{took}"
+
     # Leaving
 
     def left(self) -> None:
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -149,6 +149,16 @@
     assert not watch.over
 
 
+def test_whoever_waits_is_told_why_and_how_long() -> None:
+    day = usual(16)
+    drain(day, "n0", "n3", "n6")
+    day.run(2000.0)
+    core = day.processes["n6"].core
+    assert core is not None and core.waits == "budget zones: zone z0: 1 of at most 1 are out; 1 before it"
+    day.until(lambda: core.waits.endswith("of about 3 s each"), 10_000.0)
+    day.until(lambda: all_back(day), 60_000.0)
+
+
 def test_a_node_killed_while_it_drains_keeps_its_place() -> None:
     day = usual(7)
     watch = Watch(day)
