--- a/pumicenotch/lab/crew.py
+++ b/pumicenotch/lab/crew.py
@@ -46,6 +46,7 @@
         self.relay = Relay(seed)
         self.ip = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250 + 1}.{next(NUMBERS) % 250 + 1}"
         self.ports: dict[str, int] = {}
+        self.turn = 0  # whom to ask first
         self.zone: dict[str, str] = {}
         self.voters = {
             name: Voter(name, f"z{at % zones}", folder / f"{name}.hcl")
@@ -137,16 +138,17 @@
     async def ask(self, verb: str, *args: Any, within_s: float = 30.0) -> Any:
         """Of whoever leads. Raises Refused with the fleet's reason, TimeoutError where nobody agreed."""
         names, met = {self.shown(name): name for name in self.voters}, ""
-        todo, until = list(self.voters), time.monotonic() + within_s
+        todo, until = self.in_turn(), time.monotonic() + within_s
         while time.monotonic() < until:
             if not todo:
                 await asyncio.sleep(0.1)
-                todo = list(self.voters)
+                todo = self.in_turn()
             name = todo.pop(0)
             try:
                 error, result = await self.once(name, verb, *args)
             except (OSError, TimeoutError) as fault:
                 met = f"{name}: {fault!r}"
+                self.turn += 1  # the next question goes to another first: this one may be stopped
                 continue
             if error is None:
                 return result
@@ -157,6 +159,11 @@
                 todo.insert(0, names[error[2]])
         raise TimeoutError(f"{verb}: nobody agreed in {within_s:g} s; last: {met}")
 
+    def in_turn(self) -> list[str]:
+        names = list(self.voters)
+        at = self.turn % len(names)
+        return names[at:] + names[:at]
+
     async def drain(self, *names: str, reason: str = "kernel") -> Any:
         return await self.ask("drain", secrets.token_hex(8), list(names), reason, "operator")
 
