Judge a release like against like, with a bound that holds at every look

Change: fleet/judge holds released members against others of the same zone, cell and class in the same second (Mantel-Haenszel's differences), under a mixture bound valid at all times (Robbins). Harm that both sides suffer alike is not seen by it. Nothing uses it yet.

--- /dev/null
+++ b/benchmarks/release.py
@@ -0,0 +1,93 @@
+"""How the judgement of releases fares, by drawn days: `python -m benchmarks.release`. Twelve members in
+three zones, three classes; waves of one, three and all but three; load that doubles, members that differ,
+bursts in which tasks of one member go badly together."""
+
+import argparse
+import json
+
+import numpy as np
+
+from pumicenotch.fleet.judge import Judge, Threshold, Told
+
+ZONES, A_ZONE, CLASSES = 3, 4, ("preview", "bake", "submit")
+WAVES = ((0,), (0, 4, 8), (0, 1, 2, 4, 5, 6, 8, 9, 10))  # members that have it, by wave
+SOAK_S = 60  # of each wave, in windows of a second
+RATE = 10.0  # tasks a second, member and class
+BASE = 0.01  # of the tasks go badly anyhow
+
+
+class Day:
+    """`harm` is the part more of the tasks that goes badly where the version is, of one class or of all."""
+
+    def __init__(self, seed: int, harm: float, one_class: bool) -> None:
+        self.chance = np.random.default_rng(seed)
+        self.harm, self.one_class = harm, one_class
+        self.differ = self.chance.lognormal(0.0, 0.1, ZONES * A_ZONE)  # members are not alike
+        self.doubles_at = int(self.chance.integers(10, len(WAVES) * SOAK_S))
+
+    def window(self, at: int, released: tuple[int, ...]) -> list[Told]:
+        load = 2.0 if at >= self.doubles_at else 1.0
+        crowd = 0.04 if load > 1.0 else 0.0  # all fare worse
+        found = []
+        for member in range(ZONES * A_ZONE):
+            burst = 0.3 if self.chance.random() < 0.01 else 0.0
+            for number, name in enumerate(CLASSES):
+                tasks = int(self.chance.poisson(RATE * load))
+                more = self.harm if member in released and (not self.one_class or number == 0) else 0.0
+                bad = min(1.0, BASE * self.differ[member] + crowd + burst + more)
+                found.append(Told(f"z{member // A_ZONE}/{name}", member in released, tasks,
+                                  int(self.chance.binomial(tasks, bad))))  # fmt: skip
+        return found
+
+
+def played(seed: int, harm: float, one_class: bool) -> tuple[int, int, int]:
+    """Seconds until the judge and the fixed threshold halt it (-1: never), and members that had it by
+    then."""
+    day, judge, fixed = Day(seed, harm, one_class), Judge(), Threshold()
+    judged = thresholded = -1
+    had = len(WAVES[-1])
+    for at in range(len(WAVES) * SOAK_S):
+        released = WAVES[at // SOAK_S]
+        for told in day.window(at, released):
+            judge.tell(told)
+            fixed.tell(told)
+        if judge.close().harm and judged < 0:
+            judged, had = at + 1, len(released)
+        if fixed.close() and thresholded < 0:
+            thresholded = at + 1
+        if judged >= 0 and thresholded >= 0:
+            break
+    return judged, thresholded, had
+
+
+def measure(days: int, seed: int, harm: float, one_class: bool) -> dict[str, float]:
+    found = [played(seed + at, harm, one_class) for at in range(days)]
+    judged = sorted(each[0] for each in found if each[0] >= 0)
+    fixed = sorted(each[1] for each in found if each[1] >= 0)
+    return {
+        "harm": harm, "one_class": one_class, "days": days, "seed": seed, "judge_halts": len(judged) / days,
+        "judge_p50_s": judged[len(judged) // 2] if judged else -1.0,
+        "judge_worst_s": judged[-1] if judged else -1.0,
+        "members_worst": max((each[2] for each in found if each[0] >= 0), default=0),
+        "threshold_halts": len(fixed) / days, "threshold_p50_s": fixed[len(fixed) // 2] if fixed else -1.0,
+    }  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--days", type=int, default=200)
+    parser.add_argument("--seed", type=int, default=1)
+    told = parser.parse_args()
+    for harm, one_class in (
+        (0.0, False),
+        (0.02, False),
+        (0.05, False),
+        (0.2, False),
+        (0.05, True),
+        (0.2, True),
+    ):
+        print(json.dumps(measure(told.days, told.seed, harm, one_class)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,77 @@
+"""Whether a version does harm: by drawn days with members that differ, bursts, and load that doubles."""
+
+import pytest
+
+from benchmarks.release import Day, measure
+from pumicenotch.fleet.judge import Judge, Told, Verdict
+
+
+def close(judge: Judge, *rows: tuple[str, bool, int, int]) -> Verdict:
+    for row in rows:
+        judge.tell(Told(*row))
+    return judge.close()
+
+
+def test_good_releases_go_through_where_a_fixed_threshold_halts_them() -> None:
+    found = measure(40, 100, 0.0, False)
+    assert found["judge_halts"] == 0.0
+    assert found["threshold_halts"] >= 0.25  # the days are hard enough to fool it
+
+
+@pytest.mark.parametrize("harm, one_class, members", [(0.2, False, 1), (0.2, True, 1), (0.05, False, 3)])
+def test_harm_is_found_while_few_members_have_it(harm: float, one_class: bool, members: int) -> None:
+    found = measure(15, 300, harm, one_class)
+    assert found["judge_halts"] == 1.0
+    assert found["members_worst"] <= members
+
+
+def test_what_both_sides_suffer_is_nobodys_version() -> None:
+    judge = Judge()
+    for _ in range(300):
+        verdict = close(judge, ("a", True, 40, 20), ("a", False, 120, 60))
+    assert not verdict.harm and verdict.known
+
+
+def test_only_like_is_held_against_like() -> None:
+    """The released zone is the worse one, and has no others: nothing is known of it."""
+    judge = Judge()
+    for _ in range(300):
+        verdict = close(judge, ("a", True, 100, 50), ("b", False, 100, 0))
+    assert not verdict.harm
+    assert judge.sum == 0.0
+
+
+def test_too_little_traffic_is_not_known_rather_than_good() -> None:
+    judge = Judge()
+    for _ in range(20):
+        verdict = close(judge, ("a", True, 1, 0), ("a", False, 3, 0))
+    assert (verdict.harm, verdict.known) == (False, False)
+    assert verdict.text == "not known yet: 20 tasks of released ones were seen"
+
+
+def test_the_text_says_how_much_and_where() -> None:
+    judge = Judge()
+    for _ in range(60):
+        verdict = close(
+            judge, ("a/preview", True, 50, 1), ("a/preview", False, 150, 3),
+            ("a/submit", True, 50, 15), ("a/submit", False, 150, 3),
+        )  # fmt: skip
+        if verdict.harm:
+            break
+    assert verdict.harm and verdict.text.endswith("most in a/submit")
+    assert verdict.excess > 0.05
+
+
+def test_looking_after_every_window_costs_nothing_that_was_not_counted() -> None:
+    """A bound for one look alone is passed by harmless days; the one for all looks at once is not."""
+    passed = 0
+    for seed in range(30):
+        day, judge, peeked = Day(seed, 0.0, False), Judge(), False
+        for at in range(180):
+            for told in day.window(at, (0, 4, 8)):
+                judge.tell(told)
+            judge.close()
+            peeked = peeked or judge.sum > 2.6 * judge.spread**0.5  # one look at 0.5%
+            assert judge.sum < judge.bound()
+        passed += peeked
+    assert passed >= 1
