Begin no drain while its zone is over the budget, whatever has happened since its permit

Cause: read through once more, a permit was judged when it was given only. A holder that was stopped for minutes could begin after another of its zone had died, or a budget had been lowered. What has begun is not called back, an override is not held up. Two tests fail without it.

--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -51,9 +51,9 @@
         self.permit, self.began = 0, False
         # that permit is agreed as begun, though this process has not heard so when it asked
         self.begun = False
-        self.agreed_halt = self.waits = (
-            ""  # why nothing goes on; for what a drain of it waits, and how long about
-        )
+        self.agreed_halt = ""  # why nothing goes on
+        self.waits = ""  # for what a drain of it waits, and about how long
+        self.no_permit = ""  # why the last one could not be used
         # What it is.
         self.serves = self.leaving = self.over = self.overloaded = False
         self.why = ""
@@ -288,8 +288,10 @@
                 self.log(f"cannot join the fleet: {text}")
             self.taken = text
         elif verb == "began":
-            self.permit = 0
-            self.log(f"permit refused: {text}")
+            self.permit = 0  # the leader's next word tells whether it is there still
+            if text != self.no_permit:
+                self.log(f"permit refused: {text}")
+            self.no_permit = text
         else:
             self.joined = False  # it knows another life, or none: say all again
 
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -229,12 +229,31 @@
             return Said(False, f"{one} holds no permit of epoch {epoch}")
         if not permit.begun and self.halts:
             return Said(False, self.halted())
+        # Others may have gone out against their will since it was given, and a budget been lowered.
+        if not permit.begun and permit.kind == "drain" and (over := self.over_with(held, permit)):
+            return Said(False, f"not now: {over}")
         if not permit.begun:
             self.permits[one] = permit._replace(begun=True)
             self.members[one] = held._replace(standing=DRAINING)
             self.note(f"{one} drains (epoch {epoch})")
         return Said(True, "begun", epoch)
 
+    def over_with(self, held: Member, permit: Permit) -> str:
+        """What its groups would be over by if it went now: beside whoever is out, with those whose permits
+        are not begun either and came before. All would wait for each other for ever if all counted."""
+        tallies = self.counted[0] if self.counted is not None else self.tallies()
+        if not any(tally.over() for tally in tallies.of(held)):
+            return ""
+
+        def counts(each: Member) -> bool:
+            other = self.permits.get(each.name)
+            if other is None or other.begun or each.standing != SERVING or each.against:
+                return self.is_out(each)
+            return (other.epoch, other.name) <= (permit.epoch, permit.name)
+
+        tallies = Tallies(self.budgets, ((each, counts(each)) for each in self.members.values()))
+        return next((over for tally in tallies.of(held) if (over := tally.over())), "")
+
     def gone(self, one: str, life: str) -> Said:
         held, wrong = self.mine(one, life)
         if held is None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,10 +109,10 @@
 
 def test_one_that_cannot_wait_is_counted_at_once_and_never_refused(fleet: Fleet) -> None:
     fleet.drain("a1")
+    fleet.through("a1")
     assert fleet.do("leaving", "a2", "1", "SIGTERM").good
     assert fleet.permits == ["a1", "a2"]
     assert fleet.state.over() == ["budget zones: zone a: 2 out of at most 1"]
-    fleet.through("a1")
     fleet.drain("a3")
     fleet.back("a1", "2")
     assert fleet.permits == ["a2"]  # a3 waits for a2 as well
@@ -131,6 +131,18 @@
     assert not fleet.ask("undrain", ("a2",), "too late").good
 
 
+def test_a_permit_waits_where_others_have_gone_out_since(fleet: Fleet) -> None:
+    fleet.drain("a1")
+    epoch = fleet.state.permits["a1"].epoch
+    fleet.do("against", "a2", "1", "silent")
+    said = fleet.do("began", "a1", "1", epoch)
+    assert (said.good, said.text) == (False, "not now: budget zones: zone a: 2 out of at most 1")
+    fleet.do("against", "a2", "1", "")
+    assert fleet.do("began", "a1", "1", epoch).good
+    fleet.do("against", "a2", "1", "silent")
+    assert fleet.do("began", "a1", "1", epoch).good  # what has begun is not taken back
+
+
 def test_a_request_that_comes_twice_asks_once(fleet: Fleet) -> None:
     first = fleet.do("drain", "same", ("a1",), "x", "op")
     fleet.through("a1")
@@ -151,12 +163,18 @@
     for at in range(5):
         fleet.member(f"n{at}")
     fleet.drain("n0", "n1", "n2")
+    fleet.through("n0")
     fleet.ask("budget", (Budget("all", "fleet", most_out=1),))
     assert fleet.permits == ["n0", "n1", "n2"] and fleet.state.over()
     fleet.drain("n3")
     for at in range(3):
         assert "n3" not in fleet.permits
-        fleet.through(f"n{at}")
+        if at:
+            fleet.through(f"n{at}")  # the permits that were given are used in turn
+        later = [
+            fleet.do("began", f"n{n}", "1", fleet.state.permits[f"n{n}"].epoch) for n in range(at + 1, 3)
+        ]
+        assert not any(said.good for said in later)
         fleet.back(f"n{at}", "2")
     assert fleet.permits == ["n3"]
 
