Take out what nothing uses, and count groups by the state's own tallies in why

Read once more: mate.STANDINGS and three lists of exports had no reader; Seat.tell_why built again what State.tallies gives.

--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Any, ClassVar
 
-from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Member
+from pumicenotch.fleet.budgets import SERVING, Member
 from pumicenotch.fleet.effects import Ask, Effect, Leave, Log, Post, Reply, Wake
 from pumicenotch.fleet.state import NAMES_MOST, TEXT_MOST, told
 from pumicenotch.members import messages
@@ -15,7 +15,6 @@
 from pumicenotch.members.messages import Changed, Opinion, Refused, Send, Standing, Who
 
 NOT_LEADER, NO_MAJORITY, REFUSED, UNKNOWN = "NotLeader", "NoMajority", "Refused", "UnknownVerb"
-STANDINGS = {SERVING: Standing.SERVING, DRAINING: Standing.DRAINING, OUT: Standing.OUT}
 HALT = "halt"  # the key under which members hand a halt on
 
 
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -9,7 +9,7 @@
 from pumicenotch.agree.messages import Commit, Led, Readable, Restore, Seats, Send, Store, Unreadable, name_of
 from pumicenotch.agree.voter import LEADER, Voter
 from pumicenotch.fleet import state as state_
-from pumicenotch.fleet.budgets import SERVING, Budget, Member, Tallies
+from pumicenotch.fleet.budgets import SERVING, Budget, Member
 from pumicenotch.fleet.effects import Exit
 from pumicenotch.fleet.mate import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN, Mate
 from pumicenotch.fleet.state import ENTRIES, BadEntry, Said, State
@@ -487,7 +487,7 @@
     def tell_why(self, name: str) -> dict[str, Any]:
         """Why it waits and about how long, or how else it stands."""
         state, member = self.state, self.state.members[name]
-        tallies = Tallies(state.budgets, ((each, state.is_out(each)) for each in state.members.values()))
+        tallies = state.tallies()
         told: dict[str, Any] = {**self.row(member), "budgets": [], "waits": state.waits.get(name, "")}
         for tally in tallies.of(member):
             outs = [each.name for each in state.members.values() if state.is_out(each)
@@ -520,6 +520,3 @@
             if self.leads:
                 self.of_voter("hand_over", "")
         super().left()
-
-
-__all__ = ["UNKNOWN", "Seat"]
--- a/pumicenotch/lab/agreeing.py
+++ b/pumicenotch/lab/agreeing.py
@@ -21,7 +21,7 @@
     Store,
     Vote,
 )  # fmt: skip
-from pumicenotch.agree.voter import FOLLOWER, LEADER, Voter
+from pumicenotch.agree.voter import LEADER, Voter
 from pumicenotch.lab.explore import Explorer
 
 NEVER = float("-inf")
@@ -306,5 +306,3 @@
 
 if __name__ == "__main__":
     main()
-
-__all__ = ["FOLLOWER", "Agreement", "Bounds", "State", "led", "long_form"]
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -118,7 +118,5 @@
         sys.exit(f"pumicenotch voter: {error}")
 
 
-__all__ = ["Mate", "member", "voter"]
-
 if __name__ == "__main__":
     main()
