Tell a request that comes twice in one place, not in each of eight entries

Eight methods of State began with the same look for the request's id; State.apply has it once, before any of them.

--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -23,6 +23,8 @@
 )  # fmt: skip
 
 COUNTS_STAY = ("drain", "began", "halt", "resume")  # entries after which as many are out as before
+# What operators ask for, each with an id first: by the method that it calls.
+REQUESTS = ("drain", "undrain", "override", "freed", "forget", "budget", "halt", "resume")
 HISTORY_MOST = 500  # events kept: some days of an ordinary fleet, some 50 KB
 IDS_MOST = 1000  # of answered requests, so that a repeat changes nothing
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
@@ -150,6 +152,8 @@
             verb, args = read(entry)
         except BadEntry as error:
             return Said(False, str(error))
+        if verb in REQUESTS and args[0] in self.ids:  # once more, by whatever way: nothing changes
+            return Said(*self.ids[args[0]])
         if verb not in COUNTS_STAY:
             self.counted = None
         said: Said = getattr(self, verb)(*args)
@@ -284,8 +288,6 @@
     # Drains
 
     def drain(self, request: str, wanted: tuple[str, ...], why: str, by: str) -> Said:
-        if request in self.ids:
-            return Said(*self.ids[request])
         return self.answered(request, self.drained(wanted, why, by))
 
     def drained(self, wanted: tuple[str, ...], why: str, by: str) -> Said:
@@ -316,8 +318,6 @@
     def undrain(self, request: str, wanted: tuple[str, ...], why: str, by: str) -> Said:
         """Whoever waits waits no more; a permit not begun is taken back; a member by hand is back in
         service."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         late = []
         for one in wanted:
             held = self.members.get(one)
@@ -350,8 +350,6 @@
     def override(self, request: str, one: str, why: str, by: str) -> Said:
         """A permit without regard to budgets, on the record. Never while halted, never a majority of the
         voters."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         held = self.members.get(one)
         if held is None:
             return self.answered(request, Said(False, f"no member {one}"))
@@ -370,8 +368,6 @@
     def freed(self, request: str, one: str, why: str, by: str) -> Said:
         """By an operator's word the permit of one that will not come back is free again. The member stays
         out, and counted, until it serves or is forgotten."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         if one not in self.permits:
             return self.answered(request, Said(False, f"{one} holds no permit"))
         held = self.members[one]
@@ -383,8 +379,6 @@
 
     def forget(self, request: str, one: str, why: str, by: str) -> Said:
         """A member that is gone for good is counted no more, neither out nor in its groups."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         held = self.members.get(one)
         if held is None:
             return self.answered(request, Said(False, f"no member {one}"))
@@ -404,8 +398,6 @@
 
     def budget(self, request: str, made: tuple[Budget, ...], by: str) -> Said:
         """All budgets anew. None that is out is called back by a lower one; nobody follows until it fits."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         self.budgets = made
         self.note(f"{by} sets budgets: {', '.join(each.name for each in made) or 'none'}")
         over = self.over()
@@ -417,16 +409,12 @@
 
     def halt(self, request: str, by: str, why: str) -> Said:
         """From anyone, at once. Its copies, however they come, are told by the request."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         self.halts[request] = (by, why)
         self.note(f"HALT by {by}: {why}")
         return self.answered(request, Said(True, self.halted()))
 
     def resume(self, request: str, halts: tuple[str, ...], why: str, by: str) -> Said:
         """Ends those halts that its operator has seen, and no later one."""
-        if request in self.ids:
-            return Said(*self.ids[request])
         for each in halts:
             self.halts.pop(each, None)
         self.note(f"RESUMED by {by}: {why}" + (f"; still {self.halted()}" if self.halts else ""))
