Agree releases as entries of the log: waves, halt, way back, and an agent's decisions

A release is a version by content that goes out in waves; which version is a node's own just now follows from the entries, and a node that runs another is due: its drain waits in the fleet's one queue, and once its server has ended its agent may ask for the move. Entries have levels: what the oldest voter cannot read is refused before it is proposed. The asking of voters has moved from Mate into Asker, the readers of entries into fleet/entries. Not reachable by a command yet.

--- /dev/null
+++ b/pumicenotch/fleet/agent.py
@@ -0,0 +1,270 @@
+"""The agent beside a server: it holds versions, starts and ends its server, and takes no step between
+versions that was not agreed an instant ago. Cut off from the fleet it keeps its server running as it is.
+
+A permission is good for as long as a question waits for its answer (`ASK_MS`), by this process's own clock:
+one that comes later, or that its process slept through, is none."""
+
+from collections.abc import Iterable
+from typing import Any, ClassVar
+
+from pumicenotch.fleet.asker import Asker
+from pumicenotch.fleet.budgets import SERVING
+from pumicenotch.fleet.effects import (
+    Anew,
+    Effect,
+    End,
+    Hold,
+    Log,
+    Proven,
+    Reread,
+    Start,
+    Swap,
+    Wake,
+)
+from pumicenotch.fleet.entries import TEXT_MOST
+from pumicenotch.fleet.release import RESTARTS, STUCK
+
+
+class Agent(Asker):
+    SAY_MS = 500.0  # between its words
+    PATIENCE_MS = 5000.0  # for its server to use its permit by itself: some of its own words to the leader
+    ALONE_MS = (
+        4000.0  # without an answer after its server's end, until what is there is started: an election's time
+    )
+    LOOP_MS, LOOP = 60_000.0, 3  # so many unasked ends in such a time are a crash loop
+    REFUSED = 2  # ends before it ever served: the first may be a port that is not free yet
+    BACKOFF_MS, BACKOFF_MOST_MS = 250.0, 10_000.0  # before a start after an unasked end, doubling
+    KILL_MS = 3000.0  # for a server to end that was told to and need not drain
+    HOLD_AGAIN_MS = 5000.0  # before a version is fetched again that could not be
+
+    INPUTS: ClassVar = frozenset(("start", "time", "answered", "ended", "held", "swapped"))
+
+    def __init__(
+        self, *, fleet: str, node: str, life: str, voters: Iterable[str], runs: dict[str, str],
+        holds: Iterable[str], child: bool, start_ms: float, drain_ms: float, now: float, seed: int,
+    ) -> None:  # fmt: skip
+        """`runs` is what stands in each slot; `child`: its server is there already, of an agent before this
+        one."""
+        super().__init__(voters, now, seed)
+        self.fleet, self.node, self.life = fleet, node, life
+        self.runs, self.holds = dict(runs), list(holds)
+        self.start_ms, self.drain_ms = start_ms, drain_ms
+        self.child = child
+        self.served = child  # since its start
+        self.trouble = ""
+        self.ends: list[float] = []  # unasked ones
+        self.refusals = 0
+        self.started_at = self.ended_at = self.heard_at = now
+        self.start_at = now  # not before
+        self.ending: float = float("inf")  # asked to end: force from then on
+        self.say_at = now
+        self.holding: dict[str, float] = {}  # version: not again before; infinite while it is on its way
+        self.swapping = False
+        # What the fleet said last.
+        self.known_life = self.life_before = ""
+        self.due: tuple[str, str] = ("", "")
+        self.permit, self.begun = 0, False
+        self.permit_at = self.begun_at = now
+        self.halted = ""
+
+    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
+        """One input: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
+        `held` (version, why not), `swapped` (slot, why not)."""
+        self.now = max(self.now, now)
+        assert name in self.INPUTS, name
+        getattr(self, name)(*details)
+        self.look()
+        self.want()
+        effects, self.effects = self.effects, []
+        effects.append(Wake(self.wakes_at()))
+        return effects
+
+    def wakes_at(self) -> float:
+        return min(self.ask_due(), self.now + self.SAY_MS / 2.0)
+
+    def start(self) -> None:
+        self.log(f"the agent of {self.node}: {self.told_runs()}")
+
+    def time(self) -> None:
+        self.unanswered()
+
+    def told_runs(self) -> str:
+        return ", ".join(f"{slot} {version}" for slot, version in sorted(self.runs.items()))
+
+    # Its server
+
+    def look(self) -> None:
+        """What is to be done without any answer."""
+        if self.child:
+            late = not self.served and self.now - self.started_at > self.start_ms
+            if late and not self.trouble:
+                self.fail(f"silent: not in service {self.start_ms / 1000.0:.0f} s after its start")
+            if self.now >= self.ending:
+                self.ending = float("inf")
+                self.effects.append(End(True))
+            return
+        if self.swapping or self.now < self.start_at:
+            return
+        moves = self.due[0] in RESTARTS and self.due[1] in self.holds
+        heard = self.heard_at > self.ended_at
+        if (heard and not moves) or self.now >= self.ended_at + self.ALONE_MS:
+            self.begin()
+
+    def begin(self) -> None:
+        self.child, self.served, self.started_at = True, False, self.now
+        self.ending = float("inf")
+        self.life_before = self.known_life
+        self.log(f"starts its server: {self.told_runs()}")
+        self.effects.append(Start())
+
+    def ended(self, status: int | None) -> None:
+        asked = self.ending < float("inf") or status in (0, None) or self.begun
+        self.child, self.ended_at, self.ending = False, self.now, float("inf")
+        self.start_at = self.now
+        if not asked:
+            self.ends = [at for at in self.ends if self.now - at < self.LOOP_MS] + [self.now]
+            wait = self.BACKOFF_MS * 2.0 ** min(len(self.ends) - 1, 8)
+            self.start_at = self.now + min(self.BACKOFF_MOST_MS, wait)
+            self.refusals += not self.served
+            if self.refusals >= self.REFUSED:
+                self.fail(f"start refused: it ended with status {status} before it served")
+            elif len(self.ends) >= self.LOOP:
+                lasted = self.now - self.ends[0]
+                self.fail(f"crash loop: {len(self.ends)} ends in {lasted / 1000.0:.0f} s, status {status}")
+        self.served = False
+        self.log(f"its server has ended: status {status}")
+        self.say_soon()
+
+    def fail(self, why: str) -> None:
+        if self.trouble != why:
+            self.trouble = why[:TEXT_MOST]
+            self.log(why)
+            self.say_soon()
+
+    def end(self, after_ms: float) -> None:
+        if self.child and self.ending == float("inf"):
+            self.ending = self.now + after_ms
+            self.effects.append(End(False))
+
+    def say_soon(self) -> None:
+        self.say_at = self.now
+        if self.ask is None:
+            self.ask_at = min(self.ask_at, self.now)
+
+    # Versions
+
+    def held(self, version: str, why: str) -> None:
+        if why:
+            self.holding[version] = self.now + self.HOLD_AGAIN_MS
+            self.fail(f"{STUCK} {version}: {why}")
+            return
+        self.holding.pop(version, None)
+        if version not in self.holds:
+            self.holds.append(version)
+        if self.trouble.startswith(f"{STUCK} {version}"):
+            self.trouble = ""
+        self.say_soon()
+
+    def swapped(self, slot: str, why: str) -> None:
+        self.swapping = False
+        if why:
+            self.fail(f"{STUCK} {self.due[1]}: {why}")
+            self.ended_at = min(self.ended_at, self.now - self.ALONE_MS)  # what is there is started
+            return
+        self.runs[slot] = self.due[1]
+        self.due = ("", "")
+        self.say_soon()
+        if slot == "agent":
+            self.effects.append(Anew())
+        elif slot not in RESTARTS:
+            self.effects.append(Reread())
+        else:
+            self.trouble, self.ends, self.refusals = "", [], 0
+            self.begin()
+
+    # What it says and asks
+
+    def want(self) -> None:
+        if self.ask is not None or self.now < self.ask_at or not self.voters or self.swapping:
+            return
+        slot, version = self.due
+        held = version in self.holds
+        if self.now >= self.say_at:
+            self.say_at = self.now + self.SAY_MS
+            runs = sorted(self.runs.items())
+            self.send("agent", self.node, self.life, runs, self.holds, not self.served, self.trouble)
+        elif slot and held and (slot not in RESTARTS or (not self.child and self.heard_at > self.ended_at)):
+            self.send("move", self.node, self.life, slot, version)
+        elif slot in RESTARTS and held and self.child:
+            self.have_it_end()
+        else:
+            self.ask_at = self.say_at
+        if self.ask is None and self.ask_at <= self.now:
+            self.ask_at = self.say_at
+
+    def have_it_end(self) -> None:
+        """By its permit the server drains by itself. One that does not is ended, its permit begun first; one
+        in trouble is out, by this agent's own word, and needs none."""
+        if self.trouble and not self.trouble.startswith(STUCK):
+            self.end(self.KILL_MS)
+        elif self.begun:
+            if self.now - self.begun_at > self.drain_ms:
+                self.end(self.KILL_MS)
+        elif self.permit and self.now - self.permit_at > self.PATIENCE_MS and not self.halted:
+            self.send("began", self.node, self.known_life, self.permit)
+
+    def agreed(self, verb: str, result: dict[str, Any]) -> None:
+        match verb:
+            case "agent":
+                self.hear(result)
+            case "move" if self.due[0]:
+                self.log(f"moves to {self.due[0]} {self.due[1]}")
+                self.swapping = True
+                self.effects.append(Swap(*self.due))
+            case "began":
+                self.begun, self.begun_at = True, self.now
+                self.end(self.drain_ms)
+
+    def refused(self, verb: str, text: str) -> None:
+        self.counts[f"{verb}_refused"] += 1
+        if verb in ("move", "agent"):
+            self.log(f"{verb} refused: {text}")
+        self.say_at = self.now
+
+    def hear(self, told: dict[str, Any]) -> None:
+        self.heard_at = self.now
+        again = told.get("again_ms")
+        if isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
+            self.say_at = self.now + again
+        due = told.get("due")
+        self.due = (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
+        self.halted = str(told.get("halted", ""))
+        self.known_life = str(told.get("life", ""))
+        permit = told.get("permit")
+        permit = permit if type(permit) is int else 0
+        if permit != self.permit:
+            self.permit_at = self.now
+        begun = bool(told.get("begun"))
+        if begun and not self.begun:
+            self.begun_at = self.now
+        self.permit, self.begun = permit, begun
+        serves = told.get("standing") == SERVING and not permit
+        if self.child and not self.served and serves and self.known_life != self.life_before:
+            self.served, self.refusals = True, 0
+            if not self.trouble.startswith("crash loop"):
+                self.trouble = ""
+            self.effects.append(Proven())
+            self.say_soon()
+        if (
+            self.trouble.startswith("crash loop")
+            and self.served
+            and self.now - self.started_at > self.LOOP_MS
+        ):
+            self.trouble = ""
+        for version in told.get("hold") or ():
+            if version not in self.holds and self.now >= self.holding.get(str(version), 0.0):
+                self.holding[str(version)] = float("inf")
+                self.effects.append(Hold(str(version)))
+
+    def log(self, text: str) -> None:
+        self.effects.append(Log(text))
--- a/pumicenotch/fleet/effects.py
+++ b/pumicenotch/fleet/effects.py
@@ -48,4 +48,42 @@
     pass
 
 
-Effect = Post | Ask | Reply | Leave | Log | Wake | Exit
+# Of an agent, beside its server
+
+
+class Hold(NamedTuple):
+    """Fetch that version and check it: the input `held`."""
+
+    version: str
+
+
+class Swap(NamedTuple):
+    """Put that version in the slot, to stay there: the input `swapped`."""
+
+    slot: str
+    version: str
+
+
+class Start(NamedTuple):
+    """Start the server, of what stands in the slots."""
+
+
+class End(NamedTuple):
+    """End the server: asked to, or by force."""
+
+    force: bool
+
+
+class Reread(NamedTuple):
+    """Have the server read its files again."""
+
+
+class Anew(NamedTuple):
+    """This process goes on as the version that stands in its own slot."""
+
+
+class Proven(NamedTuple):
+    """The versions in the slots serve: they are the last good ones."""
+
+
+Effect = Hold | Swap | Start | End | Reread | Anew | Proven | Post | Ask | Reply | Leave | Log | Wake | Exit
--- a/pumicenotch/fleet/judge.py
+++ b/pumicenotch/fleet/judge.py
@@ -55,10 +55,10 @@
         """The window is over: what was told of it counts from now on."""
         for stratum, (others, released) in sorted(self.window.items()):
             many, bad = others.tasks + released.tasks, others.bad + released.bad
-            self.tasks += released.tasks
-            self.bad += released.bad
             if not others.tasks or not released.tasks or many < 2:
                 continue  # nothing to hold it against: neither good nor bad
+            self.tasks += released.tasks
+            self.bad += released.bad
             expected = released.tasks * bad / many
             spread = released.tasks * others.tasks * bad * (many - bad) / (many * many * (many - 1.0))
             off = released.bad - expected
--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -2,31 +2,27 @@
 
 Whatever it hears or does not hear, its work goes on: only steps that nobody forces wait for agreement."""
 
-import random
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any, ClassVar
 
+from pumicenotch.fleet.asker import UNKNOWN, Asker
 from pumicenotch.fleet.budgets import SERVING, Member
-from pumicenotch.fleet.effects import Ask, Effect, Leave, Log, Post, Reply, Wake
-from pumicenotch.fleet.state import NAMES_MOST, TEXT_MOST, told
+from pumicenotch.fleet.effects import Effect, Leave, Log, Post, Reply, Wake
+from pumicenotch.fleet.entries import NAMES_MOST, TEXT_MOST
+from pumicenotch.fleet.state import told
 from pumicenotch.members import messages
 from pumicenotch.members.members import Members
 from pumicenotch.members.messages import Changed, Opinion, Refused, Send, Standing, Who
 
-NOT_LEADER, NO_MAJORITY, REFUSED, UNKNOWN = "NotLeader", "NoMajority", "Refused", "UnknownVerb"
 HALT = "halt"  # the key under which members hand a halt on
 
 
-class Mate:
-    # for an answer: an agreed step takes some round trips between regions, then another is asked
-    ASK_MS = 700.0
-    AGAIN_MS = 250.0  # after a refusal or silence, doubling
-    AGAIN_MOST_MS = 2000.0
+class Mate(Asker):
     MINE_MS = 500.0  # between words to the leader, unless it names a longer time
 
     INPUTS: ClassVar = frozenset(
-        ("start", "time", "told", "asked", "closed", "answered", "serve", "leave", "left")
+        ("start", "time", "told", "asked", "closed", "answered", "serve", "leave", "left", "counted")
     )
 
     def __init__(
@@ -34,16 +30,9 @@
         seed: int,
     ) -> None:  # fmt: skip
         """`voters` are the addresses of all voters; `member` is what the fleet counts of this process."""
-        self.fleet, self.me, self.member, self.now = fleet, me, member, now
-        self.chance = random.Random(seed)
-        self.effects: list[Effect] = []
-        self.counts: Counter[str] = Counter()
+        super().__init__(voters, now, seed)
+        self.fleet, self.me, self.member = fleet, me, member
         self.members = Members(me, now, seeds, self.chance)
-        self.voters = sorted(voters)
-        self.voter_at = self.chance.randrange(len(self.voters)) if self.voters else 0
-        self.numbers = 0
-        self.ask: tuple[int, str, float] | None = None  # number, verb, until: one at a time
-        self.ask_at, self.failures = now, 0
         self.mine_at = now
         # What is agreed of this process, as far as it was told.
         self.joined = self.agreed_serving = self.gone_told = self.leaving_told = False
@@ -53,6 +42,7 @@
         self.agreed_halt = ""  # why nothing goes on
         self.waits = ""  # for what a drain of it waits, and about how long
         self.no_permit = ""  # why the last one could not be used
+        self.counting = False  # whether the leader wants to hear how this process does
         # What it is.
         self.serves = self.leaving = self.over = self.overloaded = False
         self.why = ""
@@ -61,7 +51,8 @@
     def step(self, now: float, name: str, *details: Any) -> list[Effect]:
         """One input: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
         message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
-        whether it is overloaded past use), `leave` (why), `left`. Time never goes back."""
+        whether it is overloaded past use), `leave` (why), `left`, `counted` (rows as `fleet/watch` reads
+        them). Time never goes back."""
         self.now = max(self.now, now)
         assert name in self.INPUTS, name
         getattr(self, name)(*details)
@@ -71,18 +62,14 @@
         return effects
 
     def due(self) -> float:
-        found = [self.members.due()]
-        found.append(self.ask[2] if self.ask is not None else max(self.ask_at, self.now + 1.0))
-        return min(found)
+        return min(self.members.due(), self.ask_due())
 
     def start(self) -> None:
         self.time()
 
     def time(self) -> None:
         self.of_members("time")
-        if self.ask is not None and self.now >= self.ask[2]:
-            self.counts["asks_unanswered"] += 1
-            self.failed()
+        self.unanswered()
 
     # Members
 
@@ -215,39 +202,6 @@
         else:
             self.ask_at = self.mine_at
 
-    def send(self, verb: str, *args: Any) -> None:
-        self.numbers += 1
-        self.ask = (self.numbers, verb, self.now + self.ASK_MS)
-        self.effects.append(Ask(self.voters[self.voter_at], self.numbers, verb, args))
-
-    def failed(self, towards: str = "") -> None:
-        """Another voter is asked, the one that is said to lead if any."""
-        self.ask = None
-        self.failures += 1
-        if towards in self.voters:
-            self.voter_at = self.voters.index(towards)
-            wait = self.AGAIN_MS / 5.0 if self.failures < 3 else self.AGAIN_MS
-        else:
-            self.voter_at = (self.voter_at + 1) % len(self.voters)
-            wait = min(self.AGAIN_MOST_MS, self.AGAIN_MS * 2.0 ** min(self.failures - 1, 8))
-        self.ask_at = self.now + wait * self.chance.uniform(0.5, 1.0)
-
-    def answered(self, number: int, error: Any, result: Any) -> None:
-        if self.ask is None or self.ask[0] != number:
-            self.counts["answers_late"] += 1
-            return
-        verb = self.ask[1]
-        if error is None:
-            self.ask, self.failures, self.ask_at = None, 0, self.now
-            self.agreed(verb, result if isinstance(result, dict) else {})
-            return
-        code, text, more = (*error, None, None, None)[:3] if isinstance(error, list | tuple) else ("", "", "")
-        if code == REFUSED:
-            self.refused(verb, str(text))
-            self.failed(self.voters[self.voter_at])
-        else:
-            self.failed(more if isinstance(more, str) else "")
-
     def agreed(self, verb: str, result: dict[str, Any]) -> None:
         match verb:
             case "join":
@@ -275,6 +229,7 @@
         self.agreed_serving = result.get("standing") == SERVING
         self.permit, self.begun = permit if type(permit) is int else 0, bool(result.get("begun"))
         self.agreed_halt = str(result.get("halted", ""))[:1000]
+        self.counting = bool(result.get("counts"))
         waits = str(result.get("waits", ""))[:1000]
         if waits and not self.waits:
             self.log(f"a drain of this process is asked for, and waits: {waits}")
@@ -305,6 +260,12 @@
             if not self.leaving:
                 self.stand(Standing.SERVING if good else Standing.JOINING)
 
+    def counted(self, rows: Any) -> None:
+        """How its tasks have gone, since its start: for whoever leads, while a release is on. Lost words do
+        no harm: the next one says it all again."""
+        if self.counting and self.joined and not self.leaving:
+            self.post(self.voters[self.voter_at], "counts", rows)
+
     def leave(self, why: str) -> None:
         """It drains from now on, whether anybody agreed or not."""
         if not self.leaving:
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -8,15 +8,20 @@
 from pumicenotch.agree.found import Founding, Say, seated
 from pumicenotch.agree.messages import Commit, Led, Readable, Restore, Seats, Send, Store, Unreadable, name_of
 from pumicenotch.agree.voter import LEADER, Voter
+from pumicenotch.fleet import release as release_
 from pumicenotch.fleet import state as state_
+from pumicenotch.fleet.asker import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
 from pumicenotch.fleet.effects import Exit
-from pumicenotch.fleet.mate import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN, Mate
-from pumicenotch.fleet.state import ENTRIES, BadEntry, Said, State
+from pumicenotch.fleet.entries import BadEntry, Said
+from pumicenotch.fleet.mate import Mate
+from pumicenotch.fleet.release import BUDGETS, ENDED, Release, waves_of
+from pumicenotch.fleet.state import ENTRIES, State
+from pumicenotch.fleet.watch import Watch, rows_of
 from pumicenotch.members.messages import Opinion
 
-OWN = ("begin", "against")  # entries that only a leader makes
-READS = ("status", "why", "log", "halts")
+OWN = ("begin", "against", "level", "word", "soaked", "harm")  # entries that only a leader makes
+READS = ("status", "why", "log", "halts", "releases", "one_release", "waves")
 ROWS_MOST = 200  # of a table in one answer: some 30 KB
 SILENT, OVERLOADED = "silent", "overloaded"
 
@@ -70,6 +75,8 @@
         self.words: dict[str, tuple[float, bool]] = {}
         self.since: dict[str, float] = {}  # of those that wait or hold a permit: when this process saw it
         self.durations: list[float] = []  # of the last permits, as this process saw them
+        self.watch = Watch()  # while it leads
+        self.levels: dict[str, tuple[float, int]] = {}  # by voter: when it spoke, and what it understands
         self.duty_at = self.seen_at = self.now
         self.leave_at = float("inf")
 
@@ -137,6 +144,10 @@
                 self.seated_by_founding()
             case "sees":
                 self.sees[name] = (self.now, frozenset(each for each in params if isinstance(each, str)))
+                self.levels[name] = (self.now, max([1, *(each for each in params if type(each) is int)]))
+            case "counts":
+                if self.leads and len(params) == 1:
+                    self.watch.told(self.now, name, life, rows_of(params[0]))
             case _:
                 super().hear(sender, method, params)
 
@@ -167,7 +178,8 @@
     def led(self, leader: str, term: int) -> None:
         self.log(f"{leader or 'nobody'} leads in term {term}")
         if leader == self.seat:
-            self.sees, self.words, self.wanting = {}, {}, {}
+            self.sees, self.words, self.wanting, self.levels = {}, {}, {}, {}
+            self.watch = Watch()
             # Whose word went to the former leader counts as heard: a name is not free for want of a memory.
             self.heard_mine_at = {each.name: (each.life, self.now) for each in self.state.members.values()}
         elif self.pending:
@@ -242,10 +254,12 @@
             self.of_voter("read", self.keys)
         elif verb == "mine":
             self.mine_asked(conn, message, args)
+        elif verb == "agent":
+            self.agent_asked(conn, message, args)
         elif verb in ENTRIES and verb not in OWN:
             self.propose(conn, message, (verb, *args))
         else:
-            known = sorted({*ENTRIES, *READS, "local", "mine"} - set(OWN))
+            known = sorted({*ENTRIES, *READS, "local", "mine", "agent"} - set(OWN))
             self.refuse(conn, message, UNKNOWN, f"{verb}: unknown; known: {', '.join(known)}")
 
     def propose(self, conn: int, message: int, entry: tuple[Any, ...]) -> None:
@@ -276,6 +290,14 @@
             lately = heard is not None and self.now - heard[1] < self.TAKEN_MS + self.again_ms()
             if held is not None and held.life != life and held.standing == SERVING and lately:
                 return f"{name}: the name is taken by a process that is alive ({held.life})"
+        if (needs := release_.NEEDS.get(entry[0], 1)) > self.state.releases.level and entry[0] != "level":
+            old = [name for name in self.names if self.levels.get(name, (0.0, 1))[1] < needs]
+            return (
+                f"{entry[0]} is of level {needs}, and the fleet is at level {self.state.releases.level}: all"
+                f" voters have to understand it first; not heard so of {', '.join(old) or 'nobody: wait'}"
+            )
+        if entry[0] == "move" and self.marker()[1] and self.marker()[1] not in self.state.ids:
+            return self.halted()
         if entry[0] == "began" and self.marker()[1] and self.marker()[1] not in self.state.ids:
             permit = self.state.permits.get(entry[1])
             return "" if permit is not None and permit.begun else self.halted()
@@ -297,11 +319,39 @@
                     "waits": self.waiting_for(name) if name in self.state.waits else "",
                         "begun": permit is not None and own and permit.begun,
                     "halted": self.state.halted(),
-                    "again_ms": self.again_ms(),
+                    "again_ms": self.again_ms(), "counts": bool(self.releases_on()),
                 })  # fmt: skip
             case _:
                 self.refuse(conn, message, REFUSED, "mine: a name, a life and whether overloaded are wanted")
 
+    def releases_on(self) -> list[Release]:
+        return [each for each in self.state.releases.releases.values() if each.state not in ENDED]
+
+    def agent_asked(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
+        """What an agent says of its node, and what it is told: a hint; each step is an entry."""
+        try:
+            _, (one, agent, runs, holds, down, trouble) = state_.read(("word", *args))
+        except BadEntry as error:
+            self.refuse(conn, message, REFUSED, str(error))
+            return
+        state, releases = self.state, self.state.releases
+        node = releases.nodes.get(one)
+        said = (agent, runs, holds, down, trouble)
+        if releases.level >= 2 and (node is None or (node[1:6]) != said):
+            self.propose_own("word", one, *said)
+        member, permit = state.members.get(one), state.permits.get(one)
+        due = releases.due(node) if node is not None else ("", "")
+        mine = [each for each in self.releases_on() if one in each.nodes]
+        wants = dict.fromkeys([due[1], *(each.version for each in mine), *(each.replaces for each in mine)])
+        self.reply(conn, message, {
+            "member": member is not None, "life": member.life if member is not None else "",
+            "standing": member.standing if member is not None else "",
+            "permit": permit.epoch if permit is not None else 0,
+            "begun": permit is not None and permit.begun,
+            "due": due, "hold": [each for each in wants if each], "halted": state.halted(),
+            "again_ms": self.again_ms(),
+        })  # fmt: skip
+
     def closed(self, conn: int) -> None:
         for index, pending in list(self.pending.items()):
             if pending.conn == conn:
@@ -325,8 +375,9 @@
             dead = self.dead()
             if self.leads:
                 self.sees[self.me.name] = (self.now, frozenset(dead))
+                self.levels[self.me.name] = (self.now, release_.LEVEL)
             elif address := self.names.get(name_of(self.voter.leader)):
-                self.post(address, "sees", *dead)
+                self.post(address, "sees", *dead, release_.LEVEL)
         if not self.leads or not self.voter.settled():
             return
         if not self.state.fleet:
@@ -337,6 +388,9 @@
             return
         self.halts_handed_on()
         self.judge()
+        self.raise_level()
+        for entry in self.watch.look(self.now, self.state):
+            self.propose_own(*entry)
         seats = seated(self.voter, self.wanting, self.seat_heard)
         if seats is not None:
             self.log(f"seats: {', '.join(seats.voters)}; learning: {', '.join(seats.learners) or 'none'}")
@@ -375,6 +429,16 @@
         elif key not in self.state.halts:
             self.mark("", "", "")
 
+    def raise_level(self) -> None:
+        """Entries that the oldest voter cannot read are not proposed before all voters can; nor while a
+        release may still have to go back."""
+        since = self.now - self.SEEN_LASTS_MS
+        fresh = [level for when, level in self.levels.values() if when >= since]
+        if len(fresh) < len(self.names) or self.state.releases.active():
+            return
+        if min(fresh) > self.state.releases.level:
+            self.propose_own("level", min(fresh))
+
     def judge(self) -> None:
         """Out against its will is who a majority of the voters thinks dead, or who says so itself. It takes
         as much to be well again, and its own word: a new leader that has heard of nobody yet knows of no
@@ -419,6 +483,18 @@
             case ["log", int(many)]:
                 rows = [{"index": index, "what": what} for index, what in self.state.history[-max(1, many) :]]
                 self.reply(conn, message, {"log": rows[-ROWS_MOST:]})
+            case ["releases"]:
+                found = self.state.releases
+                rows = [self.tell_release(each) for each in list(found.releases.values())[-ROWS_MOST:]]
+                told = {"level": found.level, "stands": found.stands, "releases": rows}
+                self.reply(conn, message, told)
+            case ["one_release", str(name)] if name in self.state.releases.releases:
+                release = self.state.releases.releases[name]
+                self.reply(conn, message, self.tell_release(release) | {"rows": self.release_rows(release)})
+            case ["one_release", str(name)]:
+                self.refuse(conn, message, REFUSED, f"no release {name}")
+            case ["waves", [*shares], bool(mixed), str(order)]:
+                self.reply(conn, message, {"waves": self.waves(tuple(map(float, shares)), mixed, order)})
             case ["why", str(name)] if name in self.state.members:
                 self.reply(conn, message, self.tell_why(name))
             case ["why", str(name)]:
@@ -426,6 +502,43 @@
             case _:
                 self.refuse(conn, message, REFUSED, f"{verb}: other values are wanted")
 
+    def waves(self, shares: tuple[float, ...], mixed: bool, order: str) -> tuple[tuple[str, ...], ...]:
+        """Of all nodes that an agent has spoken for."""
+        nodes = self.state.releases.nodes
+        members = [each for each in self.state.members.values() if each.name in nodes]
+        return waves_of(members, shares=shares, mixed=mixed, order=order)
+
+    def tell_release(self, release: Release) -> dict[str, Any]:
+        trial = self.watch.trials.get(release.name)
+        missing = self.state.releases.missing(release) if release.active and release.slot != BUDGETS else []
+        return {
+            "name": release.name, "slot": release.slot,
+            "version": release.version, "replaces": release.replaces,
+            "state": release.state, "stands": release.stands, "wave": release.wave,
+            "waves": [len(wave) for wave in release.waves], "nodes": len(release.nodes),
+            "halts": [list(halt) for halt in release.halts], "asks": release.asks, "why": release.why,
+            "harmed": list(release.harmed), "urgent": release.urgent,
+            "missing": missing[:ROWS_MOST], "judged": trial.text if trial is not None else "",
+            "has": sum(self.state.releases.nodes[one].version(release.slot) == release.version
+                       for one in release.nodes if one in self.state.releases.nodes),
+        }  # fmt: skip
+
+    def release_rows(self, release: Release) -> list[dict[str, Any]]:
+        """What stands where: for when it is halted half way."""
+        rows = []
+        for at, wave in enumerate(release.waves, 1):
+            for one in wave:
+                node, member = self.state.releases.nodes.get(one), self.state.members.get(one)
+                if node is None or member is None:
+                    continue
+                out = self.state.is_out(member)
+                rows.append({
+                    "name": one, "zone": member.zone, "wave": at, "runs": node.version(release.slot),
+                    "serves": not out, "trouble": node.trouble or member.against,
+                    "waits": self.state.waits.get(one, ""),
+                })  # fmt: skip
+        return rows[:ROWS_MOST]
+
     def status(self) -> dict[str, Any]:
         state = self.state
         out = [each for each in state.members.values() if state.is_out(each)]
@@ -465,6 +578,8 @@
                 for tally in list(state.tallies().found.values())[:ROWS_MOST]
             ],
             "over": state.over()[:ROWS_MOST],
+            "level": state.releases.level,
+            "releases": [{"name": each.name, "stands": each.stands} for each in self.releases_on()],
         }
 
     def row(self, member: Member) -> dict[str, Any]:
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -7,37 +7,42 @@
 a reason."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from pumicenotch.fleet.budgets import (
-    DRAINING,
-    OUT,
-    SERVING,
-    BadBudget,
-    Budget,
-    Member,
-    Tallies,
-    Tally,
-    budget_of,
-)  # fmt: skip
-
-COUNTS_STAY = ("drain", "began", "halt", "resume")  # entries after which as many are out as before
+from pumicenotch.fleet import release as release_
+from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Budget, Member, Tallies, Tally
+from pumicenotch.fleet.entries import (
+    BadEntry,
+    Reader,
+    Said,
+    budgets_of,
+    member_of,
+    name,
+    names,
+    number,
+    reason,
+    text,
+)
+from pumicenotch.fleet.release import Releases
+
+# Entries after which as many are out as before, or that say themselves when it is otherwise.
+COUNTS_STAY = ("drain", "began", "halt", "resume", "word", "move", "plan", "soaked")
 # What operators ask for, each with an id first: by the method that it calls.
-REQUESTS = ("drain", "undrain", "override", "freed", "forget", "budget", "halt", "resume")
+REQUESTS = ("drain", "undrain", "override", "freed", "forget", "budget", "halt", "resume",
+            *release_.REQUESTS)  # fmt: skip
 HISTORY_MOST = 500  # events kept: some days of an ordinary fleet, some 50 KB
 IDS_MOST = 1000  # of answered requests, so that a repeat changes nothing
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
-TEXT_MOST = 200  # letters of a reason
-NAMES_MOST = 1024  # in one request
-FORM = 1  # of a dump
+PERMITTED = ("drain", release_.KIND)  # permits that keep to the budgets
+FORMS = (1, 2)  # of a dump: the second has releases
 
 
 class Permit(NamedTuple):
     name: str
     life: str
     epoch: int  # the index at which it was given: of two, the higher is the later
-    kind: str  # "drain", "term" (a process that could not wait) or "override"
+    kind: str  # "drain", "release", "term" (a process that could not wait) or "override"
     reason: str
     begun: bool = False
 
@@ -51,76 +56,6 @@
     by: str
 
 
-class Said(NamedTuple):
-    """What an entry came to: `good`, and a text for whoever asked."""
-
-    good: bool
-    text: str
-    value: Any = None
-
-
-class BadEntry(ValueError):
-    """It is no entry of this fleet's form: refused before it is proposed, skipped where it is agreed all the
-    same."""
-
-
-def text(told: Any) -> str:
-    if not isinstance(told, str) or len(told) > TEXT_MOST:
-        raise BadEntry(f"a text of up to {TEXT_MOST} letters is wanted, not {told!r:.40}")
-    return told
-
-
-def name(told: Any) -> str:
-    if not text(told) or len(told) > 64:
-        raise BadEntry(f"a name of 1 to 64 letters is wanted, not {told!r:.80}")
-    return str(told)
-
-
-def names(told: Any) -> tuple[str, ...]:
-    if not isinstance(told, list | tuple) or not 0 < len(told) <= NAMES_MOST:
-        raise BadEntry(f"1 to {NAMES_MOST} names are wanted")
-    return tuple(dict.fromkeys(name(each) for each in told))
-
-
-def reason(told: Any) -> str:
-    if not text(told).strip():
-        raise BadEntry("a reason is wanted: it stands in the log")
-    return str(told)
-
-
-def number(told: Any) -> int:
-    if type(told) is not int or told < 0:
-        raise BadEntry(f"a whole number is wanted, not {told!r:.40}")
-    return told
-
-
-def budgets_of(told: Any) -> tuple[Budget, ...]:
-    if not isinstance(told, list | tuple):
-        raise BadEntry("a list of budgets is wanted")
-    try:
-        made = tuple(budget_of(each) for each in told)
-    except BadBudget as error:
-        raise BadEntry(str(error)) from None
-    if len({budget.name for budget in made}) < len(made):
-        raise BadEntry("two budgets have one name")
-    return made
-
-
-def member_of(told: Any) -> Member:
-    """Of what a process says of itself: the first fields of Member, to `voter`."""
-    try:
-        one, life, zone, region, cell, serves, uses, capacity, voter = told
-        made = Member(
-            name(one), text(life), text(zone), text(region), text(cell), tuple(map(name, serves)),
-            tuple(map(name, uses)), float(capacity), bool(voter),
-        )  # fmt: skip
-    except (TypeError, ValueError) as error:
-        raise BadEntry(f"no member: {error}") from None
-    if not 0.0 < made.capacity < 1e9 or len(made.serves) + len(made.uses) > 64:
-        raise BadEntry(f"member {made.name}: capacity {made.capacity:g}, {len(made.serves)} services")
-    return made
-
-
 def told(member: Member) -> tuple[Any, ...]:
     return tuple(member[:9])
 
@@ -138,9 +73,9 @@
         self.halts: dict[str, tuple[str, str]] = {}  # id -> by, why
         self.ids: dict[str, tuple[bool, str]] = {}  # request id -> what it came to
         self.history: list[tuple[int, str]] = []
+        self.releases = Releases(self)
         # Who is out in each group, and of the voters, while no entry has changed it: among 1,000 members to
-        # count
-        # anew takes milliseconds, and hundreds may ask in a second.
+        # count anew takes milliseconds, and hundreds may ask in a second.
         self.counted: tuple[Tallies, int] | None = None
 
     # Entries
@@ -156,7 +91,10 @@
             return Said(*self.ids[args[0]])
         if verb not in COUNTS_STAY:
             self.counted = None
-        said: Said = getattr(self, verb)(*args)
+        owner = self.releases if entry[0] in release_.ENTRIES else self
+        said: Said = getattr(owner, verb)(*args)
+        one = args[0] if verb in release_.OF_ONE else ""
+        self.releases.settle(one.name if isinstance(one, Member) else one)
         if verb != "drain":  # which has settled by itself, to say what came of it
             self.settle()
         return said
@@ -205,6 +143,7 @@
         if held.standing != SERVING or held.against:
             self.members[one] = held._replace(standing=SERVING, against="")
             self.note(f"{one} serves")
+        self.releases.served(one)
         return Said(True, "serving")
 
     def leaving(self, one: str, life: str, why: str) -> Said:
@@ -234,7 +173,7 @@
         if not permit.begun and self.halts:
             return Said(False, self.halted())
         # Others may have gone out against their will since it was given, and a budget been lowered.
-        if not permit.begun and permit.kind == "drain" and (over := self.over_with(held, permit)):
+        if not permit.begun and permit.kind in PERMITTED and (over := self.over_with(held, permit)):
             return Said(False, f"not now: {over}")
         if not permit.begun:
             self.permits[one] = permit._replace(begun=True)
@@ -301,7 +240,8 @@
                                " a majority must stay: ask for them in turn")  # fmt: skip
         asked = {each.name for each in self.queue}
         new = [each for each in wanted if each not in asked and each not in self.permits]
-        self.queue += [Request(each, self.index, why, by) for each in new]
+        for each in new:
+            self.ask_for(each, why, by)
         self.note(f"{by} asks for a drain of {listed(wanted)}: {why}")
         self.settle()
         given = [each for each in wanted if each in self.permits]
@@ -312,6 +252,9 @@
             True, f"waiting: {listed(waiting)}; {waiting[0]}: {self.waits.get(waiting[0], 'its turn')}"
         )
 
+    def ask_for(self, one: str, why: str, by: str) -> None:
+        self.queue.append(Request(one, self.index, why, by))
+
     def spare_voters(self) -> int:
         return max(0, (len(self.voters) - 1) // 2)
 
@@ -385,6 +328,7 @@
         if held.standing == SERVING and not held.against:
             return self.answered(request, Said(False, f"{one} serves: drain it first"))
         del self.members[one]
+        self.releases.nodes.pop(one, None)
         self.permits.pop(one, None)
         self.queue = [each for each in self.queue if each.name != one]
         self.note(f"FORGOTTEN by {by}: {one}: {why}")
@@ -428,7 +372,8 @@
     # What follows
 
     def is_out(self, member: Member) -> bool:
-        return member.standing != SERVING or bool(member.against) or member.name in self.permits
+        return (member.standing != SERVING or bool(member.against) or member.name in self.permits
+                or self.releases.down(member.name))  # fmt: skip
 
     def voters_out(self) -> int:
         return sum(member.voter and self.is_out(member) for member in self.members.values())
@@ -461,7 +406,7 @@
                 for tally in mine:
                     barred.setdefault(id(tally), request.name)
                 continue
-            self.give(member, "drain", request.reason)
+            self.give(member, release_.KIND if request.by == release_.BY else "drain", request.reason)
             if not out:
                 voters_out += member.voter
                 for tally in mine:
@@ -504,12 +449,15 @@
 
     def dump(self) -> bytes:
         """The same bytes for the same state."""
-        told = {
-            "form": FORM, "index": self.index, "fleet": self.fleet, "voters": self.voters,
+        told: dict[str, Any] = {
+            "form": 2 if self.releases.level > 1 else 1,
+            "index": self.index, "fleet": self.fleet, "voters": self.voters,
             "members": list(self.members.values()), "budgets": self.budgets, "queue": self.queue,
             "permits": list(self.permits.values()), "halts": list(self.halts.items()),
             "ids": list(self.ids.items()), "history": self.history,
         }  # fmt: skip
+        if self.releases.level > 1:
+            told["releases"] = self.releases.dump()
         return json.dumps(told, separators=(",", ":")).encode()
 
 
@@ -517,8 +465,8 @@
     """What `dump` gave. Raises BadEntry on anything else."""
     try:
         told = json.loads(data)
-        if told["form"] != FORM:
-            raise BadEntry(f"a state of form {told['form']!r}: {FORM} is known: a newer program is wanted")
+        if told["form"] not in FORMS:
+            raise BadEntry(f"a state of form {told['form']!r}: {FORMS} are known: a newer program is wanted")
         made = State()
         made.index, made.fleet = told["index"], told["fleet"]
         made.voters = tuple(told["voters"])
@@ -533,6 +481,8 @@
         made.halts = {key: (by, why) for key, (by, why) in told["halts"]}
         made.ids = {key: (good, what) for key, (good, what) in told["ids"]}
         made.history = [(index, what) for index, what in told["history"]]
+        if "releases" in told:
+            made.releases.load(told["releases"])
     except (KeyError, TypeError, ValueError, IndexError) as error:
         if isinstance(error, BadEntry):
             raise
@@ -547,7 +497,6 @@
     return ", ".join(found[:5]) + (f" and {len(found) - 5} more" if len(found) > 5 else "")
 
 
-Reader = Callable[[Any], Any]
 ENTRIES: dict[str, tuple[str, tuple[Reader, ...]]] = {  # what each entry calls, and with what
     "begin": ("begin", (name, names, budgets_of, lambda some: tuple(map(member_of, some)))),
     "join": ("join", (member_of,)),
@@ -565,6 +514,7 @@
     "budget": ("budget", (name, budgets_of, name)),
     "halt": ("halt", (name, name, reason)),
     "resume": ("resume", (name, names, reason, name)),
+    **release_.ENTRIES,
 }
 
 
--- /dev/null
+++ b/pumicenotch/fleet/watch.py
@@ -0,0 +1,262 @@
+"""What a leader makes of how members say they do, while a release is on: whether the version does harm, and
+when a wave has soaked. It remembers nothing from one leader to the next: a new one looks anew, and the soak
+begins again.
+
+Three questions, each asked of like against like in the same second, or not at all: - do the released members'
+tasks, or their calls below, go badly more often than the others' (`Judge`); - do they call the services below
+more often for a task, and by much (`Pressure`): harm that all suffer has its cause there; - do calls below go
+badly, or last, for all since the first got the version, though no more tasks come (`Both`)."""
+
+import math
+from collections import defaultdict
+from typing import Any, NamedTuple
+
+from pumicenotch.fleet.entries import BadEntry
+from pumicenotch.fleet.judge import Judge, Told
+from pumicenotch.fleet.release import BUDGETS, FORWARD, SOAKING, Release
+from pumicenotch.fleet.state import State
+
+ROWS_MOST = 64  # classes in one word
+SILENT = "silent"
+
+
+class Row(NamedTuple):
+    """Of one class, since its process began, or in some time."""
+
+    tasks: float = 0.0
+    firsts: float = 0.0  # of them that were no repeats
+    bad: float = 0.0  # failed, late or rejected
+    calls: float = 0.0  # below
+    bad_calls: float = 0.0
+    call_ms: float = 0.0  # in all
+
+    def less(self, other: "Row") -> "Row":
+        return Row(*(mine - its for mine, its in zip(self, other, strict=True)))
+
+    def plus(self, other: "Row") -> "Row":
+        return Row(*(mine + its for mine, its in zip(self, other, strict=True)))
+
+
+def rows_of(told: Any) -> dict[str, Row]:
+    """From a word on the wire: (class, fields of Row) each. Raises BadEntry."""
+    try:
+        found = {str(name)[:64]: Row(*map(float, fields)) for name, *fields in told[:ROWS_MOST]}
+        if not all(math.isfinite(value) and value >= 0 for row in found.values() for value in row):
+            raise ValueError("no counts")
+        return found
+    except (TypeError, ValueError) as error:
+        raise BadEntry(f"no counts of a member: {error}") from None
+
+
+class Pressure:
+    """Calls below a task: the released members' share of all calls against their share of all tasks, stratum
+    by stratum, under the bound that Judge has."""
+
+    MUCH = 1.5  # times as many calls: less is a version's own business
+
+    def __init__(self) -> None:
+        self.judge = Judge()
+        self.calls = self.expected = 0.0
+
+    def tell(self, tasks: tuple[float, float], calls: tuple[float, float]) -> None:
+        """Of the others and of the released."""
+        whole, many = sum(tasks), sum(calls)
+        if min(tasks) <= 0 or not many:
+            return
+        part = tasks[1] / whole
+        off = calls[1] - many * part
+        self.judge.sum += off
+        self.judge.spread += max(many * part * (1.0 - part), off * off)
+        self.calls += calls[1]
+        self.expected += tasks[1] * calls[0] / tasks[0]
+
+    def harm(self) -> str:
+        if self.judge.sum < self.judge.bound() or self.calls < self.MUCH * self.expected:
+            return ""
+        times = self.calls / max(1.0, self.expected)
+        return (
+            f"the released ones call the services below {times:.1f} times as often for a task as the others"
+        )
+
+
+class Both:
+    """Whether all are worse off below than before the first got the version, though no more tasks come."""
+
+    LEAST = 5  # windows of each kind
+    MORE_BAD = 0.1  # of the calls, beyond what was usual
+    LONGER = 3.0  # times what calls took
+    LOAD = 1.25  # times the tasks: from there on the load may be the cause
+
+    def __init__(self) -> None:
+        self.before, self.windows = Row(), 0
+        self.after: list[Row] = []
+
+    def tell(self, row: Row, released: bool) -> None:
+        if released:
+            self.after = [*self.after, row][-self.LEAST :]
+        elif row.tasks:
+            self.before, self.windows = self.before.plus(row), self.windows + 1
+            self.after = []
+
+    def harm(self) -> str:
+        if self.windows < self.LEAST or len(self.after) < self.LEAST or not self.before.calls:
+            return ""
+        calls = self.before.calls
+        usual, took = self.before.bad_calls / calls, self.before.call_ms / calls
+        for row in self.after:
+            if row.firsts > self.LOAD * self.before.firsts / self.windows or not row.calls:
+                return ""
+            bad, lasts = row.bad_calls / row.calls, row.call_ms / row.calls
+            if bad < usual + self.MORE_BAD and lasts < self.LONGER * took:
+                return ""
+        many = sum(row.calls for row in self.after)
+        bad = sum(row.bad_calls for row in self.after) / many
+        lasts = sum(row.call_ms for row in self.after) / many
+        return (
+            f"below, all are worse off since the first has the version, and no more tasks come: {bad:.0%} of"
+            f" calls go badly (before: {usual:.0%}), {lasts:.0f} ms each (before: {took:.0f})"
+        )
+
+
+class Trial:
+    """Of one release, as this leader has seen it."""
+
+    def __init__(self) -> None:
+        self.tasks, self.calls = Judge(), Judge()
+        self.pressure, self.both = Pressure(), Both()
+        self.soaks: tuple[int, float] = (-1, 0.0)  # the wave, since when
+        self.silent: dict[str, float] = {}
+        self.told_at = float("-inf")
+        self.text = "nothing was looked at yet"
+
+
+class Watch:
+    WINDOW_MS = 1000.0  # members speak twice in it
+    WARM_MS = 2000.0  # of a new process, which is slower for no fault of its version
+    SILENT_MS = 2000.0  # beyond the majority's word, for its neighbours' silence to be known too
+    AGAIN_MS = 2000.0  # before the same word is proposed again
+
+    def __init__(self) -> None:
+        self.last: dict[str, tuple[str, float, dict[str, Row]]] = {}  # by member: life, since when, counts
+        self.fresh: dict[str, dict[str, Row]] = {}
+        self.trials: dict[str, Trial] = {}
+        self.window_at = 0.0
+
+    def told(self, now: float, name: str, life: str, rows: dict[str, Row]) -> None:
+        held = self.last.get(name)
+        if held is None or held[0] != life:
+            self.last[name] = (life, now, rows)
+            return
+        self.last[name] = (life, held[1], rows)
+        if now - held[1] < self.WARM_MS:
+            return
+        fresh = self.fresh.setdefault(name, {})
+        for kind, row in rows.items():
+            more = row.less(held[2].get(kind, Row()))
+            fresh[kind] = fresh.get(kind, Row()).plus(more)
+
+    def look(self, now: float, state: State) -> list[tuple[Any, ...]]:
+        """The entries that this leader is to propose."""
+        going = [each for each in state.releases.releases.values() if each.state in FORWARD]
+        kept = {
+            each.name for each in state.releases.releases.values() if each.state not in ("done", "abandoned")
+        }
+        self.trials = {name: trial for name, trial in self.trials.items() if name in kept}
+        if now >= self.window_at:
+            self.window_at = now + self.WINDOW_MS
+            for each in state.releases.releases.values():
+                if each.name in kept and each.slot != BUDGETS:
+                    self.window(each, state, self.trials.setdefault(each.name, Trial()))
+            self.fresh = {}
+        found = []
+        for release in going:
+            trial = self.trials.setdefault(release.name, Trial())
+            entry = self.harm(now, release, state, trial) or self.soaked(now, release, state, trial)
+            if entry and now - trial.told_at >= self.AGAIN_MS:
+                trial.told_at = now
+                found.append(entry)
+        return found
+
+    def window(self, release: Release, state: State, trial: Trial) -> None:
+        sides: dict[str, list[Row]] = defaultdict(lambda: [Row(), Row()])
+        whole, anybody = Row(), False
+        for name, kinds in self.fresh.items():
+            member, node = state.members.get(name), state.releases.nodes.get(name)
+            if member is None:
+                continue
+            released = node is not None and node.version(release.slot) == release.version
+            anybody |= released
+            for kind, row in kinds.items():
+                whole = whole.plus(row)
+                if not state.is_out(member):
+                    side = sides[f"{member.zone or 'no zone'}, {member.cell or 'no cell'}, {kind}"]
+                    side[released] = side[released].plus(row)
+        anybody |= any(
+            node.move[:2] == (release.slot, release.version) for node in state.releases.nodes.values()
+        )
+        for stratum, (others, ours) in sorted(sides.items()):
+            for released, row in ((False, others), (True, ours)):
+                trial.tasks.tell(Told(stratum, released, int(row.tasks), int(row.bad)))
+                trial.calls.tell(
+                    Told(f"{stratum}, calls below", released, int(row.calls), int(row.bad_calls))
+                )
+            trial.pressure.tell((others.tasks, ours.tasks), (others.calls, ours.calls))
+        trial.both.tell(whole, anybody)
+        trial.text = trial.tasks.close().text
+        trial.calls.close()
+
+    def harm(self, now: float, release: Release, state: State, trial: Trial) -> tuple[Any, ...]:
+        on = [name for name in release.nodes
+              if name in state.releases.nodes
+              and state.releases.nodes[name].version(release.slot) == release.version]  # fmt: skip
+        for judge in (trial.tasks, trial.calls):
+            if (verdict := judge.verdict()).harm:
+                return ("harm", release.name, "judgement", tuple(on), verdict.text)
+        if why := trial.pressure.harm() or (trial.both.harm() if on else ""):
+            return ("harm", release.name, "judgement", tuple(on), why)
+        for name in on:
+            if why := self.silence(now, name, release, state, trial):
+                return ("harm", release.name, "silence", (name,), why)
+        return ()
+
+    def silence(self, now: float, name: str, release: Release, state: State, trial: Trial) -> str:
+        """A sign by itself only where its neighbours are heard: else the zone is cut off, and nobody
+        knows."""
+        member = state.members.get(name)
+        if member is None or not member.against:
+            trial.silent.pop(name, None)
+            return ""
+        if now - trial.silent.setdefault(name, now) < self.SILENT_MS:
+            return ""
+        neighbours = [
+            each for each in state.members.values() if each.zone == member.zone and each.name != name
+        ]
+        if not neighbours or any(each.against == SILENT for each in neighbours):
+            return ""
+        return f"{name} is {member.against}, and its neighbours are not"
+
+    def soaked(self, now: float, release: Release, state: State, trial: Trial) -> tuple[Any, ...]:
+        """A node that goes out again stops the clock."""
+        if release.state != SOAKING or release.asks:
+            return ()
+        if release.slot != BUDGETS and state.releases.missing(release):
+            trial.soaks = (-1, 0.0)
+            return ()
+        if trial.soaks[0] != release.wave:
+            trial.soaks = (release.wave, now)
+        took = now - trial.soaks[1]
+        if took < release.soak_ms:
+            return ()
+        wave = [state.members[name] for name in release.waves[release.wave] if name in state.members]
+        if release.slot == BUDGETS or (wave and all(each.voter for each in wave)):
+            return (
+                "soaked",
+                release.name,
+                release.wave,
+                True,
+                f"nothing was wrong for {took / 1000.0:.0f} s",
+            )
+        verdict = trial.tasks.verdict()
+        if verdict.known or took >= release.soak_ms + release.wait_ms:
+            return ("soaked", release.name, release.wave, verdict.known, verdict.text)
+        return ()
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -210,11 +210,15 @@
         def ended() -> None:
             if process.life == life:
                 process.core = None
+                self.gone_by_permit(name)
                 if process.returns:
                     self.at(self.now + RESTART_MS, lambda: self.boot(name) if not process.up else None)
 
         self.at(self.now + DRAIN_MS, done)
 
+    def gone_by_permit(self, name: str) -> None:
+        """It has drained and ended."""
+
     # Faults
 
     def kill(self, name: str) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from pumicenotch.fleet.budgets import OUT, SERVING, Budget, Member
-from pumicenotch.fleet.state import BadEntry, Said, State, load, read, told
+from pumicenotch.fleet.entries import BadEntry, Said
+from pumicenotch.fleet.state import State, load, read, told
 from pumicenotch.lab.draining import LONG, Bounds, Draining, Quiet
 
 SHORT = 8_000
