Let no voter with a log call itself fresh: the first name founded a fleet of its own

A seat given by a change of seats had left no trace in Founding, which answered fresh. Founding.over is set once there is a log. The test fails without it. What is usual below is kept by the leader from before a release is planned.

--- a/pumicenotch/agree/found.py
+++ b/pumicenotch/agree/found.py
@@ -32,6 +32,7 @@
         # name -> seat of those that know nothing and promised themselves here
         self.fresh: dict[str, str] = {}
         self.known = False  # whether any knows of a fleet
+        self.over = False  # this process has a log, by whatever way it came to its seat: it is fresh no more
         self.seats: Seats | None = None
         self.next_at = 0.0
 
@@ -57,6 +58,8 @@
     def said(self, sender: str, told: Any) -> list[Say]:
         """Raises BadMessage on what no founding says."""
         match told:
+            case ["who", str(seat)] if seat == sender and self.over and self.seats is None:
+                return [Say(name_of(sender), ("known", self.me))]
             case ["who", str(seat)] if seat == sender:
                 if self.seats is not None:
                     return [Say(name_of(sender), ("known", self.me)),
@@ -71,7 +74,12 @@
                 self.known = True
             case ["found", str(founder), seats]:
                 made = seats_of(seats)
-                if self.seats is None and founder == self.promised and self.me in made.voters:
+                if (
+                    self.seats is None
+                    and not self.over
+                    and founder == self.promised
+                    and self.me in made.voters
+                ):
                     self.seats = made
             case _:
                 raise BadMessage(f"no word of a founding: {told!r:.80}")
--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -42,6 +42,10 @@
         self.agreed_halt = ""  # why nothing goes on
         self.waits = ""  # for what a drain of it waits, and about how long
         self.no_permit = ""  # why the last one could not be used
+        self.count_at, self.mine_wait = (
+            now,
+            self.MINE_MS,
+        )  # as often as its other words, among many more seldom
         self.counting = False  # whether the leader wants to hear how this process does
         # What it is.
         self.serves = self.leaving = self.over = self.overloaded = False
@@ -222,7 +226,8 @@
         """What the leader says is agreed: a hint, since it may have stopped leading. No step rests on it."""
         again, permit = result.get("again_ms"), result.get("permit")
         if isinstance(again, int | float) and 0 < again <= 60_000:
-            self.mine_at = self.now + max(self.MINE_MS, again)
+            self.mine_wait = max(self.MINE_MS, again)
+            self.mine_at = self.now + self.mine_wait
         self.joined = bool(result.get("known"))
         if not self.joined:
             self.leaving_told = False  # a fleet that was founded anew counts it again
@@ -263,7 +268,8 @@
     def counted(self, rows: Any) -> None:
         """How its tasks have gone, since its start: for whoever leads, while a release is on. Lost words do
         no harm: the next one says it all again."""
-        if self.counting and self.joined and not self.leaving:
+        if self.counting and self.joined and not self.leaving and self.now >= self.count_at:
+            self.count_at = self.now + max(self.MINE_MS, self.mine_wait) - 1.0
             self.post(self.voters[self.voter_at], "counts", rows)
 
     def leave(self, why: str) -> None:
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -110,8 +110,10 @@
 
     def found(self) -> None:
         """Until it has a seat it asks for one; once it has, it passes the founding on for a while."""
-        if self.voter.log.last > 0 and self.seat in self.voter.log.seats.all:
-            return
+        if self.voter.log.last > 0:
+            self.founding.over = True
+            if self.seat in self.voter.log.seats.all:
+                return
         self.say(self.founding.time(self.now))
         self.seated_by_founding()
 
@@ -319,7 +321,7 @@
                     "waits": self.waiting_for(name) if name in self.state.waits else "",
                         "begun": permit is not None and own and permit.begun,
                     "halted": self.state.halted(),
-                    "again_ms": self.again_ms(), "counts": bool(self.releases_on()),
+                    "again_ms": self.again_ms(), "counts": bool(self.state.releases.nodes),
                 })  # fmt: skip
             case _:
                 self.refuse(conn, message, REFUSED, "mine: a name, a life and whether overloaded are wanted")
--- a/pumicenotch/fleet/watch.py
+++ b/pumicenotch/fleet/watch.py
@@ -9,6 +9,8 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Iterable
+from functools import reduce
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet.entries import BadEntry
@@ -37,6 +39,10 @@
         return Row(*(mine + its for mine, its in zip(self, other, strict=True)))
 
 
+def sum_of(rows: Iterable[Row]) -> Row:
+    return reduce(Row.plus, rows, Row())
+
+
 def rows_of(told: Any) -> dict[str, Row]:
     """From a word on the wire: (class, fields of Row) each. Raises BadEntry."""
     try:
@@ -91,12 +97,12 @@
         self.before, self.windows = Row(), 0
         self.after: list[Row] = []
 
-    def tell(self, row: Row, released: bool) -> None:
+    def tell(self, row: Row, released: bool, usual: list[Row]) -> None:
+        """`usual` are windows that were seen last, this one too."""
         if released:
             self.after = [*self.after, row][-self.LEAST :]
-        elif row.tasks:
-            self.before, self.windows = self.before.plus(row), self.windows + 1
-            self.after = []
+        else:
+            self.before, self.windows, self.after = sum_of(usual), len(usual), []
 
     def harm(self) -> str:
         if self.windows < self.LEAST or len(self.after) < self.LEAST or not self.before.calls:
@@ -109,9 +115,8 @@
             bad, lasts = row.bad_calls / row.calls, row.call_ms / row.calls
             if bad < usual + self.MORE_BAD and lasts < self.LONGER * took:
                 return ""
-        many = sum(row.calls for row in self.after)
-        bad = sum(row.bad_calls for row in self.after) / many
-        lasts = sum(row.call_ms for row in self.after) / many
+        whole = sum_of(self.after)
+        bad, lasts = whole.bad_calls / whole.calls, whole.call_ms / whole.calls
         return (
             f"below, all are worse off since the first has the version, and no more tasks come: {bad:.0%} of"
             f" calls go badly (before: {usual:.0%}), {lasts:.0f} ms each (before: {took:.0f})"
@@ -134,12 +139,14 @@
     WINDOW_MS = 1000.0  # members speak twice in it
     WARM_MS = 2000.0  # of a new process, which is slower for no fault of its version
     SILENT_MS = 2000.0  # beyond the majority's word, for its neighbours' silence to be known too
+    USUAL = 30  # windows that tell what is usual: half a minute, so that an hour's change of load is none
     AGAIN_MS = 2000.0  # before the same word is proposed again
 
     def __init__(self) -> None:
         self.last: dict[str, tuple[str, float, dict[str, Row]]] = {}  # by member: life, since when, counts
         self.fresh: dict[str, dict[str, Row]] = {}
         self.trials: dict[str, Trial] = {}
+        self.usual: list[Row] = []  # of all members together, window by window
         self.window_at = 0.0
 
     def told(self, now: float, name: str, life: str, rows: dict[str, Row]) -> None:
@@ -164,9 +171,12 @@
         self.trials = {name: trial for name, trial in self.trials.items() if name in kept}
         if now >= self.window_at:
             self.window_at = now + self.WINDOW_MS
+            whole = sum_of(row for kinds in self.fresh.values() for row in kinds.values())
+            if whole.tasks:
+                self.usual = [*self.usual, whole][-self.USUAL :]
             for each in state.releases.releases.values():
                 if each.name in kept and each.slot != BUDGETS:
-                    self.window(each, state, self.trials.setdefault(each.name, Trial()))
+                    self.window(each, state, self.trials.setdefault(each.name, Trial()), whole)
             self.fresh = {}
         found = []
         for release in going:
@@ -177,9 +187,9 @@
                 found.append(entry)
         return found
 
-    def window(self, release: Release, state: State, trial: Trial) -> None:
+    def window(self, release: Release, state: State, trial: Trial, whole: Row) -> None:
         sides: dict[str, list[Row]] = defaultdict(lambda: [Row(), Row()])
-        whole, anybody = Row(), False
+        anybody = False
         for name, kinds in self.fresh.items():
             member, node = state.members.get(name), state.releases.nodes.get(name)
             if member is None:
@@ -187,7 +197,6 @@
             released = node is not None and node.version(release.slot) == release.version
             anybody |= released
             for kind, row in kinds.items():
-                whole = whole.plus(row)
                 if not state.is_out(member):
                     side = sides[f"{member.zone or 'no zone'}, {member.cell or 'no cell'}, {kind}"]
                     side[released] = side[released].plus(row)
@@ -201,7 +210,7 @@
                     Told(f"{stratum}, calls below", released, int(row.calls), int(row.bad_calls))
                 )
             trial.pressure.tell((others.tasks, ours.tasks), (others.calls, ours.calls))
-        trial.both.tell(whole, anybody)
+        trial.both.tell(whole, anybody, self.usual)
         trial.text = trial.tasks.close().text
         trial.calls.close()
 
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -79,7 +79,7 @@
         process = self.processes[name]
         spec = process.spec
         process.life += 1
-        process.stopped, process.late = False, []
+        process.stopped, process.late, process.wake_at = False, [], float("inf")
         life = f"{process.life:04d}"
         member = Member(name, life, spec.zone, voter=spec.voter, **spec.more)
         told: dict[str, Any] = {
--- a/pumicenotch/lab/releasing.py
+++ b/pumicenotch/lab/releasing.py
@@ -62,7 +62,7 @@
             return
         process = self.processes[name]
         process.life += 1
-        process.stopped, process.late = False, []
+        process.stopped, process.late, process.wake_at = False, [], float("inf")
         process.core = Agent(  # type: ignore[assignment]
             fleet="day", node=node, life=f"{process.life:04d}", voters=self.voters.values(),
             runs=self.runs[node], holds=self.holds[node], child=self.processes[node].up,
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -1,6 +1,7 @@
 """Whole fleets in simulated time, through faults. The observer is outside: it counts who really drains, by
 what the processes were told to do, never by what any of them thinks is agreed."""
 
+from functools import partial
 from typing import Any
 
 import pytest
@@ -300,3 +301,27 @@
     took = day.until(lambda: len(watch.left) == 90 and all_back(day), 120_000.0)
     assert not watch.over and watch.most == 30
     assert took <= 3 * 3200.0 / 0.85
+
+
+def test_the_first_voter_by_name_gets_a_seat_after_all_others_have_been_replaced() -> None:
+    """Those who took seats later had never heard of the founding, called themselves fresh, and let its new
+    life found a fleet of its own while nobody led."""
+    day = usual(21, nodes=2, voters=3)
+
+    def seated(name: str) -> bool:
+        core = day.processes[day.leader()].core if day.leader() else None
+        seat = f"{name}/{day.processes[name].life:04d}"
+        return isinstance(core, Seat) and seat in core.voter.log.seats.voters
+
+    replaced = {"v1"}
+    while replaced < {"v1", "v2", "v3"} or day.leader() != "v1":
+        name = next((each for each in ("v2", "v3") if each not in replaced), day.leader())
+        replaced.add(name)
+        day.kill(name)
+        day.run(100.0)
+        day.boot(name)
+        day.until(partial(seated, name))
+    day.kill("v1")
+    day.run(100.0)
+    day.boot("v1")
+    day.until(partial(seated, "v1"))
