--- /dev/null
+++ b/pumicenotch/cli/agent.py
@@ -0,0 +1,41 @@
+"""How an agent is started: of the version in its own slot, unless that one has been tried and never spoke
+with its fleet. This much of it is never released, so that whatever was can be gone back from."""
+
+import sys
+from pathlib import Path
+
+from pumicenotch.cli.fleet import wrong
+from pumicenotch.config import agent as config
+from pumicenotch.config import versions
+from pumicenotch.config.hcl import BadFile
+
+TRIES = 2  # starts of an agent's version that never spoke with the fleet, before the one before it comes back
+
+
+def chosen(told: config.AgentFile, disk: config.Disk) -> config.Disk:
+    now = disk.runs.get("agent")
+    good = disk.good.get("agent", now)
+    if now is None or now == good:
+        return disk
+    if disk.tries >= TRIES:
+        print(f"agent: version {now} never spoke with the fleet: back to {good}", file=sys.stderr)
+        disk = disk._replace(runs={**disk.runs, "agent": str(good)}, tries=0)
+    else:
+        disk = disk._replace(tries=disk.tries + 1)
+    config.write(told, disk)
+    return disk
+
+
+def command_of(path: str) -> tuple[list[str], dict[str, str]]:
+    """The command and what it adds to the environment."""
+    try:
+        told = config.agent_of(path)
+        disk = chosen(told, config.disk_of(told))
+        version = disk.runs.get("agent", "")
+        folder = Path(told.home) / "versions" / version
+        if version:
+            versions.fetch(version, Path(told.source), folder.parent)
+    except (BadFile, versions.BadVersion, OSError) as error:
+        wrong(error)
+    more = {"PYTHONPATH": str(folder)} if version else {}
+    return [sys.executable, "-m", "pumicenotch.net.agent", path], more
--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -142,12 +142,32 @@
     os.execve(sys.executable, command, environment)
 
 
+@app.command
+def agent(*, config: str, json_logs: bool = False) -> None:
+    """Run the agent beside a server: it holds versions, and takes releases out as the fleet agrees.
+
+    Parameters
+    ----------
+    config
+        The agent's HCL file.
+    json_logs
+        One JSON object a line on standard error.
+    """
+    from pumicenotch.cli.agent import command_of
+
+    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
+    command, more = command_of(os.path.abspath(config))
+    os.execve(sys.executable, command, environment | more)
+
+
 def main() -> None:
     from pumicenotch.cli.cells import cells
     from pumicenotch.cli.fleet import fleet
+    from pumicenotch.cli.release import release
 
     app.command(cells)
     app.command(fleet)
+    app.command(release)
     try:
         from pumicenotch.cli.lab import lab
     except ModuleNotFoundError as error:
--- a/pumicenotch/config/files.py
+++ b/pumicenotch/config/files.py
@@ -7,9 +7,13 @@
 
 
 def put(path: Path, text: str) -> None:
-    """In the place of what was there, at once: a full disk or a crash leaves the old. Raises OSError."""
+    """In the place of what was there, at once: a full disk or a crash leaves the old, and so does a power
+    loss. Raises OSError."""
     temporary = path.with_name(path.name + ".new")
-    temporary.write_text(text, encoding="utf-8")
+    with temporary.open("w", encoding="utf-8") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
     temporary.replace(path)
 
 
--- /dev/null
+++ b/pumicenotch/config/versions.py
@@ -0,0 +1,104 @@
+"""Versions as folders, known by their content: what is there is hashed, so that half a copy is none."""
+
+import hashlib
+import os
+import shutil
+from pathlib import Path
+
+LETTERS = 32  # of a version's name: 128 bits
+CHUNK = 1 << 20
+PART = ".part-"  # how a folder is called until it is whole
+
+
+class BadVersion(ValueError):
+    """The folder is no version, or not the one that was wanted."""
+
+
+def content(folder: Path) -> str:
+    """The version that a folder holds: of every file its path, whether it may be run, and its bytes; compiled
+    Python is left out. Raises BadVersion."""
+    whole = hashlib.sha256()
+    try:
+        found = sorted(path for path in folder.rglob("*") if path.is_file() or path.is_symlink())
+        for path in found:
+            name = path.relative_to(folder).as_posix()
+            if "__pycache__" in path.parts:
+                continue
+            if path.is_symlink():
+                raise BadVersion(f"{path}: a link: a version holds all that it is")
+            one = hashlib.sha256()
+            with path.open("rb") as file:
+                while data := file.read(CHUNK):
+                    one.update(data)
+            runs = os.access(path, os.X_OK)
+            whole.update(f"{len(name)}:{name}:{int(runs)}:{one.hexdigest()}\n".encode())
+    except OSError as error:
+        raise BadVersion(f"{folder}: {error.strerror or error}") from None
+    if not found:
+        raise BadVersion(f"{folder}: holds nothing")
+    return whole.hexdigest()[:LETTERS]
+
+
+def fetch(version: str, source: Path, into: Path) -> None:
+    """Copies SOURCE/VERSION into INTO/VERSION, there only once it is whole and checked. Raises BadVersion."""
+    goal = into / version
+    if goal.is_dir():
+        if content(goal) == version:
+            return
+        shutil.rmtree(goal)  # spoilt since: fetched again
+    part = into / f"{PART}{version}"
+    try:
+        shutil.rmtree(part, ignore_errors=True)
+        shutil.copytree(source / version, part, ignore=shutil.ignore_patterns("__pycache__"))
+        if (found := content(part)) != version:
+            raise BadVersion(f"{source / version}: its content is {found}: half a copy, or another version")
+        sync(part)
+        part.rename(goal)
+        sync(into)
+    except shutil.Error as error:
+        raise BadVersion(f"{source / version}: {error.args[0][0][2] if error.args[0] else error}") from None
+    except OSError as error:
+        raise BadVersion(f"{error.filename or source / version}: {error.strerror or error}") from None
+    finally:
+        shutil.rmtree(part, ignore_errors=True)
+
+
+def sync(folder: Path) -> None:
+    """What was written there outlasts a power loss."""
+    for path in [*folder.rglob("*"), folder]:
+        handle = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+
+def remove(folder: Path) -> None:
+    """Out of sight at once, then away: half of one is never taken for a version."""
+    gone = folder.with_name(f"{PART}gone-{folder.name}")
+    folder.rename(gone)
+    shutil.rmtree(gone, ignore_errors=True)
+
+
+def held(into: Path) -> list[str]:
+    """The versions there; what an agent's end has left half copied is taken away."""
+    into.mkdir(parents=True, exist_ok=True)
+    for path in into.iterdir():
+        if path.name.startswith(PART):
+            shutil.rmtree(path, ignore_errors=True)
+    return sorted(path.name for path in into.iterdir() if path.is_dir())
+
+
+def pack(folder: Path, into: Path) -> str:
+    """Puts a folder among the versions that agents fetch from; its version. Raises BadVersion."""
+    version = content(folder)
+    into.mkdir(parents=True, exist_ok=True)
+    if not (into / version).is_dir():
+        part = into / f"{PART}{version}"
+        shutil.rmtree(part, ignore_errors=True)
+        try:
+            shutil.copytree(folder, part, ignore=shutil.ignore_patterns("__pycache__"))
+            part.rename(into / version)
+        except (OSError, shutil.Error) as error:
+            raise BadVersion(f"{into}: {error}") from None
+    return version
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -66,6 +66,7 @@
         self.permit, self.begun = 0, False
         self.permit_at = self.begun_at = now
         self.halted = ""
+        self.wanted: tuple[str, ...] = ()  # versions to hold
 
     def step(self, now: float, name: str, *details: Any) -> list[Effect]:
         """One input: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
@@ -261,10 +262,11 @@
             and self.now - self.started_at > self.LOOP_MS
         ):
             self.trouble = ""
-        for version in told.get("hold") or ():
-            if version not in self.holds and self.now >= self.holding.get(str(version), 0.0):
-                self.holding[str(version)] = float("inf")
-                self.effects.append(Hold(str(version)))
+        self.wanted = tuple(map(str, told.get("hold") or ()))
+        for version in self.wanted:
+            if version not in self.holds and self.now >= self.holding.get(version, 0.0):
+                self.holding[version] = float("inf")
+                self.effects.append(Hold(version))
 
     def log(self, text: str) -> None:
         self.effects.append(Log(text))
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -19,6 +19,7 @@
 from pumicenotch.net import logs
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.mates import Alarm, Mates, begin, listening
+from pumicenotch.server.seen import Seen
 
 LOOK_S = 0.25  # between looks at how the server does
 WINDOW_LOOKS = 12  # over which it is judged: three seconds, above any burst's queue
@@ -56,6 +57,7 @@
             "fleet: cannot listen on {}: {}; this server serves without its fleet", side.listen, error
         )
         return None
+    hub.core.seen = Seen()
     begin(mates, listener)
     group.start_soon(watch, hub, mates)
     return mates
@@ -74,6 +76,8 @@
         tasks, turned = (last - first for first, last in zip(before[0], before[-1], strict=True))
         if core.leaving:
             mates.put("leave", "its platform asks" if not mates.mate.began else "by permit")
+        if core.seen is not None:
+            mates.put("counted", core.seen.rows())
         mates.put("serve", core.control is not None, tasks >= TASKS_LEAST and turned > PAST_USE * tasks)
 
 
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -211,6 +211,8 @@
             return
         self.callers.taken(conn, message, held)
         self.tasks.add(held)
+        if self.seen is not None:
+            self.seen.taken(self.now, held, waited)
         if self.fence is not None and (cell := self.barred(held, unix, fields, same is not None)):
             self.counters.add(f"cells_{cell}")
             self.answer(held, "rejected", self.CELL_AGAIN_MS, False, cell)
@@ -343,6 +345,8 @@
 
     def call_ended(self, held: Held, outcome: Outcome) -> None:
         self.counters.add(f"calls_{outcome.name.lower()}")
+        if self.seen is not None:
+            self.seen.call_ended(self.now, held, outcome)
         if self.control is not None:
             self.control.call_ended(self.now, held.id, outcome)
 
@@ -388,6 +392,8 @@
             self.later.append(lambda: self.call_ended(held, Outcome.UNREACHED))
             return
         self.counters.add("calls")
+        if self.seen is not None:
+            self.seen.called(self.now, held)
         self.agenda.at(self.now + give_up_ms, self.call_due, self.calls.start(self.now, held, give_up_ms))
 
     def skip_call(self, task: int) -> None:
--- a/pumicenotch/server/front.py
+++ b/pumicenotch/server/front.py
@@ -9,12 +9,14 @@
 from pumicenotch.server.callers import Callers
 from pumicenotch.server.counters import Counters
 from pumicenotch.server.effects import Effect, Log, Write
+from pumicenotch.server.seen import Seen
 from pumicenotch.server.tasks import BadTask, Held, Tasks
 
 
 class Front(ABC):
     inputs: ClassVar[Mapping[str, Callable[..., None]]] = {}
     hint: float | None = None  # what goes with every answer
+    seen: Seen | None = None  # counts by class, where somebody asks for them
 
     def __init__(self, tasks: Tasks, many: int, most: int) -> None:
         self.effects: list[Effect] = []
@@ -114,6 +116,8 @@
     def gone(self, held: Held) -> None:
         """No answer is owed any more."""
         self.count_answer("gone")
+        if self.seen is not None:
+            self.seen.answered(self.now, held, "gone")
         held.answered = True
         self.callers.settle(self.now, held)
         self.let_go(held)
@@ -128,6 +132,8 @@
             return
         held.answered = True
         self.count_answer(outcome)
+        if self.seen is not None:
+            self.seen.answered(self.now, held, outcome)
         if self.callers.settle(self.now, held):
             self.effects.append(Write(held.conn, (outcome, held.message, self.hint, *rest)))
             self.callers.close_if_over(held.conn)
