--- a/pumicenotch/cli/release.py
+++ b/pumicenotch/cli/release.py
@@ -149,15 +149,22 @@
         print(json.dumps(found))
         return
     if not name:
-        print(
-            f"level {found['level']}; "
-            + ", ".join(f"{slot} {version}" for slot, version in found["stands"].items())
-        )
-        table([[row["name"], row["slot"], row["version"][:12], row["stands"], f"{row['has']} of {row['nodes']}",
-                row["asks"] or row["why"]] for row in found["releases"]],
-              ["release", "slot", "version", "stands", "has it", "why"])  # fmt: skip
+        stands = ", ".join(f"{slot} {version}" for slot, version in found["stands"].items())
+        print(f"level {found['level']}; the fleet is on {stands or 'what its nodes have'}")
+        rows = [
+            [
+                row["name"],
+                row["slot"],
+                row["version"][:12],
+                row["stands"],
+                f"{row['has']} of {row['nodes']}",
+                row["asks"] or row["why"],
+            ]
+            for row in found["releases"]
+        ]
+        table(rows, ["release", "slot", "version", "stands", "has it", "why"])
         return
-    print(f"{name}: {found['slot']} {found['version']} for {found['replaces']}: {found['stands']}")
+    print("{name}: {slot} {version} for {replaces}: {stands}".format(**found))
     for what in ("asks", "why", "judged"):
         if found[what]:
             print(f"{what}: {found[what]}")
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -119,7 +119,7 @@
         self.effects.append(Start())
 
     def ended(self, status: int | None) -> None:
-        asked = self.ending < float("inf") or status in (0, None) or self.begun
+        asked = self.ending < float("inf") or (self.served and (status in (0, None) or self.begun))
         self.child, self.ended_at, self.ending = False, self.now, float("inf")
         self.start_at = self.now
         if not asked:
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -62,6 +62,7 @@
     kind: Literal[
         "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
         "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone", "link",
+        "release", "kill_agent",
     ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
@@ -94,6 +95,9 @@
     voters: Literal[0, 1, 3, 5, 7] = 0  # of a fleet that the servers are in
     zones: Annotated[int, Field(ge=1, le=16)] = 1  # that servers and voters are spread over: z0, z1, ...
     budget: tuple[BudgetBlock, ...] = ()  # of the fleet
+    agents: bool = False  # beside the servers, which then are started by them
+    soak_ms: Positive = 2000.0  # of a release
+    database_most: Annotated[int, Field(ge=0)] = 0  # queries a second that it answers as fast; 0: any number
     cores: Annotated[int, Field(ge=1, le=64)] = 6
     speed: Positive = 1.0
     thrash: Annotated[float, Field(ge=0.0)] = 0.25  # of the speed lost for each run a core beyond thrash_at
--- a/pumicenotch/net/agent.py
+++ b/pumicenotch/net/agent.py
@@ -132,8 +132,14 @@
         pairs = dict(self.fill(pair).split("=", 1) for pair in self.told.environment)
         try:
             with (self.home / "server.log").open("ab") as log:
-                self.process = subprocess.Popen(command, env={**os.environ, **pairs}, stdin=subprocess.DEVNULL,
-                                                stdout=log, stderr=log, start_new_session=True)  # fmt: skip
+                self.process = subprocess.Popen(
+                    command,
+                    env={**os.environ, **pairs},
+                    stdin=subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    start_new_session=True,
+                )
         except OSError as error:
             logger.error("agent: {}: {}", command[0], error)
             self.group.start_soon(self.ended, 127)
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -8,13 +8,14 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Literal
+from typing import Any, Literal, TypeVar
 
 import uvloop
 
 from pumicenotch.config.fleet import BudgetBlock
 from pumicenotch.lab.fleetrun import FleetRun
 from pumicenotch.lab.loopback import Launch
+from pumicenotch.lab.releaserun import ReleaseRun
 from pumicenotch.lab.world import Gateways, Stage, World
 
 WAIT_S = 120.0  # far above what any of it takes: reached only where something is wrong
@@ -29,14 +30,17 @@
     voters: Literal[1, 3, 5, 7] = 3,
     zones: int = 2,
     budgets: tuple[BudgetBlock, ...] = (ZONES,),
+    work_ms: float = 30.0,
+    calls: int = 0,
+    **more: Any,
 ) -> World:
     return World(
         stage=(
-            Stage(name="read", share=0.6, work_ms=30, due_ms=5000, limit_ms=10_000),
+            Stage(name="read", share=0.6, work_ms=work_ms, calls=calls, due_ms=5000, limit_ms=10_000),
             Stage(
                 name="put",
                 share=0.4,
-                work_ms=30,
+                work_ms=work_ms,
                 due_ms=5000,
                 limit_ms=10_000,
                 effect="fingerprinted",
@@ -53,13 +57,14 @@
         length_s=600,
         warm_s=0,
         stop_ms=1500,
+        **more,
     )
 
 
-class Played(FleetRun):
-    def __init__(self, script: "Script", told: World, seed: int, folder: Path) -> None:
-        super().__init__(told, seed, Launch(), folder)
-        self.script = script
+class Scripted(FleetRun):
+    """A run that goes on as long as its script does."""
+
+    script: "Script"
 
     async def load(self, progress: Any) -> None:
         """Tasks come as long as the script goes on."""
@@ -142,10 +147,10 @@
         inside = [name for name, each in self.crew.zone.items() if each == zone]
         return inside, [name for name in self.crew.zone if name not in inside]
 
-    async def operator(self, *words: str, at: str = "") -> tuple[int, str]:
+    async def operator(self, *words: str, at: str = "", group: str = "fleet") -> tuple[int, str]:
         """`pumicenotch fleet ...` as an operator types it: exit status and standard output."""
         places = [at] if at else [self.crew.real(name) for name in self.crew.voters]
-        command = [sys.executable, "-m", "pumicenotch.cli", "fleet", *words, "--fleet", "lab"]
+        command = [sys.executable, "-m", "pumicenotch.cli", group, *words, "--fleet", "lab"]
         command += [part for place in places for part in ("--at", place)]
         process = await asyncio.create_subprocess_exec(
             *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, env=dict(os.environ)
@@ -154,12 +159,29 @@
         return process.returncode or 0, out.decode()
 
 
-Script = Callable[[Played], Awaitable[None]]
+class Played(Scripted):
+    """Servers that the platform starts."""
+
+
+class Releasing(Scripted, ReleaseRun):
+    """Servers that agents start."""
+
+    async def release(self, *words: str) -> tuple[int, str]:
+        return await self.operator(*words, group="release")
+
+
+Script = Callable[[Any], Awaitable[None]]
+Made = TypeVar("Made", bound=Scripted)
 
 
 def play(script: Script, folder: Path, told: World, seed: int = 1) -> Played:
+    return played(Played, script, folder, told, seed)
+
+
+def played(kind: type[Made], script: Script, folder: Path, told: World, seed: int = 1) -> Made:
     """The whole of it; what the ledger found is part of the verdict."""
-    made = Played(script, told, seed, folder)
+    made = kind(told, seed, Launch(), folder)
+    made.script = script
     uvloop.run(made.run())
     assert not made.ledger.broken, made.ledger.broken[:5]
     assert made.most_over == 0, f"{made.most_over} over a budget"
--- /dev/null
+++ b/tests/fleet/test_releases.py
@@ -0,0 +1,122 @@
+"""Releases among real voters, agents and servers. Versions are the program itself, some with a fault seeded
+in their folder."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pumicenotch.lab.relay import Way
+from pumicenotch.lab.releaserun import OLD, version
+from tests.fleet.harness import Releasing, played, world
+
+
+def fleet(**more: Any) -> Any:
+    """Four servers in two zones, some forty small tasks a second each."""
+    stages: dict[str, Any] = {"work_ms": 5.0, "soak_ms": 1500.0, **more}
+    return world(**stages)
+
+
+async def found(run: Releasing, kind: str, **more: Any) -> str:
+    """Makes a version, plans and starts it; its name by content."""
+    run.versions[kind] = await asyncio.to_thread(version, run.folder, kind, "read", 4.0)
+    await run.plan("r1", kind, **more)
+    await run.word("r1", "start")
+    return run.versions[kind]
+
+
+async def whole(run: Releasing, kind: str) -> None:
+    """All servers run that version, and none is out."""
+    await run.until(lambda: run.runs() == {run.versions[kind]: len(run.nodes)} and not run.out)
+    await run.crew.agreed(lambda status: not status["out"], 60.0)
+
+
+def test_a_good_version_goes_out_by_the_command_though_leader_and_agents_die(tmp_path: Path) -> None:
+    async def script(run: Releasing) -> None:
+        made = await asyncio.to_thread(version, run.folder, "good")
+        run.versions["good"] = made
+        status, said = await run.release("plan", "r1", "--version", made, "--soak-s", "1", "--json")
+        assert status == 0, said
+        assert [len(wave) for wave in json.loads(said)["waves"]] == [1, 1, 1, 1]
+        follows = asyncio.create_task(run.release("start", "r1", "--follow"))
+        await run.until(lambda: run.had[made])
+        leader = await run.crew.leader()
+        run.crew.signal(leader, signal.SIGKILL)
+        run.kill_agent(run.nodes[1], 1.0)
+        run.kill_agent(run.nodes[0], 0.5)
+        run.crew.boot(leader)
+        status, said = await follows
+        assert status == 0, said
+        await whole(run, "good")
+        _, said = await run.release("status")
+        assert f"program {made}" in said and "done" in said
+        _, said = await run.release("log", "r1")
+        assert "HALT" not in said and said.count("may move to") == 4
+
+    assert played(Releasing, script, tmp_path, fleet()).most_out <= 2
+
+
+@pytest.mark.parametrize(
+    ("kind", "word"),
+    [
+        ("bad-class", "tasks go badly"),
+        ("crash-loop", "crash loop"),
+        ("refuses", "start refused"),
+        ("mute", "silent: not in service"),
+    ],
+)  # fmt: skip
+def test_a_bad_version_is_on_one_server_and_goes_back(kind: str, word: str, tmp_path: Path) -> None:
+    async def script(run: Releasing) -> None:
+        bad = await found(run, kind, soak=60_000)
+        last = await run.over("r1")
+        assert last["state"] == "abandoned" and word in last["why"], last
+        await whole(run, OLD)
+        assert len(run.had[bad]) == 1
+
+    played(Releasing, script, tmp_path, fleet())
+
+
+def test_a_version_that_ruins_what_all_share_goes_back(tmp_path: Path) -> None:
+    async def script(run: Releasing) -> None:
+        await asyncio.sleep(6.0)  # what is usual is known from the seconds before
+        bad = await found(run, "kills-below", soak=60_000)
+        last = await run.over("r1")
+        assert last["state"] == "abandoned" and "all are worse off" in last["why"], last
+        await whole(run, OLD)
+        assert len(run.had[bad]) == 1
+
+    played(Releasing, script, tmp_path, fleet(calls=1, database_most=400))
+
+
+def test_half_a_copy_is_never_started_and_a_cut_zone_takes_no_step(tmp_path: Path) -> None:
+    async def script(run: Releasing) -> None:
+        made = await asyncio.to_thread(version, run.folder, "good")
+        run.versions["good"] = made
+        spoilt = run.folder / "source" / made / "pumicenotch" / "control.py"
+        text = spoilt.read_text()
+        spoilt.write_text(text[: len(text) // 2])
+        await run.plan("r1", "good")
+        await run.word("r1", "start")
+        last = await run.over("r1", "halted")
+        assert "half a copy" in last["why"] and not run.drained
+        spoilt.write_text(text)
+        # The second wave is in the other zone, which is cut off from now on.
+        inside, others = run.zone_of("z1")
+        run.crew.relay.set(inside, others, Way(cut=True))
+        await asyncio.sleep(6.0)  # the agents fetch again
+        status, said = await run.release("resume", "r1", "--reason", "the disk is whole")
+        assert status == 0, said
+        await run.until(lambda: run.had[made] == {0})
+        status, said = await run.release("back", "r1", "--reason", "not today")
+        assert status == 0, said
+        await run.until(lambda: run.disk(run.nodes[0])["runs"]["program"] == run.versions[OLD])
+        assert run.drained == {0}
+        run.crew.relay.heal()
+        assert (await run.over("r1"))["state"] == "abandoned"
+        await whole(run, OLD)
+        assert run.had[made] == {0} and run.drained == {0}
+
+    played(Releasing, script, tmp_path, fleet())
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -77,6 +77,7 @@
     ("version", "word"),
     [
         (Version(crashes_ms=100.0), "start refused"),
+        (Version(crashes_ms=0.0), "start refused"),
         (Version(mute=True), "silent: not in service"),
         (Version(bad=0.2, kind="search"), "of the released ones' tasks go badly"),
         (Version(calls=3.0), "times as often for a task"),
