--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -31,7 +31,7 @@
 RELEASES_MOST = 50  # kept after their end, for `status` and so that no name comes twice
 WAVES_MOST = 256
 LEVELS = {  # the entries that came with each level; all others are of the first
-    2: ("level", "plan", "release", "word", "move", "soaked", "harm"),
+    2: ("level", "plan", "release", "word", "move", "usual", "soaked", "harm"),
 }
 LEVEL = 2  # of this program
 NEEDS = {verb: level for level, verbs in LEVELS.items() for verb in verbs}
@@ -59,6 +59,9 @@
     asks: str = ""  # why it waits for a person
     harmed: tuple[str, ...] = ()  # where harm was seen: first on the way back
     why: str = ""  # the last word on it
+    usual: tuple[
+        float, ...
+    ] = ()  # before the wave: its number, tasks a second, bad part and ms of calls below
 
     @property
     def nodes(self) -> tuple[str, ...]:
@@ -280,6 +283,13 @@
             return self.put(held._replace(asks=asks), f"wave {wave + 1} ASKS: {asks}")
         return self.next(held, f"wave {wave + 1} is good: {why}")
 
+    def note_usual(self, one: str, wave: int, usual: tuple[float, ...]) -> Said:
+        """By the leader, before the first of a wave moves: agreed, so that the next leader knows it too."""
+        held = self.releases.get(one)
+        if held is not None and held.wave == wave and held.state in FORWARD:
+            self.put(held._replace(usual=(float(wave), *usual)))
+        return Said(True, "noted")
+
     def harm(self, one: str, by: str, nodes: tuple[str, ...], why: str) -> Said:
         """Seen by the leader, or by an agent: halted, and back at once where that is planned."""
         held = self.releases.get(one)
@@ -554,6 +564,15 @@
     return told
 
 
+def usual_of(told: Any) -> tuple[float, ...]:
+    if not isinstance(told, list | tuple) or len(told) != 3:
+        raise BadEntry("three figures are wanted")
+    found = tuple(float(each) for each in told if isinstance(each, int | float))
+    if len(found) < 3 or not all(0.0 <= each < 1e12 for each in found):
+        raise BadEntry(f"no figures: {told!r:.60}")
+    return found
+
+
 def runs_of(told: Any) -> tuple[tuple[str, str], ...]:
     if not isinstance(told, list | tuple) or len(told) > len(SLOTS):
         raise BadEntry("what a node runs: slot and version, for each slot")
@@ -593,6 +612,7 @@
     "plan": ("plan", (name, release_of, name)),
     "release": ("release", (name, name, word_of, maybe_names, reason, name)),
     "soaked": ("soaked", (name, number, truth, text)),
+    "usual": ("note_usual", (name, number, usual_of)),
     "harm": ("harm", (name, name, maybe_names, reason)),
     "word": ("word", (name, name, runs_of, maybe_names, truth, text)),
     "move": ("move", (name, name, name, name)),
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -20,7 +20,7 @@
 from pumicenotch.fleet.watch import Watch, rows_of
 from pumicenotch.members.messages import Opinion
 
-OWN = ("begin", "against", "level", "word", "soaked", "harm")  # entries that only a leader makes
+OWN = ("begin", "against", "level", "word", "usual", "soaked", "harm")  # entries that only a leader makes
 READS = ("status", "why", "log", "halts", "releases", "one_release", "waves")
 ROWS_MOST = 200  # of a table in one answer: some 30 KB
 SILENT, OVERLOADED = "silent", "overloaded"
--- a/pumicenotch/fleet/watch.py
+++ b/pumicenotch/fleet/watch.py
@@ -86,40 +86,34 @@
 
 
 class Both:
-    """Whether all are worse off below than before the first got the version, though no more tasks come."""
+    """Whether all are worse off below than before the first of the wave got the version, though no more tasks
+    come."""
 
-    LEAST = 5  # windows of each kind
+    LEAST = 5  # windows, before and since
     MORE_BAD = 0.1  # of the calls, beyond what was usual
     LONGER = 3.0  # times what calls took
     LOAD = 1.25  # times the tasks: from there on the load may be the cause
 
     def __init__(self) -> None:
-        self.before, self.windows = Row(), 0
-        self.after: list[Row] = []
+        self.since: list[Row] = []
 
-    def tell(self, row: Row, released: bool, usual: list[Row]) -> None:
-        """`usual` are windows that were seen last, this one too."""
-        if released:
-            self.after = [*self.after, row][-self.LEAST :]
-        else:
-            self.before, self.windows, self.after = sum_of(usual), len(usual), []
+    def tell(self, row: Row, moved: bool) -> None:
+        self.since = [*self.since, row][-self.LEAST :] if moved else []
 
-    def harm(self) -> str:
-        if self.windows < self.LEAST or len(self.after) < self.LEAST or not self.before.calls:
+    def harm(self, usual: tuple[float, ...]) -> str:
+        """`usual` as the release has it."""
+        whole = sum_of(self.since)
+        if len(self.since) < self.LEAST or not usual or not whole.calls:
             return ""
-        calls = self.before.calls
-        usual, took = self.before.bad_calls / calls, self.before.call_ms / calls
-        for row in self.after:
-            if row.firsts > self.LOAD * self.before.firsts / self.windows or not row.calls:
-                return ""
-            bad, lasts = row.bad_calls / row.calls, row.call_ms / row.calls
-            if bad < usual + self.MORE_BAD and lasts < self.LONGER * took:
-                return ""
-        whole = sum_of(self.after)
+        _, firsts, was_bad, took = usual
         bad, lasts = whole.bad_calls / whole.calls, whole.call_ms / whole.calls
+        if whole.firsts / self.LEAST > self.LOAD * firsts:
+            return ""
+        if bad < was_bad + self.MORE_BAD and lasts < self.LONGER * took:
+            return ""
         return (
-            f"below, all are worse off since the first has the version, and no more tasks come: {bad:.0%} of"
-            f" calls go badly (before: {usual:.0%}), {lasts:.0f} ms each (before: {took:.0f})"
+            f"below, all are worse off since this wave has the version, and no more tasks come: {bad:.0%} of"
+            f" calls go badly (before: {was_bad:.0%}), {lasts:.0f} ms each (before: {took:.0f})"
         )
 
 
@@ -181,7 +175,11 @@
         found = []
         for release in going:
             trial = self.trials.setdefault(release.name, Trial())
-            entry = self.harm(now, release, state, trial) or self.soaked(now, release, state, trial)
+            entry = (
+                self.harm(now, release, state, trial)
+                or self.what_is_usual(release, state)
+                or self.soaked(now, release, state, trial)
+            )
             if entry and now - trial.told_at >= self.AGAIN_MS:
                 trial.told_at = now
                 found.append(entry)
@@ -189,20 +187,15 @@
 
     def window(self, release: Release, state: State, trial: Trial, whole: Row) -> None:
         sides: dict[str, list[Row]] = defaultdict(lambda: [Row(), Row()])
-        anybody = False
         for name, kinds in self.fresh.items():
             member, node = state.members.get(name), state.releases.nodes.get(name)
             if member is None:
                 continue
             released = node is not None and node.version(release.slot) == release.version
-            anybody |= released
             for kind, row in kinds.items():
                 if not state.is_out(member):
                     side = sides[f"{member.zone or 'no zone'}, {member.cell or 'no cell'}, {kind}"]
                     side[released] = side[released].plus(row)
-        anybody |= any(
-            node.move[:2] == (release.slot, release.version) for node in state.releases.nodes.values()
-        )
         for stratum, (others, ours) in sorted(sides.items()):
             for released, row in ((False, others), (True, ours)):
                 trial.tasks.tell(Told(stratum, released, int(row.tasks), int(row.bad)))
@@ -210,10 +203,26 @@
                     Told(f"{stratum}, calls below", released, int(row.calls), int(row.bad_calls))
                 )
             trial.pressure.tell((others.tasks, ours.tasks), (others.calls, ours.calls))
-        trial.both.tell(whole, anybody, self.usual)
+        trial.both.tell(whole, self.moved(release, state))
         trial.text = trial.tasks.close().text
         trial.calls.close()
 
+    @staticmethod
+    def moved(release: Release, state: State) -> bool:
+        """Whether any of the wave may have the version by now."""
+        nodes = (state.releases.nodes.get(name) for name in release.waves[release.wave])
+        return any(node is not None and release.version in (node.version(release.slot), node.move[1])
+                   for node in nodes)  # fmt: skip
+
+    def what_is_usual(self, release: Release, state: State) -> tuple[Any, ...]:
+        """Said while none of the wave has moved, by a leader that has looked on for long enough."""
+        known = release.usual and release.usual[0] == release.wave
+        whole = sum_of(self.usual)
+        if known or len(self.usual) < Both.LEAST or not whole.calls or self.moved(release, state):
+            return ()
+        figures = (whole.firsts / len(self.usual), whole.bad_calls / whole.calls, whole.call_ms / whole.calls)
+        return ("usual", release.name, release.wave, figures)
+
     def harm(self, now: float, release: Release, state: State, trial: Trial) -> tuple[Any, ...]:
         on = [name for name in release.nodes
               if name in state.releases.nodes
@@ -221,7 +230,7 @@
         for judge in (trial.tasks, trial.calls):
             if (verdict := judge.verdict()).harm:
                 return ("harm", release.name, "judgement", tuple(on), verdict.text)
-        if why := trial.pressure.harm() or (trial.both.harm() if on else ""):
+        if why := trial.pressure.harm() or trial.both.harm(release.usual):
             return ("harm", release.name, "judgement", tuple(on), why)
         for name in on:
             if why := self.silence(now, name, release, state, trial):
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -30,7 +30,7 @@
 FORM = 1  # of summary.json
 FOLDER = Path(__file__).parents[2] / "experiments"
 CORES_A_RUN = 1  # a loopback run has a server and a world, some tenths of a core together
-CORES_A_FLEET = 3  # and a fleet has a dozen servers, voters and a relay
+CORES_A_FLEET = 2  # and a fleet has a dozen servers, voters and a relay, maybe agents
 
 
 class Arm(Schema):
@@ -38,6 +38,7 @@
     decides: Literal["today", "plain"] = "today"
     pools: str = ""  # a file of ours, beside the experiment's
     drains: Literal["none", "alone", "agreed"] = "agreed"  # of a fleet: what becomes of its `drain_all`
+    releases: Literal["none", "good", "bad-class", "crash-loop", "kills-below"] = "none"
 
 
 class Bound(Schema):
@@ -225,7 +226,11 @@
         config = str(path.parent / arm.pools) if arm.pools else ""
         launch = Launch("pumicenotch.lab.plain" if arm.decides == "plain" else "pumicenotch", config)
         kept = Path(folder) / f"{name}-{seed}" if folder else None
-        if told.voters:
+        if told.agents:
+            from pumicenotch.lab.releaserun import ReleaseRun
+
+            on_sockets = run(told, seed, launch, kept, carrier=partial(ReleaseRun, releases=arm.releases))
+        elif told.voters:
             from pumicenotch.lab.fleetrun import FleetRun
 
             on_sockets = run(told, seed, launch, kept, carrier=partial(FleetRun, drains=arm.drains))
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -92,7 +92,7 @@
         return 0
 
 
-def version(folder: Path, name: str, kind: str = "", after_s: float = 1.5) -> str:
+def version(folder: Path, name: str, kind: str = "", after_s: float = 4.0) -> str:
     """Makes one of that fault among the versions to be fetched; by its content."""
     made = folder / f"made-{name}"
     ignored = shutil.ignore_patterns("__pycache__", "lab")
@@ -242,7 +242,9 @@
         self.over_at = self.now()
 
     async def plan(self, name: str, kind: str, **more: Any) -> Any:
-        waves = more.pop("waves", None) or (await self.crew.ask("waves", [0.34, 1.0], False, ""))["waves"]
+        mixed = self.world.mixed
+        shares = [1.0] if mixed else [0.34, 1.0]
+        waves = more.pop("waves", None) or (await self.crew.ask("waves", shares, mixed, ""))["waves"]
         usual: dict[str, Any] = {
             "slot": "program",
             "replaces": "",
@@ -251,7 +253,7 @@
         }
         usual |= {"wait": 20 * int(self.world.soak_ms), "urgent": False, "level": LEVEL, **more}
         entry = [name, usual["slot"], self.versions[kind], usual["replaces"], usual["level"], waves,
-                 usual["soak"], usual["wait"], usual["back"], 0, usual["urgent"], False, []]  # fmt: skip
+                 usual["soak"], usual["wait"], usual["back"], 0, usual["urgent"], mixed, []]  # fmt: skip
         return await self.crew.ask("plan", secrets.token_hex(8), entry, "operator")
 
     async def word(self, name: str, what: str, seen: tuple[str, ...] = ()) -> Any:
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -97,6 +97,7 @@
     budget: tuple[BudgetBlock, ...] = ()  # of the fleet
     agents: bool = False  # beside the servers, which then are started by them
     soak_ms: Positive = 2000.0  # of a release
+    mixed: bool = False  # its waves have nodes of several zones
     database_most: Annotated[int, Field(ge=0)] = 0  # queries a second that it answers as fast; 0: any number
     cores: Annotated[int, Field(ge=1, le=64)] = 6
     speed: Positive = 1.0
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -98,9 +98,15 @@
         day.below = 0.4 if day.versions_run()[NEW] else 0.0
         day.at(day.now + 100.0, ruin)
 
-    day.run(7000.0)
+    day.run(2000.0)
     ruin()
+    day.until(lambda: bool(day.ever[NEW]))
+    leader = day.leader()
+    day.kill(leader)  # what was usual is agreed: the next leader knows it too
+    day.run(1000.0)
+    day.boot(leader)
     assert ended(day) == "abandoned"
+    assert len(day.ever[NEW]) == 1
     assert "all are worse off" in day.state().releases.releases["r1"].why
     all_on(day, OLD)
 
