Check releases with drains under the explorer, and free a permit before a way back is judged

Found by the model at its third step: a release taken back before anything had moved stayed going back until some other entry came, since the permits that it had asked for still counted their nodes as out when it looked. lab/releasing_model: servers, agents, late words, halts, resumes, ways back, crashes, a drain beside them; no state of more out than the budget, none that goes on while halted, none from which no way leads to one version. Four seeded bugs are found.

--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -425,6 +425,8 @@
         for each in self.in_order() if changed or not one else [one]:
             if each in self.nodes:
                 self.ask(self.nodes[each])
+        if self.changed:  # a permit that was taken back counted its node as out
+            self.settle()
 
     def in_order(self) -> list[str]:
         """Whoever goes back first stands first: by harm, then those that got it last."""
@@ -465,6 +467,8 @@
             state.queue.remove(asked)
         if permit is not None and permit.kind == KIND and not permit.begun and not slot:
             state.free(one, "nothing is due any more")
+            self.changed = True
+            state.counted = None
 
     def down(self, one: str) -> bool:
         node = self.nodes.get(one)
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -8,10 +8,11 @@
 
 from pumicenotch.fleet import release as release_
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
-from pumicenotch.fleet.release import Releases, plan_told, waves_of
+from pumicenotch.fleet.release import Release, Releases, plan_told, waves_of
 from pumicenotch.fleet.state import State, load, told
 from pumicenotch.lab import fleets, releasing
 from pumicenotch.lab.releasing import NEW, OLD, Agents, Version
+from pumicenotch.lab.releasing_model import LONG, Bounds, Releasing
 
 
 def watched(day: Agents) -> None:
@@ -458,3 +459,62 @@
     assert waves_of(members, order="below-first")[0] == ("db",)
     assert max(len(wave) for wave in waves_of(members, mixed=True)) > max(len(wave) for wave in waves)
     assert isinstance(agreed().releases, Releases)
+
+
+# Under the explorer, with drains beside them
+
+
+@pytest.mark.parametrize(("name", "bounds"), LONG)
+def test_no_order_of_steps_breaks_a_budget_or_leaves_two_versions(name: str, bounds: Bounds) -> None:
+    found = Releasing(bounds).explore(1500)
+    assert not found.violation, f"{name}: {found.text()}"
+    found = Releasing(bounds).wander(1, 40)
+    assert not found.violation, f"{name}: {found.text()}"
+
+
+def goes_on_while_halted(release: Release, one: str) -> str:
+    return RIGHT_WANTED(release._replace(state="draining") if release.state == "halted" else release, one)
+
+
+def never_catches_up(self: Releases, one: str, slot: str) -> str:
+    return next((self.wanted(each, one) for each in self.active() if one in each.nodes), "")
+
+
+def keeps_no_budget(self: Releases, node: Any) -> None:
+    due, member = self.due(node), self.state.members.get(node.name)
+    if due[0] and not node.down and member is not None and node.name not in self.state.permits:
+        self.state.give(member, release_.KIND, "release")
+
+
+def goes_back_half_way(self: Releases, release: Release) -> list[str]:
+    return [] if release.state == "going back" else RIGHT_MISSING(self, release)
+
+
+def settles_once(self: Releases, one: str = "") -> None:
+    for release in self.active():
+        self.advance(release)
+    self.changed = False
+    for each in self.in_order():
+        self.ask(self.nodes[each])
+
+
+RIGHT_WANTED, RIGHT_MISSING = Releases.wanted, Releases.missing
+
+
+@pytest.mark.parametrize(
+    ("where", "seeded", "word"),
+    [
+        ("wanted", staticmethod(goes_on_while_halted), "though it is halted"),
+        ("ask", keeps_no_budget, "are away by permit"),
+        ("settle", settles_once, "no way leads on: release going back"),
+        ("target", never_catches_up, "no way leads on: release abandoned"),
+    ],
+)  # fmt: skip
+def test_seeded_bugs_are_found(where: str, seeded: Any, word: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Releases, where, seeded)
+    if where == "ask":
+        monkeypatch.setattr(Releasing, "WAVES", (("a1", "a2"), ("b1",)))
+    if where == "target":
+        monkeypatch.setattr(Releases, "missing", goes_back_half_way)
+    found = [Releasing(bounds).explore(4000).violation for _, bounds in LONG]
+    assert any(word in each for each in found), found
