Release agents themselves: by exec beside their servers, and back from one that never speaks

The launcher, which is never released, starts the version in the agent's slot, goes back after two starts that never spoke with the fleet, and has the next agent tell so: a hard sign that sends the release back. Shown by processes: two agents keep their process ids, their servers never end.

--- a/benchmarks/release.py
+++ b/benchmarks/release.py
@@ -4,15 +4,22 @@
 
 import argparse
 import json
+import math
+import time
+from collections import Counter
 
 import numpy as np
 
+from pumicenotch.fleet.budgets import Budget
 from pumicenotch.fleet.judge import Judge, Threshold, Told
+from pumicenotch.fleet.release import waves_of
+from pumicenotch.lab import fleets, releasing
 
 ZONES, A_ZONE, CLASSES = 3, 4, ("preview", "bake", "submit")
 WAVES = ((0,), (0, 4, 8), (0, 1, 2, 4, 5, 6, 8, 9, 10))  # members that have it, by wave
 SOAK_S = 60  # of each wave, in windows of a second
 RATE = 10.0  # tasks a second, member and class
+SOAK_MS = 10_000  # of a wave in a whole release
 BASE = 0.01  # of the tasks go badly anyhow
 
 
@@ -73,11 +80,45 @@
     }  # fmt: skip
 
 
+def whole(many: int, seed: int) -> dict[str, float | str]:
+    """A whole release in simulated time, voters, servers and agents, against the shortest that budgets and
+    soaks allow: of each wave as many turns of drain, end and start as it needs, and its soak."""
+    at_once = max(2, many // 10)
+    a_zone = math.ceil(at_once / ZONES)
+    real = time.perf_counter()
+    day = releasing.usual(seed, nodes=many, budgets=(
+        Budget("zones", "zone", most_out=a_zone), Budget("all", "fleet", most_out=at_once),
+    ))  # fmt: skip
+    members = [each for each in day.state().members.values() if each.name in day.state().releases.nodes]
+    waves = waves_of(members, mixed=True)
+    day.run(10_000.0)  # so that what is usual is known
+    day.plan(waves=waves, mixed=True, soak_ms=SOAK_MS)
+    began = day.now
+    day.until(lambda: day.stands() in ("done", "abandoned"), 3_600_000.0, 100.0)
+    took = day.now - began
+    turn = fleets.DRAIN_MS + 200.0 + releasing.SWAP_MS + fleets.RESTART_MS
+    shortest = 0.0
+    for wave in waves:
+        zones = Counter(day.processes[name].spec.zone for name in wave)
+        turns = max(math.ceil(len(wave) / at_once), math.ceil(max(zones.values()) / a_zone))
+        shortest += turns * turn + SOAK_MS
+    return {
+        "nodes": many, "seed": seed, "state": day.stands(), "took_s": round(took / 1000.0, 2),
+        "shortest_s": round(shortest / 1000.0, 2), "part": round(shortest / took, 3), "waves": len(waves),
+        "real_s": round(time.perf_counter() - real, 1),
+    }  # fmt: skip
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--whole", type=int, nargs="*", default=[], help="nodes of whole releases instead")
     parser.add_argument("--days", type=int, default=200)
     parser.add_argument("--seed", type=int, default=1)
     told = parser.parse_args()
+    for many in told.whole:
+        print(json.dumps(whole(many, told.seed)), flush=True)
+    if told.whole:
+        return
     for harm, one_class in (
         (0.0, False),
         (0.02, False),
--- a/pumicenotch/cli/agent.py
+++ b/pumicenotch/cli/agent.py
@@ -8,6 +8,7 @@
 from pumicenotch.config import agent as config
 from pumicenotch.config import versions
 from pumicenotch.config.hcl import BadFile
+from pumicenotch.fleet.agent import AGENT_FAILED
 
 TRIES = 2  # starts of an agent's version that never spoke with the fleet, before the one before it comes back
 
@@ -18,8 +19,9 @@
     if now is None or now == good:
         return disk
     if disk.tries >= TRIES:
-        print(f"agent: version {now} never spoke with the fleet: back to {good}", file=sys.stderr)
-        disk = disk._replace(runs={**disk.runs, "agent": str(good)}, tries=0)
+        why = f"{AGENT_FAILED}: its version {now} never spoke with the fleet"
+        print(f"agent: {why}: back to {good}", file=sys.stderr)
+        disk = disk._replace(runs={**disk.runs, "agent": str(good)}, tries=0, trouble=why)
     else:
         disk = disk._replace(tries=disk.tries + 1)
     config.write(told, disk)
--- a/pumicenotch/cli/fleet.py
+++ b/pumicenotch/cli/fleet.py
@@ -162,6 +162,8 @@
     print(f"{found['leader']} leads in term {found['term']}; voters {', '.join(found['seats'])}")
     if found["halted"]:
         print(found["halted"])
+    for row in found.get("releases", ()):
+        print(f"release {row['name']}: {row['stands']}")
     for over in found["over"]:
         print(f"OVER: {over}")
     rows = [
--- a/pumicenotch/config/agent.py
+++ b/pumicenotch/config/agent.py
@@ -67,6 +67,7 @@
     pid: int = 0  # of its server, and when that process began, in the system's ticks
     began: str = ""
     tries: int = 0  # starts of an agent's version that has not spoken with the fleet yet
+    trouble: str = ""  # that whoever starts agents met
 
 
 def agent_of(path: str | Path) -> AgentFile:
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -24,6 +24,8 @@
 from pumicenotch.fleet.entries import TEXT_MOST
 from pumicenotch.fleet.release import RESTARTS, STUCK
 
+AGENT_FAILED = "agent refused"  # how a trouble begins of a version of the agent itself
+
 
 class Agent(Asker):
     SAY_MS = 500.0  # between its words
@@ -42,6 +44,7 @@
     def __init__(
         self, *, fleet: str, node: str, life: str, voters: Iterable[str], runs: dict[str, str],
         holds: Iterable[str], child: bool, start_ms: float, drain_ms: float, now: float, seed: int,
+        trouble: str = "",
     ) -> None:  # fmt: skip
         """`runs` is what stands in each slot; `child`: its server is there already, of an agent before this
         one."""
@@ -51,7 +54,8 @@
         self.start_ms, self.drain_ms = start_ms, drain_ms
         self.child = child
         self.served = child  # since its start
-        self.trouble = ""
+        self.trouble = trouble  # of this agent's former start, if any
+        self.spoken = False  # with the fleet
         self.ends: list[float] = []  # unasked ones
         self.refusals = 0
         self.started_at = self.ended_at = self.heard_at = now
@@ -234,11 +238,16 @@
 
     def hear(self, told: dict[str, Any]) -> None:
         self.heard_at = self.now
+        if not self.spoken:
+            self.spoken = True
+            self.effects.append(Proven(("agent",)))
         again = told.get("again_ms")
         if isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
             self.say_at = self.now + again
         due = told.get("due")
         self.due = (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
+        if self.trouble.startswith(AGENT_FAILED) and not self.due[0]:
+            self.trouble = ""  # nobody wants that version here any more
         self.halted = str(told.get("halted", ""))
         self.known_life = str(told.get("life", ""))
         permit = told.get("permit")
@@ -254,7 +263,7 @@
             self.served, self.refusals = True, 0
             if not self.trouble.startswith("crash loop"):
                 self.trouble = ""
-            self.effects.append(Proven())
+            self.effects.append(Proven(tuple(slot for slot in self.runs if slot in RESTARTS)))
             self.say_soon()
         if (
             self.trouble.startswith("crash loop")
--- a/pumicenotch/fleet/effects.py
+++ b/pumicenotch/fleet/effects.py
@@ -83,7 +83,9 @@
 
 
 class Proven(NamedTuple):
-    """The versions in the slots serve: they are the last good ones."""
+    """What stands in those slots works: it is the last good one."""
+
+    slots: tuple[str, ...]
 
 
 Effect = Hold | Swap | Start | End | Reread | Anew | Proven | Post | Ask | Reply | Leave | Log | Wake | Exit
--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -315,9 +315,8 @@
         if trouble and trouble != held.trouble:
             self.state.note(f"the agent of {one}: {trouble}")
             for release in self.active():
-                if one in release.nodes and (
-                    trouble.startswith(STUCK) or new.version(release.slot) == self.wanted(release, one)
-                ):
+                wanted = self.wanted(release, one) in (new.version(release.slot), new.move[1])
+                if one in release.nodes and (trouble.startswith(STUCK) or wanted):
                     self.harm(release.name, one, (one,), trouble)
         return Said(True, "noted")
 
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -48,6 +48,7 @@
     threading.Timer(AFTER_S, os._exit, (1,)).start()
 """,
     "refuses": "    sys.exit(2)\n",
+    "no-agent": "    pass\nif 'pumicenotch.net.agent' in sys.orig_argv:\n    sys.exit(1)\n",
     "mute": """\
     from pumicenotch.net import fleet
     async def member(*_):
@@ -113,6 +114,7 @@
         super().__init__(world, seed, launch, folder, drains="none")
         self.releases = releases
         self.versions = {OLD: version(folder, OLD)}
+        self.slots: tuple[str, ...] = ("program",)
         self.agents: dict[int, subprocess.Popen[bytes]] = {}
         self.had: dict[str, set[int]] = defaultdict(set)  # version -> servers that ever ran it
         self.queries: deque[float] = deque()
@@ -137,7 +139,7 @@
                 f'home = "{self.home(node)}"\nsource = "{self.folder / "source"}"\n'
                 f"command = {json.dumps([sys.executable, '-m', *module])}\n"
                 f"environment = {json.dumps(pairs)}\nstart_ms = 12000\ndrain_ms = 8000\n"
-                f'slot "program" {{ version = "{self.versions[OLD]}" }}\n'
+                + "".join(f'slot "{slot}" {{ version = "{self.versions[OLD]}" }}\n' for slot in self.slots)
             )
             self.boot_agent(node)
         self.spawn_task(self.led(node))
@@ -147,7 +149,8 @@
 
     def boot_agent(self, node: Node) -> None:
         with (self.folder / f"agent-n{node.number}.log").open("ab") as log:
-            command = [sys.executable, "-m", "pumicenotch.net.agent", str(self.agent_file(node))]
+            command = [sys.executable, "-m", "pumicenotch.cli", "agent", "--config"]
+            command.append(str(self.agent_file(node)))
             self.agents[node.number] = subprocess.Popen(command, stderr=log)
 
     def disk(self, node: Node) -> dict[str, Any]:
@@ -225,6 +228,12 @@
             case _:
                 super().fault(fault, now)
 
+    def keep_agents(self) -> None:
+        """As a platform does: whichever agent has ended is started again."""
+        for node in self.nodes:
+            if (agent := self.agents.get(node.number)) is not None and agent.poll() is not None:
+                self.boot_agent(node)
+
     def kill_agent(self, node: Node, for_s: float) -> None:
         agent = self.agents[node.number]
         agent.kill()
--- a/pumicenotch/net/agent.py
+++ b/pumicenotch/net/agent.py
@@ -66,8 +66,9 @@
                 self.signal(signal.SIGHUP)
             case effects.Anew():
                 self.anew()
-            case effects.Proven():
-                self.save(good=self.disk.runs)
+            case effects.Proven(slots):
+                good = {slot: version for slot, version in self.disk.runs.items() if slot in slots}
+                self.save(good={**self.disk.good, **good}, tries=0, trouble="")
                 self.tidy()
             case effects.Log(text):
                 logger.info("agent: {}", text)
@@ -178,7 +179,7 @@
     core = Agent(
         fleet=told.fleet, node=told.member, life=secrets.token_hex(6), voters=told.voters, runs=disk.runs,
         holds=versions.held(Path(told.home) / "versions"), child=there, start_ms=told.start_ms,
-        drain_ms=told.drain_ms, now=alarm.now(), seed=told.seed,
+        drain_ms=told.drain_ms, now=alarm.now(), seed=told.seed, trouble=disk.trouble,
     )  # fmt: skip
     async with anyio.create_task_group() as group:
         beside = Beside(told, core, disk, alarm, group)
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -120,3 +120,46 @@
         assert run.had[made] == {0} and run.drained == {0}
 
     played(Releasing, script, tmp_path, fleet())
+
+
+def test_agents_are_released_beside_servers_that_go_on_and_a_mute_one_goes_back(tmp_path: Path) -> None:
+    async def script(run: Releasing) -> None:
+        servers = [node.process.pid for node in run.nodes if node.process is not None]
+        agents = {number: agent.pid for number, agent in run.agents.items()}
+        run.versions["good"] = await asyncio.to_thread(version, run.folder, "good")
+        await run.plan("r1", "good", slot="agent", soak=200)
+        await run.word("r1", "start")
+        await followed(run, "r1", "done")
+        assert {run.disk(node)["runs"]["agent"] for node in run.nodes} == {run.versions["good"]}
+        assert agents == {number: agent.pid for number, agent in run.agents.items()}, "they went on by exec"
+        run.versions["no-agent"] = await asyncio.to_thread(version, run.folder, "no-agent")
+        await run.plan("r2", "no-agent", slot="agent", soak=200)
+        await run.word("r2", "start")
+        last = await followed(run, "r2", "abandoned")
+        assert "never spoke with the fleet" in last["why"]
+        assert {run.disk(node)["runs"]["agent"] for node in run.nodes} == {run.versions["good"]}
+        assert servers == [node.process.pid for node in run.nodes if node.process is not None]
+        assert not run.drained
+
+    played(AgentsToo, script, tmp_path, fleet(servers=2, voters=1, zones=1))
+
+
+class AgentsToo(Releasing):
+    """Agents that are versions themselves."""
+
+    def __init__(self, *told: Any) -> None:
+        super().__init__(*told)
+        self.slots = ("program", "agent")
+
+
+async def followed(run: Releasing, name: str, state: str) -> dict[str, Any]:
+    """Its end, while a platform starts agents anew and a person approves what nobody could judge."""
+    while True:
+        run.keep_agents()
+        last = dict(await run.crew.ask("one_release", name))
+        if last["state"] in ("done", "abandoned"):
+            assert last["state"] == state, last
+            return last
+        if last["asks"]:
+            await run.word(name, "approve")
+        await asyncio.sleep(0.1)
