Let a server's own word end its being out, and ask for a wave's drains zone by zone in turn

A wave is over only once agents have seen their servers alive in service too: a way back on which an old version died at once had counted as done.

--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -22,7 +22,7 @@
     Wake,
 )
 from pumicenotch.fleet.entries import TEXT_MOST
-from pumicenotch.fleet.release import RESTARTS, STUCK
+from pumicenotch.fleet.release import GONE, RESTARTS, STARTING, STUCK
 
 AGENT_FAILED = "agent refused"  # how a trouble begins of a version of the agent itself
 
@@ -197,7 +197,8 @@
         if self.now >= self.say_at:
             self.say_at = self.now + self.SAY_MS
             runs = sorted(self.runs.items())
-            self.send("agent", self.node, self.life, runs, self.holds, not self.served, self.trouble)
+            down = "" if self.served else STARTING if self.child else GONE
+            self.send("agent", self.node, self.life, runs, self.holds, down, self.trouble)
         elif slot and held and (slot not in RESTARTS or (not self.child and self.heard_at > self.ended_at)):
             self.send("move", self.node, self.life, slot, version)
         elif slot in RESTARTS and held and self.child:
--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -6,6 +6,7 @@
 has ended its agent may ask for the `move`. Forwards, backwards and catching up are the same two steps."""
 
 from collections.abc import Iterator
+from itertools import zip_longest
 from math import ceil
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -17,6 +18,7 @@
 
 PLANNED, DRAINING, MOVING, SOAKING = "planned", "draining", "moving", "soaking"
 HALTED, BACK, DONE, ABANDONED = "halted", "going back", "done", "abandoned"
+GONE, STARTING = "ended", "starting"  # of a server, by its agent's word
 FORWARD = (DRAINING, MOVING, SOAKING)
 ENDED = (DONE, ABANDONED)
 
@@ -86,7 +88,9 @@
     agent: str  # the agent's life
     runs: tuple[tuple[str, str], ...] = ()  # slot, version
     holds: tuple[str, ...] = ()
-    down: bool = False  # its server is not in service, or not yet
+    down: str = (
+        ""  # GONE: its server's process has; STARTING: it is not in service yet, as far as the agent knows
+    )
     trouble: str = ""
     move: tuple[str, str, int] = ("", "", 0)  # slot, version, epoch
 
@@ -306,7 +310,7 @@
         halted = self.releases[one]
         return self.go_back(halted, tuple(key for key, _, _ in halted.halts), why, by)
 
-    def word(self, one: str, agent: str, runs: Any, holds: tuple[str, ...], down: bool, trouble: str) -> Said:
+    def word(self, one: str, agent: str, runs: Any, holds: tuple[str, ...], down: str, trouble: str) -> Said:
         """What an agent says of its node. Of two agents the one that spoke last has the node."""
         held = self.nodes.get(one, Node(one, agent))
         if down != held.down:
@@ -330,7 +334,7 @@
             return Said(False, self.state.halted())
         if self.due(node) != (slot, version):
             return Said(False, f"{one} is not to run {version}: {self.told(node) or 'nothing is due'}")
-        if slot in RESTARTS and not node.down:
+        if slot in RESTARTS and not self.down(one):
             return Said(False, f"{one}: its server is in service")
         if why := self.too_many_voters(one, slot, version):
             return Said(False, why)
@@ -399,7 +403,9 @@
         member, node = self.state.members.get(one), self.nodes.get(one)
         if member is None or node is None:
             return True  # forgotten
-        return node.version(slot) == version and not node.trouble and not self.state.is_out(member)
+        # By its agent's word too, which has seen it alive since.
+        good = not node.down and not node.trouble and not self.state.is_out(member)
+        return good and node.version(slot) == version
 
     def skipped(self, one: str, release: Release) -> bool:
         """It was out against its will before the wave came to it: it catches up when it is back."""
@@ -428,9 +434,13 @@
             self.settle()
 
     def in_order(self) -> list[str]:
-        """Whoever goes back first stands first: by harm, then those that got it last."""
-        first = [one for release in self.active() if release.state == BACK
-                 for one in (*release.harmed, *reversed(release.nodes))]  # fmt: skip
+        """Whoever goes back first stands first: by harm, then those that got it last. Forwards as planned."""
+        first: list[str] = []
+        for release in self.active():
+            if release.state == BACK:
+                first += (*release.harmed, *reversed(release.nodes))
+            elif release.state in FORWARD:
+                first += release.waves[release.wave]
         return [one for one in dict.fromkeys((*first, *self.nodes)) if one in self.nodes]
 
     def advance(self, release: Release) -> None:
@@ -456,7 +466,7 @@
         state, one = self.state, node.name
         slot, version = self.due(node)
         member = state.members.get(one)
-        drains = (slot in RESTARTS and version in node.holds and not node.down and member is not None
+        drains = (slot in RESTARTS and version in node.holds and not self.down(one) and member is not None
                   and member.standing == SERVING)  # fmt: skip
         asked = next((each for each in state.queue if each.name == one), None)
         permit = state.permits.get(one)
@@ -470,15 +480,12 @@
             state.counted = None
 
     def down(self, one: str) -> bool:
-        node = self.nodes.get(one)
-        return node is not None and node.down
-
-    def served(self, one: str) -> None:
-        """By its server's own word."""
-        node = self.nodes.get(one)
-        if node is not None and node.down:
-            self.nodes[one] = node._replace(down=False)
-            self.state.counted = None
+        """Its agent says that it is out; that it is in service again its server says first, by its own
+        word."""
+        node, member = self.nodes.get(one), self.state.members.get(one)
+        if node is None or not node.down:
+            return False
+        return node.down == GONE or member is None or member.standing != SERVING
 
     # Whole
 
@@ -534,8 +541,8 @@
             some, left[place] = left[place][:many], left[place][many:]
             if some:
                 taken.append(tuple(some))
-        if mixed and taken:
-            yield tuple(one for some in taken for one in some)
+        if mixed and taken:  # zones in turn: one that waits for its own bars whoever stands behind it
+            yield tuple(one for some in zip_longest(*taken) for one in some if one is not None)
         elif not mixed:
             yield from taken
 
@@ -561,6 +568,12 @@
     return names(told) if told else ()
 
 
+def down_of(told: Any) -> str:
+    if told not in ("", GONE, STARTING):
+        raise BadEntry(f"{told!r:.40}: {GONE}, {STARTING} or nothing is wanted")
+    return str(told)
+
+
 def truth(told: Any) -> bool:
     if type(told) is not bool:
         raise BadEntry(f"yes or no is wanted, not {told!r:.40}")
@@ -617,7 +630,7 @@
     "soaked": ("soaked", (name, number, truth, text)),
     "usual": ("note_usual", (name, number, usual_of)),
     "harm": ("harm", (name, name, maybe_names, reason)),
-    "word": ("word", (name, name, runs_of, maybe_names, truth, text)),
+    "word": ("word", (name, name, runs_of, maybe_names, down_of, text)),
     "move": ("move", (name, name, name, name)),
 }
 REQUESTS = ("plan", "release")  # with an id first
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -143,7 +143,6 @@
         if held.standing != SERVING or held.against:
             self.members[one] = held._replace(standing=SERVING, against="")
             self.note(f"{one} serves")
-        self.releases.served(one)
         return Said(True, "serving")
 
     def leaving(self, one: str, life: str, why: str) -> Said:
--- a/pumicenotch/lab/releasing_model.py
+++ b/pumicenotch/lab/releasing_model.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet.budgets import Budget, Member
-from pumicenotch.fleet.release import ENDED, Release, plan_told
+from pumicenotch.fleet.release import ENDED, GONE, Release, plan_told
 from pumicenotch.fleet.state import State as Agreed
 from pumicenotch.fleet.state import told
 from pumicenotch.lab.draining import Quiet
@@ -65,7 +65,7 @@
         for name in self.NAMES:
             made.apply(made.index + 1, ("join", told(Member(name, "0", zone=name[0]))))
             made.apply(made.index + 1, ("serving", name, "0"))
-            made.apply(made.index + 1, ("word", name, "g", ((SLOT, OLD),), (OLD, NEW), False, ""))
+            made.apply(made.index + 1, ("word", name, "g", ((SLOT, OLD),), (OLD, NEW), "", ""))
         plan = Release("r", SLOT, NEW, OLD, 2, self.WAVES, 1, 1, True, 0, False, False)
         made.apply(made.index + 1, ("plan", "p", plan_told(plan), "op"))
         made.apply(made.index + 1, ("release", "s", "r", "start", (), "x", "op"))
@@ -136,7 +136,7 @@
         if box.is_ == GOES:
             yield f"{name} has drained and ends", self.box(state, at, is_=DOWN, heard=False)
         if not box.heard:
-            word = ("word", name, "g", ((SLOT, box.runs),), (OLD, NEW), box.is_ == DOWN, "")
+            word = ("word", name, "g", ((SLOT, box.runs),), (OLD, NEW), GONE if box.is_ == DOWN else "", "")
             yield f"the word of {name}'s agent is agreed", self.box(self.apply(state, word), at, heard=True)
         due = agreed.releases.due(node)
         if box.is_ == DOWN and box.heard and due[0] and not box.may:
