Count a voter as in service only once it has a seat: a majority was lost by drains

Two tests, one without a process, fail without the change. Also: an answer that comes when its question is over is none, also where the process slept through the time (the agent's lease).

--- a/pumicenotch/fleet/asker.py
+++ b/pumicenotch/fleet/asker.py
@@ -53,10 +53,10 @@
         self.ask_at = self.now + wait * self.chance.uniform(0.5, 1.0)
 
     def answered(self, number: int, error: Any, result: Any) -> None:
-        if self.ask is None or self.ask[0] != number:
+        if self.ask is None or self.ask[0] != number or self.now >= self.ask[2]:
             self.counts["answers_late"] += 1
             return
-        verb = self.ask[1]
+        verb = self.ask[1]  # in time: a process that slept through it has no permission by it
         if error is None:
             self.ask, self.failures, self.ask_at = None, 0, self.now
             self.agreed(verb, result if isinstance(result, dict) else {})
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -90,11 +90,9 @@
     def due(self) -> float:
         return min(super().due(), self.voter.due, self.duty_at, self.leave_at)
 
-    def start(self) -> None:
-        self.serve(True, False)
-        super().start()
-
     def time(self) -> None:
+        # In service is a voter that has a seat: until then a majority may be without it, whatever it serves.
+        self.serve(self.seat in self.voter.log.seats.voters, False)
         super().time()
         if self.now >= self.voter.due:
             self.of_voter("time")
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -54,6 +54,12 @@
     async def member(*_):
         return None
     fleet.member = member
+""",
+    "mute-voter": """\
+    pass
+if "pumicenotch.net.fleet" in sys.orig_argv:
+    from pumicenotch.net.mates import Mates
+    Mates.tell = lambda self, address, message: None
 """,
     "kills-below": """\
     import json, socket, threading, time
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -2,13 +2,19 @@
 in their folder."""
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from pumicenotch.lab.crew import Crew
+from pumicenotch.lab.fleetrun import block
 from pumicenotch.lab.relay import Way
 from pumicenotch.lab.releaserun import OLD, version
 from tests.fleet.harness import Releasing, played, world
@@ -163,3 +169,75 @@
         if last["asks"]:
             await run.word(name, "approve")
         await asyncio.sleep(0.1)
+
+
+class LedCrew(Crew):
+    """Voters that agents start."""
+
+    old = ""
+
+    def home(self, name: str) -> Path:
+        return self.folder / f"home-{name}"
+
+    def boot(self, name: str) -> None:
+        voter, path = self.voters[name], self.folder / f"agent-{name}.hcl"
+        self.home(name).mkdir(exist_ok=True)
+        command = [sys.executable, "-m", "pumicenotch.net.fleet", str(voter.path)]
+        path.write_text(
+            f'fleet = "lab"\nmember = "{name}"\n'
+            f'home = "{self.home(name)}"\nsource = "{self.folder / "source"}"\n'
+            f"voters = {json.dumps([self.shown(each) for each in self.voters])}\n"
+            f"command = {json.dumps(command)}\nstart_ms = 15000\n"
+            f'environment = ["PYTHONPATH={{program}}"]\nslot "program" {{ version = "{self.old}" }}\n'
+        )
+        with voter.log.open("ab") as log:
+            agent = [sys.executable, "-m", "pumicenotch.cli", "agent", "--config", str(path)]
+            voter.process = subprocess.Popen(agent, stderr=log)
+
+    def disk(self, name: str) -> dict[str, Any]:
+        return dict(json.loads((self.home(name) / "agent.json").read_text()))
+
+    async def stop(self) -> None:
+        pids = [pid for name in self.voters if (pid := self.disk(name)["pid"])]
+        for voter in self.voters.values():
+            if voter.process is not None:
+                voter.process.terminate()
+                await asyncio.to_thread(voter.process.wait)
+        for pid in pids:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
+        await self.relay.close()
+
+
+class VotersToo(Releasing):
+    def __init__(self, *told: Any) -> None:
+        super().__init__(*told)
+        voters, budgets = self.world.voters, "\n".join(map(block, self.world.budget))
+        self.crew = LedCrew(self.folder, self.seed, voters, self.world.zones, budgets)
+        self.crew.old = self.versions[OLD]
+
+    def programs(self) -> set[str]:
+        assert isinstance(self.crew, LedCrew)
+        return {self.crew.disk(name)["runs"]["program"] for name in self.crew.voters}
+
+
+def test_a_voters_version_that_does_not_talk_stays_on_one_and_a_good_one_replaces_all(tmp_path: Path) -> None:
+    async def script(run: VotersToo) -> None:
+        waves = [[name] for name in run.crew.voters]
+        run.versions["mute-voter"] = await asyncio.to_thread(version, run.folder, "mute-voter")
+        await run.plan("r1", "mute-voter", waves=waves)
+        await run.word("r1", "start")
+        last = await followed(run, "r1", "abandoned")
+        assert "silent" in last["why"] and last["wave"] == 0
+        assert run.programs() == {run.versions[OLD]}
+        run.versions["good"] = await asyncio.to_thread(version, run.folder, "good")
+        await run.plan("r2", "good", waves=waves)
+        await run.word("r2", "start")
+        await followed(run, "r2", "done")
+        assert run.programs() == {run.versions["good"]}
+        told = await run.crew.ask("releases")
+        assert [row["state"] for row in told["releases"]] == ["abandoned", "done"], (
+            "agreed by none of the first voters"
+        )
+
+    played(VotersToo, script, tmp_path, fleet(servers=2, zones=1))
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -325,3 +325,18 @@
     day.run(100.0)
     day.boot("v1")
     day.until(partial(seated, "v1"))
+
+
+def test_a_voter_is_in_service_only_once_it_has_a_seat() -> None:
+    """Drained one after the other, each as soon as the one before is back: a majority of seats was lost while
+    the first had a process and no seat."""
+    day = usual(22, nodes=2, voters=3, budgets=(Budget("all", "fleet", most_out=1),))
+    for name in ("v1", "v2", "v3", "v1"):
+        life = day.processes[name].life
+        day.agreed("drain", f"{name}-{life}", [name], "kernel", "op")
+        day.until(
+            lambda name=name, life=life: (  # type: ignore[misc]
+                day.processes[name].life > life and bool(day.leader()) and not day.state().voters_out()
+            )
+        )
+    assert len(day.processes[day.leader()].core.voter.log.seats.voters) == 3  # type: ignore[union-attr]
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from pumicenotch.fleet import effects
 from pumicenotch.fleet import release as release_
+from pumicenotch.fleet.agent import Agent
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
 from pumicenotch.fleet.release import Release, Releases, plan_told, waves_of
 from pumicenotch.fleet.state import State, load, told
@@ -212,9 +214,8 @@
         day.boot(voter)
         seated(day, voter)
     assert day.stands() == "halted" and len(day.moves) == moved
-    assert not any(day.state().is_out(each) for each in day.state().members.values()), (
-        "a halt keeps no node out"
-    )
+    # A halt keeps no node out.
+    day.until(lambda: not any(day.state().is_out(each) for each in day.state().members.values()))
     day.word("r1", "resume", [halt[0] for halt in day.state().releases.releases["r1"].halts])
     assert ended(day) == "done"
 
@@ -517,3 +518,48 @@
         monkeypatch.setattr(Releases, "missing", goes_back_half_way)
     found = [Releasing(bounds).explore(4000).violation for _, bounds in LONG]
     assert any(word in each for each in found), found
+
+
+# The agent by itself
+
+
+def agent_at_its_move() -> tuple[Agent, int, float]:
+    """Its server has ended by permit, and it has asked for the move: the number of that question."""
+    made = Agent(
+        fleet="f", node="n0", life="a", voters=["v1"], runs={"program": OLD}, holds=[OLD, NEW], child=True,
+        start_ms=1e4, drain_ms=1e4, now=0.0, seed=1,
+    )  # fmt: skip
+    answer = {
+        "due": ("program", NEW),
+        "life": "L",
+        "standing": "draining",
+        "permit": 7,
+        "begun": True,
+        "hold": [],
+    }
+    made.step(0.0, "start")
+    made.step(1.0, "ended", 0)
+    for now in (2.0, 3.0, 4.0):
+        assert made.ask is not None
+        if made.ask[1] == "move":
+            break
+        made.step(now, "answered", made.ask[0], None, answer)
+    assert made.ask is not None and made.ask[1] == "move"
+    return made, made.ask[0], made.ask[2]
+
+
+def test_a_permission_that_its_agent_slept_through_is_none() -> None:
+    made, number, until = agent_at_its_move()
+    assert effects.Swap("program", NEW) in made.step(until - 1.0, "answered", number, None, {"value": 9})
+    made, number, until = agent_at_its_move()
+    late = made.step(until, "answered", number, None, {"value": 9})
+    assert not [each for each in late if isinstance(each, effects.Swap)]
+
+
+def test_an_agent_without_its_fleet_starts_what_it_has_and_swaps_nothing() -> None:
+    made, _, _ = agent_at_its_move()
+    seen: list[Any] = []
+    for at in range(1, 100):
+        seen += made.step(4.0 + 100.0 * at, "time")
+    assert effects.Start() in seen and not [each for each in seen if isinstance(each, effects.Swap)]
+    assert made.runs == {"program": OLD}
