--- a/experiments/fleet-release.hcl
+++ b/experiments/fleet-release.hcl
@@ -134,3 +134,33 @@
   arm    = "kills-below"
   least  = 0
 }
+bound {
+  figure = "versions"
+  arm    = "bad-class"
+  most   = 1
+}
+bound {
+  figure = "versions"
+  arm    = "crash-loop"
+  most   = 1
+}
+bound {
+  figure = "versions"
+  arm    = "kills-below"
+  most   = 1
+}
+bound {
+  figure = "most_over_budget"
+  arm    = "bad-class"
+  most   = 0
+}
+bound {
+  figure = "most_over_budget"
+  arm    = "crash-loop"
+  most   = 0
+}
+bound {
+  figure = "most_over_budget"
+  arm    = "kills-below"
+  most   = 0
+}
