--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -265,12 +265,12 @@
             if not self.leaving:
                 self.stand(Standing.SERVING if good else Standing.JOINING)
 
-    def counted(self, rows: Any) -> None:
+    def counted(self, rows: Any, memory_mb: float) -> None:
         """How its tasks have gone, since its start: for whoever leads, while a release is on. Lost words do
         no harm: the next one says it all again."""
         if self.counting and self.joined and not self.leaving and self.now >= self.count_at:
             self.count_at = self.now + max(self.MINE_MS, self.mine_wait) - 1.0
-            self.post(self.voters[self.voter_at], "counts", rows)
+            self.post(self.voters[self.voter_at], "counts", rows, memory_mb)
 
     def leave(self, why: str) -> None:
         """It drains from now on, whether anybody agreed or not."""
--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -93,6 +93,7 @@
     )
     trouble: str = ""
     move: tuple[str, str, int] = ("", "", 0)  # slot, version, epoch
+    falls: int = 0  # ends of its server that nobody asked for, since it moved or a release began
 
     def version(self, slot: str) -> str:
         return dict(self.runs).get(slot, "")
@@ -226,6 +227,8 @@
             self.state.budgets = held.budgets
             return self.put(held._replace(state=SOAKING), f"started by {by}: its budgets are in force")
         self.stands.setdefault(held.slot, held.replaces)
+        for one in held.nodes:
+            self.nodes[one] = self.nodes[one]._replace(falls=0)
         return self.put(held._replace(state=DRAINING), f"started by {by}")
 
     @staticmethod
@@ -315,7 +318,10 @@
         held = self.nodes.get(one, Node(one, agent))
         if down != held.down:
             self.state.counted = None
-        self.nodes[one] = new = held._replace(agent=agent, runs=runs, holds=holds, down=down, trouble=trouble)
+        fell = bool(down) and not held.down and self.unasked(one)
+        self.nodes[one] = new = held._replace(
+            agent=agent, runs=runs, holds=holds, down=down, trouble=trouble, falls=held.falls + fell
+        )
         if trouble and trouble != held.trouble:
             self.state.note(f"the agent of {one}: {trouble}")
             for release in self.active():
@@ -324,6 +330,11 @@
                     self.harm(release.name, one, (one,), trouble)
         return Said(True, "noted")
 
+    def unasked(self, one: str) -> bool:
+        """Whether a server that has ended was to go on, by what is agreed."""
+        member = self.state.members.get(one)
+        return member is not None and member.standing == SERVING and one not in self.state.permits
+
     def move(self, one: str, agent: str, slot: str, version: str) -> Said:
         """May the node's agent put that version in place now? Its server has ended, by its own word, or goes
         on where nothing ends for it."""
@@ -339,7 +350,7 @@
         if why := self.too_many_voters(one, slot, version):
             return Said(False, why)
         if node.move[:2] != (slot, version):
-            self.nodes[one] = node._replace(move=(slot, version, self.state.index))
+            self.nodes[one] = node._replace(move=(slot, version, self.state.index), falls=0)
             self.state.note(f"{one} may move to {slot} {version}")
         return Said(True, "go on", self.nodes[one].move[2])
 
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -17,7 +17,7 @@
 from pumicenotch.fleet.mate import Mate
 from pumicenotch.fleet.release import BUDGETS, ENDED, Release, waves_of
 from pumicenotch.fleet.state import ENTRIES, State
-from pumicenotch.fleet.watch import Watch, rows_of
+from pumicenotch.fleet.watch import Watch, memory_of, rows_of
 from pumicenotch.members.messages import Opinion
 
 OWN = ("begin", "against", "level", "word", "usual", "soaked", "harm")  # entries that only a leader makes
@@ -146,8 +146,8 @@
                 self.sees[name] = (self.now, frozenset(each for each in params if isinstance(each, str)))
                 self.levels[name] = (self.now, max([1, *(each for each in params if type(each) is int)]))
             case "counts":
-                if self.leads and len(params) == 1:
-                    self.watch.told(self.now, name, life, rows_of(params[0]))
+                if self.leads and len(params) == 2:
+                    self.watch.told(self.now, name, life, rows_of(params[0]), memory_of(params[1]))
             case _:
                 super().hear(sender, method, params)
 
--- a/pumicenotch/fleet/watch.py
+++ b/pumicenotch/fleet/watch.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from functools import reduce
+from statistics import median
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet.entries import BadEntry
@@ -43,6 +44,12 @@
     return reduce(Row.plus, rows, Row())
 
 
+def memory_of(told: Any) -> float:
+    if not isinstance(told, int | float) or not 0.0 <= told < 1e9:
+        raise BadEntry(f"no memory of a process: {told!r:.40}")
+    return float(told)
+
+
 def rows_of(told: Any) -> dict[str, Row]:
     """From a word on the wire: (class, fields of Row) each. Raises BadEntry."""
     try:
@@ -117,12 +124,62 @@
         )
 
 
+FALLS_BY_CHANCE = 0.01  # of releases that harm nobody: so often such falls would be the released ones' alone
+
+
+def falls(release: Release, state: State) -> str:
+    """Whether released nodes' servers end unasked more often than chance has it: each fall would be one of
+    theirs as often as they are many, at the most, since they have had the version for a part of the time only
+    (a binomial tail)."""
+    mine, others, many = 0, 0, 0
+    nodes = [state.releases.nodes[name] for name in release.nodes if name in state.releases.nodes]
+    for node in nodes:
+        released = node.version(release.slot) == release.version
+        many += released
+        mine, others = mine + node.falls * released, others + node.falls * (not released)
+    whole = mine + others
+    if not mine or many == len(nodes):
+        return ""
+    part = many / len(nodes)
+    chance = sum(
+        math.comb(whole, at) * part**at * (1.0 - part) ** (whole - at) for at in range(mine, whole + 1)
+    )
+    if chance > FALLS_BY_CHANCE:
+        return ""
+    rest = len(nodes) - many
+    return f"{mine} ends that nobody asked for at {many} released nodes, {others} at the other {rest}"
+
+
+class Memory:
+    """What released processes hold against the others of their zone, once both are warm."""
+
+    MUCH, LEAST_MB = 1.5, 64.0  # times as much, and by so much: below, nobody falls over for it
+    WINDOWS = 10  # in a row
+
+    def __init__(self) -> None:
+        self.row = 0
+        self.text = ""
+
+    def tell(self, zones: Iterable[tuple[list[float], list[float]]]) -> None:
+        """Of each zone what the others hold, and what the released ones do."""
+        found = [(median(ours), max(others)) for others, ours in zones if others and ours]
+        over = [pair for pair in found if pair[0] > self.MUCH * pair[1] and pair[0] > pair[1] + self.LEAST_MB]
+        self.row = self.row + 1 if over else 0
+        if over:
+            self.text = (
+                f"a released process holds {over[0][0]:.0f} MB, the others of its zone {over[0][1]:.0f}"
+            )
+
+    def harm(self) -> str:
+        return self.text if self.row >= self.WINDOWS else ""
+
+
 class Trial:
     """Of one release, as this leader has seen it."""
 
     def __init__(self) -> None:
         self.tasks, self.calls = Judge(), Judge()
-        self.pressure, self.both = Pressure(), Both()
+        self.pressure, self.both, self.memory = Pressure(), Both(), Memory()
         self.soaks: tuple[int, float] = (-1, 0.0)  # the wave, since when
         self.silent: dict[str, float] = {}
         self.told_at = float("-inf")
@@ -139,11 +196,16 @@
     def __init__(self) -> None:
         self.last: dict[str, tuple[str, float, dict[str, Row]]] = {}  # by member: life, since when, counts
         self.fresh: dict[str, dict[str, Row]] = {}
+        self.memory: dict[str, float] = {}  # MB that each holds
         self.trials: dict[str, Trial] = {}
         self.usual: list[Row] = []  # of all members together, window by window
         self.window_at = 0.0
 
-    def told(self, now: float, name: str, life: str, rows: dict[str, Row]) -> None:
+    def warm(self, since: float) -> bool:
+        return self.window_at - since > self.WARM_MS + self.WINDOW_MS
+
+    def told(self, now: float, name: str, life: str, rows: dict[str, Row], memory_mb: float = 0.0) -> None:
+        self.memory[name] = memory_mb
         held = self.last.get(name)
         if held is None or held[0] != life:
             self.last[name] = (life, now, rows)
@@ -204,6 +266,13 @@
                 )
             trial.pressure.tell((others.tasks, ours.tasks), (others.calls, ours.calls))
         trial.both.tell(whole, self.moved(release, state))
+        held: dict[str, tuple[list[float], list[float]]] = defaultdict(lambda: ([], []))
+        for name, (life, since, _) in self.last.items():
+            member, node = state.members.get(name), state.releases.nodes.get(name)
+            if member is not None and member.life == life and self.warm(since) and name in self.memory:
+                released = node is not None and node.version(release.slot) == release.version
+                held[member.zone][released].append(self.memory[name])
+        trial.memory.tell(held.values())
         trial.text = trial.tasks.close().text
         trial.calls.close()
 
@@ -230,7 +299,8 @@
         for judge in (trial.tasks, trial.calls):
             if (verdict := judge.verdict()).harm:
                 return ("harm", release.name, "judgement", tuple(on), verdict.text)
-        if why := trial.pressure.harm() or trial.both.harm(release.usual):
+        why = trial.pressure.harm() or trial.both.harm(release.usual) or trial.memory.harm()
+        if why := why or falls(release, state):
             return ("harm", release.name, "judgement", tuple(on), why)
         for name in on:
             if why := self.silence(now, name, release, state, trial):
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -130,14 +130,18 @@
         async with asyncio.timeout(UP_S):
             await node.ready.wait()
             node.address = await self.listening(node)
+        await self.returned(node)
+        if len(self.drained) == len(self.nodes) and not self.out and not self.done_at:
+            self.done_at = self.now()
+
+    async def returned(self, node: Node) -> None:
+        """It is bound and listens: in service again."""
         await self.watch(node)
         node.left = node.killed = False
         self.ledger.leaving.pop(node.number, None)
         self.out.pop(node.number, None)
         self.returning.discard(node.number)
         self.against.discard(node.number)
-        if len(self.drained) == len(self.nodes) and not self.out and not self.done_at:
-            self.done_at = self.now()
 
     # Faults
 
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -190,12 +190,7 @@
         if self.stopped:
             return
         node.address = await self.listening(node)
-        await self.watch(node)
-        node.left = node.killed = False
-        self.ledger.leaving.pop(node.number, None)
-        self.out.pop(node.number, None)
-        self.returning.discard(node.number)
-        self.against.discard(node.number)
+        await self.returned(node)
 
     async def listening(self, node: Node) -> tuple[str, int]:
         """Where the last process says that it listens; the pool is bound before it has a need to be asked."""
--- a/pumicenotch/lab/releasing.py
+++ b/pumicenotch/lab/releasing.py
@@ -26,6 +26,7 @@
     bad: float = 0.0  # part of the tasks of `kind` that go badly beyond what is usual
     kind: str = ""  # "": of every kind
     calls: float = 1.0  # below, for a task
+    memory_mb: float = 40.0
     hangs: bool = False  # neither drains nor ends when told to
     slow_from_ms: float = float("inf")  # from then on all of it is bad
 
@@ -168,7 +169,7 @@
                     calls * CALL_MS,
                 )
                 rows[kind] = [held + each for held, each in zip(row, more, strict=True)]
-            self.put(node, "counted", [(kind, *row) for kind, row in rows.items()])
+            self.put(node, "counted", [(kind, *row) for kind, row in rows.items()], version.memory_mb)
 
     # Releases
 
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -1,6 +1,7 @@
 """A process's place in its fleet, wired to sockets: a server's beside its work, or a voter's own process
 (`python -m pumicenotch.net.fleet FILE`, or `pumicenotch voter --config FILE`)."""
 
+import resource
 import secrets
 import signal
 import sys
@@ -77,10 +78,19 @@
         if core.leaving:
             mates.put("leave", "its platform asks" if not mates.mate.began else "by permit")
         if core.seen is not None:
-            mates.put("counted", core.seen.rows())
+            mates.put("counted", core.seen.rows(), memory_mb())
         mates.put("serve", core.control is not None, tasks >= TASKS_LEAST and turned > PAST_USE * tasks)
 
 
+def memory_mb() -> float:
+    """That this process holds just now."""
+    try:
+        with open("/proc/self/statm") as file:
+            return int(file.read().split()[1]) * resource.getpagesize() / 1048576.0
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
 async def voter(side: Side, seed: int) -> None:
     """A voter's whole process, until it is asked to end or its drain is agreed."""
     alarm = Alarm()
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -84,7 +84,8 @@
         (Version(mute=True), "silent: not in service"),
         (Version(bad=0.2, kind="search"), "of the released ones' tasks go badly"),
         (Version(calls=3.0), "times as often for a task"),
-        (Version(crashes_ms=3000.0), "crash loop"),
+        (Version(crashes_ms=3000.0), "ends that nobody asked for"),
+        (Version(memory_mb=400.0), "holds 400 MB, the others of its zone 40"),
     ],
 )  # fmt: skip
 def test_a_bad_version_goes_back_by_itself(version: Version, word: str) -> None:
@@ -92,6 +93,23 @@
     assert word in day.state().releases.releases["r1"].why
 
 
+def test_a_version_that_dies_now_and_then_is_no_crash_loop_and_goes_back_all_the_same() -> None:
+    day = releasing.usual(1, versions={NEW: Version(crashes_ms=70_000.0)})
+    day.plan(soak_ms=400_000)
+    assert ended(day, within_ms=600_000.0) == "abandoned"
+    assert "ends that nobody asked for at 1 released nodes, 0 at" in day.state().releases.releases["r1"].why
+    assert len(day.ever[NEW]) == 1
+
+
+def test_servers_that_die_everywhere_are_no_bad_version() -> None:
+    day = releasing.usual(2)
+    day.plan(soak_ms=120_000)
+    for at in (0, 1, 2, 6, 7):  # n0 has it; two ends of one zone never overlap
+        day.run(9000.0)
+        day.crash(f"n{at}")
+    assert day.stands() == "soaking"
+
+
 def test_a_version_that_ruins_what_all_share_is_found_though_both_sides_suffer_alike() -> None:
     day = releasing.usual(2)
     day.run(8000.0)
