--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -33,6 +33,9 @@
     ALONE_MS = (
         4000.0  # without an answer after its server's end, until what is there is started: an election's time
     )
+    FIRST_MS = (
+        1000.0  # the same when this process has just started: where voters are there, they answer at once
+    )
     LOOP_MS, LOOP = 60_000.0, 3  # so many unasked ends in such a time are a crash loop
     REFUSED = 2  # ends before it ever served: the first may be a port that is not free yet
     BACKOFF_MS, BACKOFF_MOST_MS = 250.0, 10_000.0  # before a start after an unasked end, doubling
@@ -58,7 +61,8 @@
         self.spoken = False  # with the fleet
         self.ends: list[float] = []  # unasked ones
         self.refusals = 0
-        self.started_at = self.ended_at = self.heard_at = now
+        self.started_at = self.heard_at = now
+        self.ended_at = now - (self.ALONE_MS - self.FIRST_MS)
         self.start_at = now  # not before
         self.ending: float = float("inf")  # asked to end: force from then on
         self.say_at = now
@@ -111,7 +115,7 @@
         if self.swapping or self.now < self.start_at:
             return
         moves = self.due[0] in RESTARTS and self.due[1] in self.holds
-        heard = self.heard_at > self.ended_at
+        heard = self.spoken and self.heard_at > self.ended_at
         if (heard and not moves) or self.now >= self.ended_at + self.ALONE_MS:
             self.begin()
 
@@ -199,7 +203,11 @@
             runs = sorted(self.runs.items())
             down = "" if self.served else STARTING if self.child else GONE
             self.send("agent", self.node, self.life, runs, self.holds, down, self.trouble)
-        elif slot and held and (slot not in RESTARTS or (not self.child and self.heard_at > self.ended_at)):
+        elif (
+            slot
+            and held
+            and (slot not in RESTARTS or (not self.child and self.spoken and self.heard_at > self.ended_at))
+        ):
             self.send("move", self.node, self.life, slot, version)
         elif slot in RESTARTS and held and self.child:
             self.have_it_end()
