Judge zones by observers in other zones: lost, cut, weak, returning by steps

Nobody judges his own zone, an observer that reaches less than half of the others is left out, and without a majority of observers nothing changes. Lost is told from cut by whether its members are heard, weak by what it makes of its tasks against the others in the same seconds.

--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -519,6 +519,7 @@
             "halts": [list(halt) for halt in release.halts], "asks": release.asks, "why": release.why,
             "harmed": list(release.harmed), "urgent": release.urgent,
             "missing": missing[:ROWS_MOST], "judged": trial.text if trial is not None else "",
+            "usual_windows": len(self.watch.usual),
             "has": sum(self.state.releases.nodes[one].version(release.slot) == release.version
                        for one in release.nodes if one in self.state.releases.nodes),
         }  # fmt: skip
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pumicenotch.regions.judge import Judge, Seen
 from pumicenotch.regions.plan import (
     CUT,
     EMPTIED,
@@ -183,3 +184,125 @@
 ) -> None:
     with pytest.raises(BadPlan, match=word):
         fill(1, zones, KINDS, demand, {})
+
+
+# Judging
+
+
+class Sky:
+    """Three zones with ten members and two observers each; `sees` is what an observer of a zone reaches of
+    another."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        observers = {f"{zone}{at}": zone for zone in "abc" for at in range(2)}
+        self.judge = Judge(observers, 0.0)
+        self.sees = {(one, zone): 10 for one in observers for zone in "abc"}
+        self.silent: set[str] = set()  # observers, or zones whose members are not heard
+        self.work = dict.fromkeys("abc", 1.0)  # part of the tasks served well
+        self.found: list[tuple[float, str, str]] = []
+
+    def run(self, for_s: float) -> None:
+        until = self.now + 1000.0 * for_s
+        while self.now < until:
+            self.now += 500.0
+            for one in self.judge.observers:
+                if one not in self.silent:
+                    self.judge.seen(self.now, one, {zone: Seen(self.sees[one, zone], 10) for zone in "abc"})
+            for zone, part in self.work.items():
+                if zone not in self.silent:
+                    self.judge.spoke(self.now, zone, 100.0, 100.0 * part)
+            self.found += [(self.now, each.zone, each.state) for each in self.judge.look(self.now)]
+
+    def reach(self, zone: str, alive: int, of: str = "abc") -> None:
+        """So many of that zone's members are reached by the observers of those zones."""
+        for one, place in self.judge.observers.items():
+            if place in of and place != zone:
+                self.sees[one, zone] = alive
+
+    def states(self) -> list[str]:
+        return [self.judge.of(zone).state for zone in "abc"]
+
+
+def test_a_zone_lost_is_found_in_three_seconds_and_returns_in_steps_within_fifteen() -> None:
+    sky = Sky()
+    sky.run(10.0)
+    assert not sky.found
+    sky.reach("a", 0)
+    sky.silent.add("a")
+    sky.run(10.0)
+    when = sky.found[0]
+    assert when[1:] == ("a", LOST) and when[0] <= 10_000.0 + 3000.0 + Judge.LASTS_MS and len(sky.found) == 1
+    sky.reach("a", 10)
+    sky.silent.clear()
+    back = sky.now
+    sky.run(15.0)
+    assert [each[2] for each in sky.found[1:]] == [RETURNING, RETURNING, WELL]
+    assert sky.found[-1][0] - back <= 15_000.0
+
+
+def test_a_zone_that_speaks_and_cannot_be_reached_is_cut_and_not_lost() -> None:
+    sky = Sky()
+    sky.reach("a", 1)
+    sky.run(10.0)
+    assert sky.states() == [CUT, WELL, WELL]
+
+
+def test_one_that_answers_and_serves_nothing_is_weak_and_slowness_everywhere_is_not() -> None:
+    sky = Sky()
+    sky.work["b"] = 0.05
+    sky.run(10.0)
+    assert sky.states() == [WELL, WEAK, WELL]
+    sky = Sky()
+    sky.work = dict.fromkeys("abc", 0.05)
+    sky.run(30.0)
+    assert not sky.found
+
+
+def test_observers_that_reach_nobody_say_nothing_and_half_of_them_change_nothing() -> None:
+    sky = Sky()
+    for zone in "bc":  # the observers of a lie low: all looks dead from there
+        sky.reach(zone, 0, of="a")
+    sky.run(30.0)
+    assert not sky.found
+    for zone in "ac":  # and those of b too
+        sky.reach(zone, 0, of="b")
+    sky.run(30.0)
+    assert not sky.found, "with less than a majority nothing is known"
+
+
+def test_one_observer_or_a_moment_is_not_enough() -> None:
+    sky = Sky()
+    sky.sees["b0", "a"] = 0
+    sky.run(10.0)
+    sky.reach("a", 0)
+    sky.run(1.5)
+    sky.reach("a", 10)
+    sky.run(10.0)
+    assert not sky.found
+
+
+def test_a_zone_that_flaps_every_ten_seconds_stays_out_ever_longer() -> None:
+    sky = Sky()
+    for _ in range(30):  # ten minutes
+        sky.reach("a", 0)
+        sky.silent.add("a")
+        sky.run(10.0)
+        sky.reach("a", 10)
+        sky.silent.clear()
+        sky.run(10.0)
+    downs = [when for when, _, state in sky.found if state == LOST]
+    assert len(downs) <= 6, "thirty losses, and its traffic moved a few times"
+    sky.run(150.0)
+    assert sky.states() == [WELL, WELL, WELL]
+
+
+def test_what_an_operator_empties_is_empty_at_once_and_returns_by_steps() -> None:
+    sky = Sky()
+    sky.run(1.0)
+    sky.judge.empty(sky.now, "c", "maintenance")
+    sky.run(0.5)
+    assert sky.states() == [WELL, WELL, EMPTIED]
+    sky.judge.empty(sky.now, "c", "")
+    sky.run(14.0)
+    assert sky.states() == [WELL, WELL, WELL]
