--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -146,7 +146,7 @@
                 self.sees[name] = (self.now, frozenset(each for each in params if isinstance(each, str)))
                 self.levels[name] = (self.now, max([1, *(each for each in params if type(each) is int)]))
             case "counts":
-                if self.leads and len(params) == 2:
+                if self.leads and len(params) == 2 and name in self.state.members:
                     self.watch.told(self.now, name, life, rows_of(params[0]), memory_of(params[1]))
             case _:
                 super().hear(sender, method, params)
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -60,6 +60,12 @@
 if "pumicenotch.net.fleet" in sys.orig_argv:
     from pumicenotch.net.mates import Mates
     Mates.tell = lambda self, address, message: None
+""",
+    "level-3": """\
+    pass
+if "pumicenotch.net.fleet" in sys.orig_argv:
+    from pumicenotch.fleet import release
+    release.LEVEL = 3
 """,
     "kills-below": """\
     import json, socket, threading, time
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from pumicenotch.lab.crew import Crew
+from pumicenotch.lab.crew import Crew, Refused
 from pumicenotch.lab.fleetrun import block
 from pumicenotch.lab.relay import Way
 from pumicenotch.lab.releaserun import OLD, version
@@ -235,14 +235,18 @@
         last = await followed(run, "r1", "abandoned")
         assert "silent" in last["why"] and last["wave"] == 0
         assert run.programs() == {run.versions[OLD]}
-        run.versions["good"] = await asyncio.to_thread(version, run.folder, "good")
-        await run.plan("r2", "good", waves=waves)
+        run.versions["level-3"] = await asyncio.to_thread(version, run.folder, "level-3")
+        await run.plan("r2", "level-3", waves=waves, level=3)
         await run.word("r2", "start")
         await followed(run, "r2", "done")
-        assert run.programs() == {run.versions["good"]}
+        assert run.programs() == {run.versions["level-3"]}
         told = await run.crew.ask("releases")
         assert [row["state"] for row in told["releases"]] == ["abandoned", "done"], (
             "agreed by none of the first voters"
         )
+        while (await run.crew.ask("releases"))["level"] < 3:  # all voters speak it, and no release is on
+            await asyncio.sleep(0.1)
+        with pytest.raises(Refused, match="no way back over a level"):
+            await run.plan("r3", OLD, waves=waves, level=2)
 
     played(VotersToo, script, tmp_path, fleet(servers=2, zones=1))
