--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -250,9 +250,6 @@
         if not self.spoken:
             self.spoken = True
             self.effects.append(Proven(("agent",)))
-        again = told.get("again_ms")
-        if isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
-            self.say_at = self.now + again
         due = told.get("due")
         self.due = (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
         if self.trouble.startswith(AGENT_FAILED) and not self.due[0]:
@@ -281,6 +278,12 @@
         ):
             self.trouble = ""
         self.wanted = tuple(map(str, told.get("hold") or ()))
+        again = told.get("again_ms")
+        if isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
+            if (
+                self.served and not self.due[0] and not self.permit
+            ):  # among many more seldom, while nothing goes on
+                self.say_at = self.now + again
         for version in self.wanted:
             if version not in self.holds and self.now >= self.holding.get(version, 0.0):
                 self.holding[version] = float("inf")
