--- a/pumicenotch/config/versions.py
+++ b/pumicenotch/config/versions.py
@@ -5,6 +5,8 @@
 import shutil
 from pathlib import Path
 
+from pumicenotch.fleet.release import VERSION
+
 LETTERS = 32  # of a version's name: 128 bits
 CHUNK = 1 << 20
 PART = ".part-"  # how a folder is called until it is whole
@@ -41,6 +43,8 @@
 
 def fetch(version: str, source: Path, into: Path) -> None:
     """Copies SOURCE/VERSION into INTO/VERSION, there only once it is whole and checked. Raises BadVersion."""
+    if not VERSION.fullmatch(version):
+        raise BadVersion(f"{version!r:.80} names no version")
     goal = into / version
     if goal.is_dir():
         if content(goal) == version:
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -279,11 +279,9 @@
             self.trouble = ""
         self.wanted = tuple(map(str, told.get("hold") or ()))
         again = told.get("again_ms")
-        if isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
-            if (
-                self.served and not self.due[0] and not self.permit
-            ):  # among many more seldom, while nothing goes on
-                self.say_at = self.now + again
+        quiet = self.served and not self.due[0] and not self.permit
+        if quiet and isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
+            self.say_at = self.now + again  # among many more seldom
         for version in self.wanted:
             if version not in self.holds and self.now >= self.holding.get(version, 0.0):
                 self.holding[version] = float("inf")
--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -5,6 +5,7 @@
 is due: its drain waits in the fleet's one queue under the fleet's budgets like anybody's, and once its server
 has ended its agent may ask for the `move`. Forwards, backwards and catching up are the same two steps."""
 
+import re
 from collections.abc import Iterator
 from itertools import zip_longest
 from math import ceil
@@ -32,6 +33,7 @@
 STUCK = "cannot hold"  # how the trouble of an agent begins that is its machine's and no version's
 RELEASES_MOST = 50  # kept after their end, for `status` and so that no name comes twice
 WAVES_MOST = 256
+VERSION = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 LEVELS = {  # the entries that came with each level; all others are of the first
     2: ("level", "plan", "release", "word", "move", "usual", "soaked", "harm"),
 }
@@ -600,10 +602,17 @@
     return found
 
 
+def version_of(told: Any) -> str:
+    """It names a folder: nothing that leads elsewhere."""
+    if not VERSION.fullmatch(name(told)):
+        raise BadEntry(f"a version of letters, digits, dots, dashes is wanted, not {told!r:.80}")
+    return str(told)
+
+
 def runs_of(told: Any) -> tuple[tuple[str, str], ...]:
     if not isinstance(told, list | tuple) or len(told) > len(SLOTS):
         raise BadEntry("what a node runs: slot and version, for each slot")
-    found = tuple((name(slot), name(version)) for slot, version in told)
+    found = tuple((name(slot), version_of(version)) for slot, version in told)
     if unknown := [slot for slot, _ in found if slot not in SLOTS]:
         raise BadEntry(f"no slot {unknown[0]}; known: {', '.join(SLOTS)}")
     return found
@@ -614,8 +623,8 @@
     try:
         one, slot, version, replaces, level, waves, soak, wait, back, gate, urgent, mixed, budgets = told
         made = Release(
-            name(one), slot, name(version), text(replaces), number(level), tuple(map(maybe_names, waves)),
-            number(soak), number(wait), truth(back), number(gate), truth(urgent), truth(mixed),
+            name(one), slot, version_of(version), replaces and version_of(replaces),
+            number(level), tuple(map(maybe_names, waves)), number(soak), number(wait), truth(back), number(gate), truth(urgent), truth(mixed),
             budgets_of(budgets),
         )  # fmt: skip
     except (TypeError, ValueError) as error:
@@ -642,7 +651,7 @@
     "usual": ("note_usual", (name, number, usual_of)),
     "harm": ("harm", (name, name, maybe_names, reason)),
     "word": ("word", (name, name, runs_of, maybe_names, down_of, text)),
-    "move": ("move", (name, name, name, name)),
+    "move": ("move", (name, name, name, version_of)),
 }
 REQUESTS = ("plan", "release")  # with an id first
 OF_ONE = ("word", "move", "join", "serving", "leaving", "began", "gone", "against", "returned")
--- a/tests/test_agent_files.py
+++ b/tests/test_agent_files.py
@@ -60,6 +60,8 @@
     assert held(into) == [version] and not (into / f"{PART}other").exists()
     with pytest.raises(BadVersion, match="No such file"):
         fetch("v-none", source, into)
+    with pytest.raises(BadVersion, match="names no version"):
+        fetch(f"../source/{version}", source, into)
     versions.remove(into / version)
     assert held(into) == []
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -402,6 +402,9 @@
         ({"version": OLD}, f"the fleet is on {OLD} already"),
         ({"level": 1}, "there is no way back over a level"),
         ({"slot": "engine"}, "no slot 'engine'"),
+        ({"version": "../../etc"}, "a version of letters"),
+        ({"version": "x y"}, "a version of letters"),
+        ({"replaces": "a/b"}, "a version of letters"),
         ({"replaces": "v-other"}, ""),
     ],
 )  # fmt: skip
