--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -624,8 +624,8 @@
         one, slot, version, replaces, level, waves, soak, wait, back, gate, urgent, mixed, budgets = told
         made = Release(
             name(one), slot, version_of(version), replaces and version_of(replaces),
-            number(level), tuple(map(maybe_names, waves)), number(soak), number(wait), truth(back), number(gate), truth(urgent), truth(mixed),
-            budgets_of(budgets),
+            number(level), tuple(map(maybe_names, waves)), number(soak), number(wait), truth(back),
+            number(gate), truth(urgent), truth(mixed), budgets_of(budgets),
         )  # fmt: skip
     except (TypeError, ValueError) as error:
         raise BadEntry(f"no plan of a release: {error}") from None
