--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -264,6 +264,10 @@
         if begun and not self.begun:
             self.begun_at = self.now
         self.permit, self.begun = permit, begun
+        again = told.get("again_ms")
+        quiet = self.served and not self.due[0] and not self.permit
+        if quiet and isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
+            self.say_at = self.now + again  # among many more seldom
         serves = told.get("standing") == SERVING and not permit
         if self.child and not self.served and serves and self.known_life != self.life_before:
             self.served, self.refusals = True, 0
@@ -278,10 +282,6 @@
         ):
             self.trouble = ""
         self.wanted = tuple(map(str, told.get("hold") or ()))
-        again = told.get("again_ms")
-        quiet = self.served and not self.due[0] and not self.permit
-        if quiet and isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
-            self.say_at = self.now + again  # among many more seldom
         for version in self.wanted:
             if version not in self.holds and self.now >= self.holding.get(version, 0.0):
                 self.holding[version] = float("inf")
