--- a/pumicenotch/config/versions.py
+++ b/pumicenotch/config/versions.py
@@ -55,7 +55,7 @@
         shutil.rmtree(part, ignore_errors=True)
         shutil.copytree(source / version, part, ignore=shutil.ignore_patterns("__pycache__"))
         if (found := content(part)) != version:
-            raise BadVersion(f"{source / version}: its content is {found}: half a copy, or another version")
+            raise BadVersion(f"half a copy, or another version: {found} is in {source / version}")
         sync(part)
         part.rename(goal)
         sync(into)
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -20,7 +20,8 @@
 from pumicenotch.config.versions import pack
 from pumicenotch.fleet.release import LEVEL
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.fleetrun import LOOK_S, FleetRun
+from pumicenotch.lab.crew import Refused
+from pumicenotch.lab.fleetrun import FORMED_S, LOOK_S, FleetRun
 from pumicenotch.lab.loopback import Launch, Node
 from pumicenotch.lab.peers import GatewayPeer
 from pumicenotch.net.agent import ticks
@@ -257,7 +258,22 @@
         await self.over(name)
         self.over_at = self.now()
 
+    def led_names(self) -> set[str]:
+        """Whoever has an agent."""
+        return {f"n{node.number}" for node in self.nodes}
+
+    async def spoken(self) -> None:
+        """All agents have, and the fleet is at the level that it takes."""
+        async with asyncio.timeout(FORMED_S):
+            while True:
+                with contextlib.suppress(Refused):
+                    waves = (await self.crew.ask("waves", [1.0], True, ""))["waves"]
+                    if self.led_names() <= {one for wave in waves for one in wave}:
+                        return
+                await asyncio.sleep(0.1)
+
     async def plan(self, name: str, kind: str, **more: Any) -> Any:
+        await self.spoken()
         mixed = self.world.mixed
         shares = [1.0] if mixed else [0.34, 1.0]
         waves = more.pop("waves", None) or (await self.crew.ask("waves", shares, mixed, ""))["waves"]
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -44,6 +44,7 @@
     async def script(run: Releasing) -> None:
         made = await asyncio.to_thread(version, run.folder, "good")
         run.versions["good"] = made
+        await run.spoken()
         status, said = await run.release("plan", "r1", "--version", made, "--soak-s", "1", "--json")
         assert status == 0, said
         assert [len(wave) for wave in json.loads(said)["waves"]] == [1, 1, 1, 1]
@@ -141,7 +142,9 @@
         await run.plan("r1", "good", slot="agent", soak=200)
         await run.word("r1", "start")
         await followed(run, "r1", "done")
-        assert {run.disk(node)["runs"]["agent"] for node in run.nodes} == {run.versions["good"]}
+        await run.until(
+            lambda: {run.disk(node)["runs"]["agent"] for node in run.nodes} == {run.versions["good"]}
+        )
         assert agents == {number: agent.pid for number, agent in run.agents.items()}, "they went on by exec"
         run.versions["no-agent"] = await asyncio.to_thread(version, run.folder, "no-agent")
         await run.plan("r2", "no-agent", slot="agent", soak=200)
@@ -221,6 +224,9 @@
         self.crew = LedCrew(self.folder, self.seed, voters, self.world.zones, budgets)
         self.crew.old = self.versions[OLD]
 
+    def led_names(self) -> set[str]:
+        return super().led_names() | set(self.crew.voters)
+
     def programs(self) -> set[str]:
         assert isinstance(self.crew, LedCrew)
         return {self.crew.disk(name)["runs"]["program"] for name in self.crew.voters}
