--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -118,16 +118,8 @@
     MEMORY_USED = 0.94  # full is death; held tasks of one batch and rounding stay well inside the rest
     CROWD_USED = 0.8  # of the crowd survived; reading and checks crowd the cores as well
 
-    def __init__(
-        self,
-        now: float,
-        cores: int,
-        memory_kb: float,
-        run_factor: float,
-        multiple: float,
-        speed: float,
-        warm_ms: float,
-    ) -> None:
+    def __init__(self, now: float, cores: int, memory_kb: float, run_factor: float, multiple: float,
+                 speed: float, warm_ms: float) -> None:
         self.cores, self.memory_kb, self.run_factor, self.multiple = cores, memory_kb, run_factor, multiple
         self.started, self.cold_speed, self.warm_ms = now, speed, max(warm_ms, 1.0)
         self.limit, self.used_kb = float(cores), 0.0
@@ -184,21 +176,12 @@
     def lane(self, stage: int) -> int:
         return 0
 
-    def read(
-        self, now: float, lane: int, tenant: int, caller: int, again: bool, mark: int, waited_ms: float
-    ) -> tuple[float, bool]:
+    def read(self, now: float, lane: int, tenant: int, caller: int, again: bool, mark: int,
+             waited_ms: float) -> tuple[float, bool]:
         return 1.0, False
 
-    def place(
-        self,
-        now: float,
-        lane: int,
-        repeat: bool,
-        beyond: bool,
-        waiting: Collection[int],
-        usual_ms: float,
-        room: bool,
-    ) -> tuple[int, float, float, bool]:
+    def place(self, now: float, lane: int, repeat: bool, beyond: bool, waiting: Collection[int],
+              usual_ms: float, room: bool) -> tuple[int, float, float, bool]:
         return 0, self.queues.total, usual_ms, room
 
     def next(self, now: float, waiting: Collection[int]) -> int | None:
@@ -348,15 +331,8 @@
     PATIENCE = 5.0  # times the recent time: hardly any call that comes back at all takes longer
     TRIES = 3  # of one call: the third time, what is below is failing and not merely full
 
-    def __init__(
-        self,
-        agenda: Agenda,
-        actions: Actions,
-        chance: random.Random,
-        most: float,
-        window_ms: float,
-        linger_ms: float,
-    ) -> None:
+    def __init__(self, agenda: Agenda, actions: Actions, chance: random.Random, most: float,
+                 window_ms: float, linger_ms: float) -> None:
         self.agenda, self.actions, self.jitter = agenda, actions, chance.uniform
         self.window_ms, self.linger_ms = window_ms, linger_ms
         self.most = self.SHARE_USED * most  # calls in hand, which the pace aims at
@@ -431,9 +407,8 @@
     # against a table full of callers that come once; could harm where connecting is dear and they come back.
     LINKS, IDLE_LEAST_MS = 16.0, 1000.0
 
-    def __init__(
-        self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int, idle_ms: float
-    ) -> None:
+    def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
+                 idle_ms: float) -> None:
         self.actions, self.signal, self.idle_ms, self.idle_most_ms = actions, signal, idle_ms, idle_ms
         # One running and one held a core until a sample is taken; then what gets through by the due time.
         self.callers = max(1, callers)
@@ -484,37 +459,14 @@
     CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
-    def __init__(
-        self,
-        actions: Actions,
-        now: float,
-        *,
-        seed: int,
-        stages: list[Stage],
-        tenants: list[Tenant],
-        gauges: list[str],
-        cores: int = 1,
-        memory_kb: float = float("inf"),
-        run_factor: float = 1.0,
-        entry_kb: float = 0.0,
-        cold: bool = False,
-        cold_share: float = 1.0,
-        warm_ms: float = 0.0,
-        crowd_multiple: float = 1.0,
-        drain_grace_ms: float = 0.0,
-        servers: int = 1,
-        callers: int = 1,
-        stay_away_passed: bool = False,
-        stay_away_most_ms: float = 0.0,
-        halt: Halt = Halt.NONE,
-        signal: Signal = Signal.NONE,
-        below: Below = Below.NONE,
-        call_share: float = 1.0,
-        call_window_ms: float = 0.0,
-        linger_ms: float = 0.0,
-        idle_ms: float = 0.0,
-        pools: Pools | None = None,
-    ) -> None:
+    def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
+                 gauges: list[str], cores: int = 1, memory_kb: float = float("inf"), run_factor: float = 1.0,
+                 entry_kb: float = 0.0, cold: bool = False, cold_share: float = 1.0, warm_ms: float = 0.0,
+                 crowd_multiple: float = 1.0, drain_grace_ms: float = 0.0, servers: int = 1, callers: int = 1,
+                 stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
+                 signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
+                 call_window_ms: float = 0.0, linger_ms: float = 0.0, idle_ms: float = 0.0,
+                 pools: Pools | None = None) -> None:
         self.actions, self.stages, self.gauges, self.halts = actions, stages, gauges, halt is not Halt.NONE
         self.stay_away_most_ms = stay_away_most_ms if stay_away_passed else 0.0
         self.agenda = Agenda()
@@ -560,21 +512,9 @@
         self.pools.ended(now, task.lane, slot)
         self.queues.lines[task.tenant].times.append(now - task.arrived)
 
-    def task(
-        self,
-        now: float,
-        ident: int,
-        stage_no: int,
-        tenant: int,
-        waited: float,
-        limit: float | None,
-        work: float | None,
-        kb: float,
-        same: int | None,
-        caller: int = 0,
-        again: bool = False,
-        mark: int = 0,
-    ) -> None:
+    def task(self, now: float, ident: int, stage_no: int, tenant: int, waited: float, limit: float | None,
+             work: float | None, kb: float, same: int | None, caller: int = 0, again: bool = False,
+             mark: int = 0) -> None:
         """A task was read. The caller's number, its word that this is a further try, and a print of what the
         task holds (0: none) are for the pools alone."""
         stage = self.stages[stage_no]
@@ -627,8 +567,7 @@
         line, left, run = self.queues.lines[task.tenant], task.due - now, self.run_time(task, now)
         over_share, room = line.over_share(now, not task.repeat), self.limit.has_room(now)
         task.lane, places, slot, free = self.pools.place(
-            now, task.lane, task.repeat, over_share, self.queues.waiting, self.slot(now), room
-        )
+            now, task.lane, task.repeat, over_share, self.queues.waiting, self.slot(now), room)
         slots, queue = self.queues.part(task.tenant, task.lane, places), line.lanes[task.lane]
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
