Keep the times that are counted by class on the task: a call given up left one behind

Found on reading the change once more: Seen held two tables by task; a call whose task was abandoned or let go never ended, and its entry stayed for the process's life, in every server of a fleet. Due time and the call's start stand on the task now, and go with it; nothing to say when a task is gone.

--- a/pumicenotch/server/front.py
+++ b/pumicenotch/server/front.py
@@ -116,8 +116,6 @@
     def gone(self, held: Held) -> None:
         """No answer is owed any more."""
         self.count_answer("gone")
-        if self.seen is not None:
-            self.seen.answered(self.now, held, "gone")
         held.answered = True
         self.callers.settle(self.now, held)
         self.let_go(held)
--- a/pumicenotch/server/seen.py
+++ b/pumicenotch/server/seen.py
@@ -12,8 +12,6 @@
     def __init__(self) -> None:
         # tasks, first tries of them, bad ones (failed, late, rejected), calls, bad calls, their ms in all
         self.counts: dict[str, list[float]] = {}
-        self.due: dict[int, float] = {}  # by task
-        self.calling: dict[int, float] = {}
 
     def of(self, held: Held) -> list[float]:
         found = self.counts.get(held.stage_name)
@@ -23,27 +21,24 @@
         return found
 
     def taken(self, now: float, held: Held, waited: float) -> None:
-        self.due[held.id] = now - waited + held.stage.due_ms
+        held.due = now - waited + held.stage.due_ms
 
     def answered(self, now: float, held: Held, outcome: str) -> None:
-        due = self.due.pop(held.id, None)
-        if due is None or outcome == "gone":
-            return
         row = self.of(held)
         row[0] += 1
         row[1] += not held.again
-        row[2] += outcome in BADLY or now > due
+        row[2] += outcome in BADLY or now > held.due
 
     def called(self, now: float, held: Held) -> None:
-        self.calling[held.id] = now
+        held.called_at = now
 
     def call_ended(self, now: float, held: Held, outcome: Outcome) -> None:
-        began = self.calling.pop(held.id, None)
-        if began is not None:
+        if held.called_at is not None:  # a call that goes below at all
             row = self.of(held)
             row[3] += 1
             row[4] += outcome is not Outcome.OK
-            row[5] += now - began
+            row[5] += now - held.called_at
+            held.called_at = None
 
     def rows(self) -> list[tuple[str, float, float, float, float, float, float]]:
         """As `fleet/watch` reads them."""
--- a/pumicenotch/server/tasks.py
+++ b/pumicenotch/server/tasks.py
@@ -36,6 +36,8 @@
     mark = b""  # what must be the same in every try under that token: the stage and the body
     work: float | None = None
     t0 = kb = 0.0
+    due = float("inf")  # and when its call in hand went out: told where somebody counts by class
+    called_at: float | None = None
     answered = started = halted = False
     heard = 0  # the number of the pool's last notice about it
     asked = b""  # the body of the call that its run waits for
