Say once what was said twice: steps of askers, open releases, folders, agents' files

No change of what happens but one: a node that is in trouble while its release is halted, and has not got the version, is no longer noted as harmed (an empty wish matched an empty permission).

--- a/pumicenotch/agree/found.py
+++ b/pumicenotch/agree/found.py
@@ -58,12 +58,12 @@
     def said(self, sender: str, told: Any) -> list[Say]:
         """Raises BadMessage on what no founding says."""
         match told:
-            case ["who", str(seat)] if seat == sender and self.over and self.seats is None:
-                return [Say(name_of(sender), ("known", self.me))]
             case ["who", str(seat)] if seat == sender:
+                known = Say(name_of(sender), ("known", self.me))
                 if self.seats is not None:
-                    return [Say(name_of(sender), ("known", self.me)),
-                            Say(name_of(sender), ("found", self.promised, self.seats))]  # fmt: skip
+                    return [known, Say(name_of(sender), ("found", self.promised, self.seats))]
+                if self.over:
+                    return [known]
                 if name_of(sender) == self.names[0]:
                     self.promised = sender  # a founder that has started anew found nobody before
                 return [Say(name_of(sender), ("fresh", self.me, self.promised))]
@@ -74,12 +74,8 @@
                 self.known = True
             case ["found", str(founder), seats]:
                 made = seats_of(seats)
-                if (
-                    self.seats is None
-                    and not self.over
-                    and founder == self.promised
-                    and self.me in made.voters
-                ):
+                fresh = self.seats is None and not self.over
+                if fresh and founder == self.promised and self.me in made.voters:
                     self.seats = made
             case _:
                 raise BadMessage(f"no word of a founding: {told!r:.80}")
--- a/pumicenotch/cli/agent.py
+++ b/pumicenotch/cli/agent.py
@@ -28,8 +28,8 @@
     return disk
 
 
-def command_of(path: str) -> tuple[list[str], dict[str, str]]:
-    """The command and what it adds to the environment."""
+def environment_of(path: str) -> dict[str, str]:
+    """What the agent's own version adds to the environment."""
     try:
         told = config.agent_of(path)
         disk = chosen(told, config.disk_of(told))
@@ -39,5 +39,4 @@
             versions.fetch(version, Path(told.source), folder.parent)
     except (BadFile, versions.BadVersion, OSError) as error:
         wrong(error)
-    more = {"PYTHONPATH": str(folder)} if version else {}
-    return [sys.executable, "-m", "pumicenotch.net.agent", path], more
+    return {"PYTHONPATH": str(folder)} if version else {}
--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+from collections.abc import Mapping
 from typing import Annotated, NoReturn
 
 from cyclopts import App, CycloptsError, Parameter
@@ -64,6 +65,12 @@
     os.execve(sys.executable, [sys.executable, "-m", "pumicenotch"], environment)
 
 
+def become(module: str, config: str, json_logs: bool, more: Mapping[str, str] | None = None) -> NoReturn:
+    """That module of the program goes on in the place of this process, with its file."""
+    environment = {**os.environ, **(more or {}), **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
+    os.execve(sys.executable, [sys.executable, "-m", module, os.path.abspath(config)], environment)
+
+
 @app.command
 def route(*, config: str, json_logs: bool = False) -> None:
     """Run a router in front of cells, by the gateways' protocol on both sides.
@@ -75,9 +82,7 @@
     json_logs
         One JSON object a line on standard error.
     """
-    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
-    command = [sys.executable, "-m", "pumicenotch.route", os.path.abspath(config)]
-    os.execve(sys.executable, command, environment)
+    become("pumicenotch.route", config, json_logs)
 
 
 @app.command
@@ -137,9 +142,7 @@
     json_logs
         One JSON object a line on standard error.
     """
-    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
-    command = [sys.executable, "-m", "pumicenotch.net.fleet", os.path.abspath(config)]
-    os.execve(sys.executable, command, environment)
+    become("pumicenotch.net.fleet", config, json_logs)
 
 
 @app.command
@@ -153,11 +156,9 @@
     json_logs
         One JSON object a line on standard error.
     """
-    from pumicenotch.cli.agent import command_of
+    from pumicenotch.cli.agent import environment_of
 
-    environment = {**os.environ, **({"PUMICENOTCH_LOG": "json"} if json_logs else {})}
-    command, more = command_of(os.path.abspath(config))
-    os.execve(sys.executable, command, environment | more)
+    become("pumicenotch.net.agent", config, json_logs, environment_of(config))
 
 
 def main() -> None:
--- a/pumicenotch/config/versions.py
+++ b/pumicenotch/config/versions.py
@@ -45,24 +45,35 @@
     """Copies SOURCE/VERSION into INTO/VERSION, there only once it is whole and checked. Raises BadVersion."""
     if not VERSION.fullmatch(version):
         raise BadVersion(f"{version!r:.80} names no version")
-    goal = into / version
-    if goal.is_dir():
-        if content(goal) == version:
-            return
-        shutil.rmtree(goal)  # spoilt since: fetched again
-    part = into / f"{PART}{version}"
+    put(source / version, version, into)
+
+
+def pack(folder: Path, into: Path) -> str:
+    """Puts a folder among the versions that agents fetch from; its version. Raises BadVersion."""
+    version = content(folder)
+    put(folder, version, into)
+    return version
+
+
+def put(folder: Path, version: str, into: Path) -> None:
+    goal, part = into / version, into / f"{PART}{version}"
     try:
+        if goal.is_dir():
+            if content(goal) == version:
+                return
+            shutil.rmtree(goal)  # spoilt since: put there again
+        into.mkdir(parents=True, exist_ok=True)
         shutil.rmtree(part, ignore_errors=True)
-        shutil.copytree(source / version, part, ignore=shutil.ignore_patterns("__pycache__"))
+        shutil.copytree(folder, part, ignore=shutil.ignore_patterns("__pycache__"))
         if (found := content(part)) != version:
-            raise BadVersion(f"half a copy, or another version: {found} is in {source / version}")
+            raise BadVersion(f"half a copy, or another version: {found} is in {folder}")
         sync(part)
         part.rename(goal)
         sync(into)
     except shutil.Error as error:
-        raise BadVersion(f"{source / version}: {error.args[0][0][2] if error.args[0] else error}") from None
+        raise BadVersion(f"{folder}: {error.args[0][0][2] if error.args[0] else error}") from None
     except OSError as error:
-        raise BadVersion(f"{error.filename or source / version}: {error.strerror or error}") from None
+        raise BadVersion(f"{error.filename or folder}: {error.strerror or error}") from None
     finally:
         shutil.rmtree(part, ignore_errors=True)
 
@@ -91,18 +102,3 @@
         if path.name.startswith(PART):
             shutil.rmtree(path, ignore_errors=True)
     return sorted(path.name for path in into.iterdir() if path.is_dir())
-
-
-def pack(folder: Path, into: Path) -> str:
-    """Puts a folder among the versions that agents fetch from; its version. Raises BadVersion."""
-    version = content(folder)
-    into.mkdir(parents=True, exist_ok=True)
-    if not (into / version).is_dir():
-        part = into / f"{PART}{version}"
-        shutil.rmtree(part, ignore_errors=True)
-        try:
-            shutil.copytree(folder, part, ignore=shutil.ignore_patterns("__pycache__"))
-            part.rename(into / version)
-        except (OSError, shutil.Error) as error:
-            raise BadVersion(f"{into}: {error}") from None
-    return version
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -9,33 +9,23 @@
 
 from pumicenotch.fleet.asker import Asker
 from pumicenotch.fleet.budgets import SERVING
-from pumicenotch.fleet.effects import (
-    Anew,
-    Effect,
-    End,
-    Hold,
-    Log,
-    Proven,
-    Reread,
-    Start,
-    Swap,
-    Wake,
-)
+from pumicenotch.fleet.effects import Anew, End, Hold, Proven, Reread, Start, Swap
 from pumicenotch.fleet.entries import TEXT_MOST
 from pumicenotch.fleet.release import GONE, RESTARTS, STARTING, STUCK
 
+LOOP = "crash loop"  # how that trouble begins
 AGENT_FAILED = "agent refused"  # how a trouble begins of a version of the agent itself
 
 
 class Agent(Asker):
+    """Its inputs: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
+    `held` (version, why not), `swapped` (slot, why not)."""
+
     SAY_MS = 500.0  # between its words
     PATIENCE_MS = 5000.0  # for its server to use its permit by itself: some of its own words to the leader
-    ALONE_MS = (
-        4000.0  # without an answer after its server's end, until what is there is started: an election's time
-    )
-    FIRST_MS = (
-        1000.0  # the same when this process has just started: where voters are there, they answer at once
-    )
+    # Without an answer after its server's end, until what is there is started: an election's time; and when
+    # this process has just started: where voters are there, they answer at once.
+    ALONE_MS, FIRST_MS = 4000.0, 1000.0
     LOOP_MS, LOOP = 60_000.0, 3  # so many unasked ends in such a time are a crash loop
     REFUSED = 2  # ends before it ever served: the first may be a port that is not free yet
     BACKOFF_MS, BACKOFF_MOST_MS = 250.0, 10_000.0  # before a start after an unasked end, doubling
@@ -70,25 +60,13 @@
         self.swapping = False
         # What the fleet said last.
         self.known_life = self.life_before = ""
-        self.due: tuple[str, str] = ("", "")
+        self.move: tuple[str, str] = ("", "")
         self.permit, self.begun = 0, False
         self.permit_at = self.begun_at = now
         self.halted = ""
         self.wanted: tuple[str, ...] = ()  # versions to hold
 
-    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
-        """One input: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
-        `held` (version, why not), `swapped` (slot, why not)."""
-        self.now = max(self.now, now)
-        assert name in self.INPUTS, name
-        getattr(self, name)(*details)
-        self.look()
-        self.want()
-        effects, self.effects = self.effects, []
-        effects.append(Wake(self.wakes_at()))
-        return effects
-
-    def wakes_at(self) -> float:
+    def due(self) -> float:
         return min(self.ask_due(), self.now + self.SAY_MS / 2.0)
 
     def start(self) -> None:
@@ -114,11 +92,14 @@
             return
         if self.swapping or self.now < self.start_at:
             return
-        moves = self.due[0] in RESTARTS and self.due[1] in self.holds
-        heard = self.spoken and self.heard_at > self.ended_at
-        if (heard and not moves) or self.now >= self.ended_at + self.ALONE_MS:
+        moves = self.move[0] in RESTARTS and self.move[1] in self.holds
+        if (self.heard() and not moves) or self.now >= self.ended_at + self.ALONE_MS:
             self.begin()
 
+    def heard(self) -> bool:
+        """Whether the fleet has answered since its server ended."""
+        return self.spoken and self.heard_at > self.ended_at
+
     def begin(self) -> None:
         self.child, self.served, self.started_at = True, False, self.now
         self.ending = float("inf")
@@ -139,7 +120,7 @@
                 self.fail(f"start refused: it ended with status {status} before it served")
             elif len(self.ends) >= self.LOOP:
                 lasted = self.now - self.ends[0]
-                self.fail(f"crash loop: {len(self.ends)} ends in {lasted / 1000.0:.0f} s, status {status}")
+                self.fail(f"{LOOP}: {len(self.ends)} ends in {lasted / 1000.0:.0f} s, status {status}")
         self.served = False
         self.log(f"its server has ended: status {status}")
         self.say_soon()
@@ -177,11 +158,11 @@
     def swapped(self, slot: str, why: str) -> None:
         self.swapping = False
         if why:
-            self.fail(f"{STUCK} {self.due[1]}: {why}")
+            self.fail(f"{STUCK} {self.move[1]}: {why}")
             self.ended_at = min(self.ended_at, self.now - self.ALONE_MS)  # what is there is started
             return
-        self.runs[slot] = self.due[1]
-        self.due = ("", "")
+        self.runs[slot] = self.move[1]
+        self.move = ("", "")
         self.say_soon()
         if slot == "agent":
             self.effects.append(Anew())
@@ -194,25 +175,19 @@
     # What it says and asks
 
     def want(self) -> None:
+        self.look()
         if self.ask is not None or self.now < self.ask_at or not self.voters or self.swapping:
             return
-        slot, version = self.due
-        held = version in self.holds
+        slot, version = self.move
         if self.now >= self.say_at:
             self.say_at = self.now + self.SAY_MS
             runs = sorted(self.runs.items())
             down = "" if self.served else STARTING if self.child else GONE
             self.send("agent", self.node, self.life, runs, self.holds, down, self.trouble)
-        elif (
-            slot
-            and held
-            and (slot not in RESTARTS or (not self.child and self.spoken and self.heard_at > self.ended_at))
-        ):
-            self.send("move", self.node, self.life, slot, version)
-        elif slot in RESTARTS and held and self.child:
+        elif version in self.holds and slot in RESTARTS and self.child:
             self.have_it_end()
-        else:
-            self.ask_at = self.say_at
+        elif version in self.holds and (slot not in RESTARTS or self.heard()):
+            self.send("move", self.node, self.life, slot, version)
         if self.ask is None and self.ask_at <= self.now:
             self.ask_at = self.say_at
 
@@ -231,10 +206,10 @@
         match verb:
             case "agent":
                 self.hear(result)
-            case "move" if self.due[0]:
-                self.log(f"moves to {self.due[0]} {self.due[1]}")
+            case "move" if self.move[0]:
+                self.log(f"moves to {self.move[0]} {self.move[1]}")
                 self.swapping = True
-                self.effects.append(Swap(*self.due))
+                self.effects.append(Swap(*self.move))
             case "began":
                 self.begun, self.begun_at = True, self.now
                 self.end(self.drain_ms)
@@ -251,8 +226,10 @@
             self.spoken = True
             self.effects.append(Proven(("agent",)))
         due = told.get("due")
-        self.due = (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
-        if self.trouble.startswith(AGENT_FAILED) and not self.due[0]:
+        self.move = (
+            (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
+        )
+        if self.trouble.startswith(AGENT_FAILED) and not self.move[0]:
             self.trouble = ""  # nobody wants that version here any more
         self.halted = str(told.get("halted", ""))
         self.known_life = str(told.get("life", ""))
@@ -265,27 +242,21 @@
             self.begun_at = self.now
         self.permit, self.begun = permit, begun
         again = told.get("again_ms")
-        quiet = self.served and not self.due[0] and not self.permit
+        quiet = self.served and not self.move[0] and not self.permit
         if quiet and isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
             self.say_at = self.now + again  # among many more seldom
         serves = told.get("standing") == SERVING and not permit
         if self.child and not self.served and serves and self.known_life != self.life_before:
             self.served, self.refusals = True, 0
-            if not self.trouble.startswith("crash loop"):
+            if not self.trouble.startswith(LOOP):
                 self.trouble = ""
             self.effects.append(Proven(tuple(slot for slot in self.runs if slot in RESTARTS)))
             self.say_soon()
-        if (
-            self.trouble.startswith("crash loop")
-            and self.served
-            and self.now - self.started_at > self.LOOP_MS
-        ):
+        calm = self.served and self.now - self.started_at > self.LOOP_MS
+        if calm and self.trouble.startswith(LOOP):
             self.trouble = ""
         self.wanted = tuple(map(str, told.get("hold") or ()))
         for version in self.wanted:
             if version not in self.holds and self.now >= self.holding.get(version, 0.0):
                 self.holding[version] = float("inf")
                 self.effects.append(Hold(version))
-
-    def log(self, text: str) -> None:
-        self.effects.append(Log(text))
--- a/pumicenotch/fleet/asker.py
+++ b/pumicenotch/fleet/asker.py
@@ -4,14 +4,15 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, ClassVar
 
-from pumicenotch.fleet.effects import Ask, Effect
+from pumicenotch.fleet.effects import Ask, Effect, Log, Wake
 
 NOT_LEADER, NO_MAJORITY, REFUSED, UNKNOWN = "NotLeader", "NoMajority", "Refused", "UnknownVerb"
 
 
 class Asker(ABC):
+    INPUTS: ClassVar[frozenset[str]]
     # for an answer: an agreed step takes some round trips between regions, then another is asked
     ASK_MS = 700.0
     AGAIN_MS = 250.0  # after a refusal or silence, doubling
@@ -27,6 +28,19 @@
         self.ask: tuple[int, str, float] | None = None  # number, verb, until: one at a time
         self.ask_at, self.failures = now, 0
 
+    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
+        """One input, as its class says; what comes of it. Time never goes back."""
+        self.now = max(self.now, now)
+        assert name in self.INPUTS, name
+        getattr(self, name)(*details)
+        self.want()
+        effects, self.effects = self.effects, []
+        effects.append(Wake(self.due()))
+        return effects
+
+    def log(self, text: str) -> None:
+        self.effects.append(Log(text))
+
     def ask_due(self) -> float:
         return self.ask[2] if self.ask is not None else max(self.ask_at, self.now + 1.0)
 
@@ -68,6 +82,14 @@
         else:
             self.failed(more if isinstance(more, str) else "")
 
+    @abstractmethod
+    def want(self) -> None:
+        """What is to be done or asked by now."""
+
+    @abstractmethod
+    def due(self) -> float:
+        """When it is to be woken."""
+
     @abstractmethod
     def agreed(self, verb: str, result: dict[str, Any]) -> None:
         """The answer to what was asked."""
--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/mate.py
@@ -8,7 +8,7 @@
 
 from pumicenotch.fleet.asker import UNKNOWN, Asker
 from pumicenotch.fleet.budgets import SERVING, Member
-from pumicenotch.fleet.effects import Effect, Leave, Log, Post, Reply, Wake
+from pumicenotch.fleet.effects import Leave, Post, Reply
 from pumicenotch.fleet.entries import NAMES_MOST, TEXT_MOST
 from pumicenotch.fleet.state import told
 from pumicenotch.members import messages
@@ -19,6 +19,11 @@
 
 
 class Mate(Asker):
+    """Its inputs: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
+    message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
+    whether it is overloaded past use), `leave` (why), `left`, `counted` (rows as `fleet/watch` reads them,
+    MB)."""
+
     MINE_MS = 500.0  # between words to the leader, unless it names a longer time
 
     INPUTS: ClassVar = frozenset(
@@ -52,19 +57,6 @@
         self.why = ""
         self.taken = ""  # by whom the name is taken
 
-    def step(self, now: float, name: str, *details: Any) -> list[Effect]:
-        """One input: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
-        message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
-        whether it is overloaded past use), `leave` (why), `left`, `counted` (rows as `fleet/watch` reads
-        them). Time never goes back."""
-        self.now = max(self.now, now)
-        assert name in self.INPUTS, name
-        getattr(self, name)(*details)
-        self.want()
-        effects, self.effects = self.effects, []
-        effects.append(Wake(self.due()))
-        return effects
-
     def due(self) -> float:
         return min(self.members.due(), self.ask_due())
 
@@ -295,6 +287,3 @@
 
     def post(self, address: str, method: str, *params: Any) -> None:
         self.effects.append(Post(address, method, params))
-
-    def log(self, text: str) -> None:
-        self.effects.append(Log(text))
--- a/pumicenotch/fleet/release.py
+++ b/pumicenotch/fleet/release.py
@@ -63,9 +63,8 @@
     asks: str = ""  # why it waits for a person
     harmed: tuple[str, ...] = ()  # where harm was seen: first on the way back
     why: str = ""  # the last word on it
-    usual: tuple[
-        float, ...
-    ] = ()  # before the wave: its number, tasks a second, bad part and ms of calls below
+    # Before the wave: its number, tasks a second, bad part and ms of calls below.
+    usual: tuple[float, ...] = ()
 
     @property
     def nodes(self) -> tuple[str, ...]:
@@ -90,9 +89,7 @@
     agent: str  # the agent's life
     runs: tuple[tuple[str, str], ...] = ()  # slot, version
     holds: tuple[str, ...] = ()
-    down: str = (
-        ""  # GONE: its server's process has; STARTING: it is not in service yet, as far as the agent knows
-    )
+    down: str = ""  # GONE: its server has; STARTING: it is not in service yet, as far as the agent knows
     trouble: str = ""
     move: tuple[str, str, int] = ("", "", 0)  # slot, version, epoch
     falls: int = 0  # ends of its server that nobody asked for, since it moved or a release began
@@ -100,6 +97,10 @@
     def version(self, slot: str) -> str:
         return dict(self.runs).get(slot, "")
 
+    def may_run(self, slot: str, version: str) -> bool:
+        """It does, or was allowed to, and has not said so yet."""
+        return self.version(slot) == version or self.move[:2] == (slot, version)
+
 
 class Releases:
     """Of one state: its part that speaks of versions."""
@@ -123,6 +124,15 @@
     def active(self) -> list[Release]:
         return [each for each in self.releases.values() if each.active]
 
+    def open(self) -> list[Release]:
+        """Those that go on, and those that are planned."""
+        return [each for each in self.releases.values() if each.state not in ENDED]
+
+    def has(self, release: Release, one: str) -> bool:
+        """Whether that node runs the release's version, by its agent's word."""
+        node = self.nodes.get(one)
+        return node is not None and node.version(release.slot) == release.version
+
     # Entries
 
     def agree_level(self, level: int) -> Said:
@@ -150,9 +160,8 @@
         if why := self.unfit(made) or self.crossing(made):
             return Said(False, why)
         self.tidy()
-        said = self.put(made, f"planned by {by}: {made.slot} {made.version} for {made.replaces or 'what is'}"
-                              f" in {len(made.waves)} waves")  # fmt: skip
-        return said
+        return self.put(made, f"planned by {by}: {made.slot} {made.version} for"
+                              f" {made.replaces or 'what is'} in {len(made.waves)} waves")  # fmt: skip
 
     def common(self, made: Release) -> str:
         found = {self.nodes[one].version(made.slot) for one in made.nodes}
@@ -190,27 +199,29 @@
 
     def release(self, request: str, one: str, what: str, seen: tuple[str, ...], why: str, by: str) -> Said:
         """An operator's word, or any process's: `what` is one of WORDS, `seen` the halts that it has seen."""
+        return self.state.answered(request, self.said(request, one, what, seen, why, by))
+
+    def said(self, request: str, one: str, what: str, seen: tuple[str, ...], why: str, by: str) -> Said:
         held = self.releases.get(one)
         if held is None:
-            return self.state.answered(request, Said(False, f"no release {one}"))
+            return Said(False, f"no release {one}")
         if held.state in ENDED:
-            return self.state.answered(request, Said(False, f"release {one} is {held.state}"))
+            return Said(False, f"release {one} is {held.state}")
         if held.state == PLANNED and what not in ("start", "abandon"):
-            return self.state.answered(request, Said(False, f"release {one} has not started"))
+            return Said(False, f"release {one} has not started")
         match what:
             case "start":
-                said = self.start(held, by)
+                return self.start(held, by)
             case "abandon":
-                said = self.abandon(held, why, by)
+                return self.abandon(held, why, by)
             case "halt":
-                said = self.halt(held, request, by, why)
+                return self.halt(held, request, by, why)
             case "resume":
-                said = self.resume(held, seen, why, by)
+                return self.resume(held, seen, why, by)
             case "back":
-                said = self.go_back(held, seen, why, by)
+                return self.go_back(held, seen, why, by)
             case _:
-                said = self.approve(held, why, by)
-        return self.state.answered(request, said)
+                return self.approve(held, why, by)
 
     def start(self, held: Release, by: str) -> Said:
         if held.state != PLANNED:
@@ -327,8 +338,8 @@
         if trouble and trouble != held.trouble:
             self.state.note(f"the agent of {one}: {trouble}")
             for release in self.active():
-                wanted = self.wanted(release, one) in (new.version(release.slot), new.move[1])
-                if one in release.nodes and (trouble.startswith(STUCK) or wanted):
+                its = new.may_run(release.slot, self.wanted(release, one))
+                if one in release.nodes and (trouble.startswith(STUCK) or its):
                     self.harm(release.name, one, (one,), trouble)
         return Said(True, "noted")
 
@@ -361,14 +372,10 @@
     @staticmethod
     def wanted(release: Release, one: str) -> str:
         """The version that a release wants on its node just now; "" for no step at all."""
-        match release.state:
-            case "halted":
-                return ""
-            case "going back":
-                return release.replaces
-            case _:
-                reached = any(one in wave for wave in release.waves[: release.wave + 1])
-                return release.version if reached else release.replaces
+        if release.state == HALTED:
+            return ""
+        reached = any(one in wave for wave in release.waves[: release.wave + 1])
+        return release.version if reached and release.state != BACK else release.replaces
 
     def target(self, one: str, slot: str) -> str:
         for release in self.releases.values():
@@ -403,8 +410,7 @@
 
         def on(one: str) -> bool:
             held, node = self.state.members.get(one), self.nodes.get(one)
-            return held is not None and held.voter and node is not None and (
-                version in (node.version(slot), node.move[1]))  # fmt: skip
+            return held is not None and held.voter and node is not None and node.may_run(slot, version)
 
         proven = sum(on(each) for wave in release.waves[: release.wave] for each in wave)
         many = sum(on(each) for each in release.nodes if each != one)
@@ -424,7 +430,7 @@
         """It was out against its will before the wave came to it: it catches up when it is back."""
         member, node = self.state.members.get(one), self.nodes.get(one)
         return (member is not None and node is not None and bool(member.against)
-                and release.version not in (node.version(release.slot), node.move[1]))  # fmt: skip
+                and not node.may_run(release.slot, release.version))  # fmt: skip
 
     def missing(self, release: Release) -> list[str]:
         """Who is not yet where the release wants it."""
@@ -467,8 +473,7 @@
         if not missing:
             self.put(release._replace(state=SOAKING), f"wave {release.wave + 1} soaks")
         elif release.state == DRAINING and any(
-            self.nodes[one].version(release.slot) == release.version
-            or self.nodes[one].move[:2] == (release.slot, release.version)
+            self.nodes[one].may_run(release.slot, release.version)
             for one in release.waves[release.wave]
             if one in self.nodes
         ):
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/seat.py
@@ -15,15 +15,15 @@
 from pumicenotch.fleet.effects import Exit
 from pumicenotch.fleet.entries import BadEntry, Said
 from pumicenotch.fleet.mate import Mate
-from pumicenotch.fleet.release import BUDGETS, ENDED, Release, waves_of
-from pumicenotch.fleet.state import ENTRIES, State
+from pumicenotch.fleet.release import BUDGETS, Release, waves_of
+from pumicenotch.fleet.state import ENTRIES, SILENT, State
 from pumicenotch.fleet.watch import Watch, memory_of, rows_of
 from pumicenotch.members.messages import Opinion
 
 OWN = ("begin", "against", "level", "word", "usual", "soaked", "harm")  # entries that only a leader makes
 READS = ("status", "why", "log", "halts", "releases", "one_release", "waves")
 ROWS_MOST = 200  # of a table in one answer: some 30 KB
-SILENT, OVERLOADED = "silent", "overloaded"
+OVERLOADED = "overloaded"
 
 
 class Pending(NamedTuple):
@@ -324,9 +324,6 @@
             case _:
                 self.refuse(conn, message, REFUSED, "mine: a name, a life and whether overloaded are wanted")
 
-    def releases_on(self) -> list[Release]:
-        return [each for each in self.state.releases.releases.values() if each.state not in ENDED]
-
     def agent_asked(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
         """What an agent says of its node, and what it is told: a hint; each step is an entry."""
         try:
@@ -341,7 +338,7 @@
             self.propose_own("word", one, *said)
         member, permit = state.members.get(one), state.permits.get(one)
         due = releases.due(node) if node is not None else ("", "")
-        mine = [each for each in self.releases_on() if one in each.nodes]
+        mine = [each for each in releases.open() if one in each.nodes]
         wants = dict.fromkeys([due[1], *(each.version for each in mine), *(each.replaces for each in mine)])
         self.reply(conn, message, {
             "member": member is not None, "life": member.life if member is not None else "",
@@ -520,8 +517,7 @@
             "harmed": list(release.harmed), "urgent": release.urgent,
             "missing": missing[:ROWS_MOST], "judged": trial.text if trial is not None else "",
             "usual_windows": len(self.watch.usual),
-            "has": sum(self.state.releases.nodes[one].version(release.slot) == release.version
-                       for one in release.nodes if one in self.state.releases.nodes),
+            "has": sum(self.state.releases.has(release, one) for one in release.nodes),
         }  # fmt: skip
 
     def release_rows(self, release: Release) -> list[dict[str, Any]]:
@@ -580,7 +576,7 @@
             ],
             "over": state.over()[:ROWS_MOST],
             "level": state.releases.level,
-            "releases": [{"name": each.name, "stands": each.stands} for each in self.releases_on()],
+            "releases": [{"name": each.name, "stands": each.stands} for each in state.releases.open()],
         }
 
     def row(self, member: Member) -> dict[str, Any]:
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -34,6 +34,7 @@
 HISTORY_MOST = 500  # events kept: some days of an ordinary fleet, some 50 KB
 IDS_MOST = 1000  # of answered requests, so that a repeat changes nothing
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
+SILENT = "silent"  # why a member is out against its will that a majority hears nothing of
 PERMITTED = ("drain", release_.KIND)  # permits that keep to the budgets
 FORMS = (1, 2)  # of a dump: the second has releases
 
--- a/pumicenotch/fleet/watch.py
+++ b/pumicenotch/fleet/watch.py
@@ -17,10 +17,9 @@
 from pumicenotch.fleet.entries import BadEntry
 from pumicenotch.fleet.judge import Judge, Told
 from pumicenotch.fleet.release import BUDGETS, FORWARD, SOAKING, Release
-from pumicenotch.fleet.state import State
+from pumicenotch.fleet.state import SILENT, State
 
 ROWS_MOST = 64  # classes in one word
-SILENT = "silent"
 
 
 class Row(NamedTuple):
@@ -131,13 +130,9 @@
     """Whether released nodes' servers end unasked more often than chance has it: each fall would be one of
     theirs as often as they are many, at the most, since they have had the version for a part of the time only
     (a binomial tail)."""
-    mine, others, many = 0, 0, 0
     nodes = [state.releases.nodes[name] for name in release.nodes if name in state.releases.nodes]
-    for node in nodes:
-        released = node.version(release.slot) == release.version
-        many += released
-        mine, others = mine + node.falls * released, others + node.falls * (not released)
-    whole = mine + others
+    ours = [node.falls for node in nodes if state.releases.has(release, node.name)]
+    mine, many, whole = sum(ours), len(ours), sum(node.falls for node in nodes)
     if not mine or many == len(nodes):
         return ""
     part = many / len(nodes)
@@ -147,7 +142,7 @@
     if chance > FALLS_BY_CHANCE:
         return ""
     rest = len(nodes) - many
-    return f"{mine} ends that nobody asked for at {many} released nodes, {others} at the other {rest}"
+    return f"{mine} ends that nobody asked for at {many} released nodes, {whole - mine} at the other {rest}"
 
 
 class Memory:
@@ -220,23 +215,22 @@
 
     def look(self, now: float, state: State) -> list[tuple[Any, ...]]:
         """The entries that this leader is to propose."""
-        going = [each for each in state.releases.releases.values() if each.state in FORWARD]
-        kept = {
-            each.name for each in state.releases.releases.values() if each.state not in ("done", "abandoned")
-        }
-        self.trials = {name: trial for name, trial in self.trials.items() if name in kept}
+        # Of a release of budgets there is nothing to compare.
+        self.trials = {each.name: self.trials.get(each.name, Trial()) for each in state.releases.open()}
         if now >= self.window_at:
             self.window_at = now + self.WINDOW_MS
             whole = sum_of(row for kinds in self.fresh.values() for row in kinds.values())
             if whole.tasks:
                 self.usual = [*self.usual, whole][-self.USUAL :]
-            for each in state.releases.releases.values():
-                if each.name in kept and each.slot != BUDGETS:
-                    self.window(each, state, self.trials.setdefault(each.name, Trial()), whole)
+            for each in state.releases.open():
+                if each.slot != BUDGETS:
+                    self.window(each, state, self.trials[each.name], whole)
             self.fresh = {}
         found = []
-        for release in going:
-            trial = self.trials.setdefault(release.name, Trial())
+        for release in state.releases.active():
+            if release.state not in FORWARD:
+                continue
+            trial = self.trials[release.name]
             entry = (
                 self.harm(now, release, state, trial)
                 or self.what_is_usual(release, state)
@@ -250,14 +244,13 @@
     def window(self, release: Release, state: State, trial: Trial, whole: Row) -> None:
         sides: dict[str, list[Row]] = defaultdict(lambda: [Row(), Row()])
         for name, kinds in self.fresh.items():
-            member, node = state.members.get(name), state.releases.nodes.get(name)
-            if member is None:
+            member = state.members.get(name)
+            if member is None or state.is_out(member):
                 continue
-            released = node is not None and node.version(release.slot) == release.version
+            released = state.releases.has(release, name)
             for kind, row in kinds.items():
-                if not state.is_out(member):
-                    side = sides[f"{member.zone or 'no zone'}, {member.cell or 'no cell'}, {kind}"]
-                    side[released] = side[released].plus(row)
+                side = sides[f"{member.zone or 'no zone'}, {member.cell or 'no cell'}, {kind}"]
+                side[released] = side[released].plus(row)
         for stratum, (others, ours) in sorted(sides.items()):
             for released, row in ((False, others), (True, ours)):
                 trial.tasks.tell(Told(stratum, released, int(row.tasks), int(row.bad)))
@@ -268,10 +261,9 @@
         trial.both.tell(whole, self.moved(release, state))
         held: dict[str, tuple[list[float], list[float]]] = defaultdict(lambda: ([], []))
         for name, (life, since, _) in self.last.items():
-            member, node = state.members.get(name), state.releases.nodes.get(name)
-            if member is not None and member.life == life and self.warm(since) and name in self.memory:
-                released = node is not None and node.version(release.slot) == release.version
-                held[member.zone][released].append(self.memory[name])
+            member = state.members.get(name)
+            if member is not None and member.life == life and self.warm(since):
+                held[member.zone][state.releases.has(release, name)].append(self.memory[name])
         trial.memory.tell(held.values())
         trial.text = trial.tasks.close().text
         trial.calls.close()
@@ -280,8 +272,7 @@
     def moved(release: Release, state: State) -> bool:
         """Whether any of the wave may have the version by now."""
         nodes = (state.releases.nodes.get(name) for name in release.waves[release.wave])
-        return any(node is not None and release.version in (node.version(release.slot), node.move[1])
-                   for node in nodes)  # fmt: skip
+        return any(node is not None and node.may_run(release.slot, release.version) for node in nodes)
 
     def what_is_usual(self, release: Release, state: State) -> tuple[Any, ...]:
         """Said while none of the wave has moved, by a leader that has looked on for long enough."""
@@ -293,9 +284,7 @@
         return ("usual", release.name, release.wave, figures)
 
     def harm(self, now: float, release: Release, state: State, trial: Trial) -> tuple[Any, ...]:
-        on = [name for name in release.nodes
-              if name in state.releases.nodes
-              and state.releases.nodes[name].version(release.slot) == release.version]  # fmt: skip
+        on = [name for name in release.nodes if state.releases.has(release, name)]
         for judge in (trial.tasks, trial.calls):
             if (verdict := judge.verdict()).harm:
                 return ("harm", release.name, "judgement", tuple(on), verdict.text)
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -20,7 +20,7 @@
 from pumicenotch.config.versions import pack
 from pumicenotch.fleet.release import LEVEL
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.crew import Refused
+from pumicenotch.lab.crew import FLEET, Crew, Refused
 from pumicenotch.lab.fleetrun import FORMED_S, LOOK_S, FleetRun
 from pumicenotch.lab.loopback import Launch, Node
 from pumicenotch.lab.peers import GatewayPeer
@@ -120,6 +120,27 @@
     return found
 
 
+def agent_text(
+    crew: Crew, name: str, module: list[str], pairs: list[str], slots: dict[str, str], start_ms: int
+) -> str:
+    """An agent's file; its home is a folder of that name."""
+    home = crew.folder / f"home-{name}"
+    home.mkdir(exist_ok=True)
+    return (
+        f'fleet = "{FLEET}"\nmember = "{name}"\nhome = "{home}"\nsource = "{crew.folder / "source"}"\n'
+        f"voters = {json.dumps([crew.shown(each) for each in crew.voters])}\n"
+        f"command = {json.dumps([sys.executable, '-m', *module])}\n"
+        f"environment = {json.dumps(pairs)}\nstart_ms = {start_ms}\ndrain_ms = 8000\n"
+    ) + "".join(f'slot "{slot}" {{ version = "{version}" }}\n' for slot, version in slots.items())
+
+
+def started(path: Path, log: Path) -> subprocess.Popen[bytes]:
+    """An agent by its file."""
+    command = [sys.executable, "-m", "pumicenotch.cli", "agent", "--config", str(path)]
+    with log.open("ab") as opened:
+        return subprocess.Popen(command, stderr=opened)
+
+
 class ReleaseRun(FleetRun):
     def __init__(
         self, world: world_.World, seed: int, launch: Launch, folder: Path, releases: str = "none"
@@ -146,13 +167,10 @@
             node.log.touch()
             pairs = [f"{name}={environment[name]}" for name in ("LB_CONFIG", "PUMICENOTCH_CONFIG")]
             pairs.append("PYTHONPATH={program}")
+            slots = dict.fromkeys(self.slots, self.versions[OLD])
             self.agent_file(node).write_text(
-                f'fleet = "lab"\nmember = "n{node.number}"\nseed = {self.seed + node.number}\n'
-                f"voters = {json.dumps([self.crew.shown(each) for each in self.crew.voters])}\n"
-                f'home = "{self.home(node)}"\nsource = "{self.folder / "source"}"\n'
-                f"command = {json.dumps([sys.executable, '-m', *module])}\n"
-                f"environment = {json.dumps(pairs)}\nstart_ms = 12000\ndrain_ms = 8000\n"
-                + "".join(f'slot "{slot}" {{ version = "{self.versions[OLD]}" }}\n' for slot in self.slots)
+                agent_text(self.crew, f"n{node.number}", module, pairs, slots, 12_000)
+                + f"seed = {self.seed + node.number}\n"
             )
             self.boot_agent(node)
         self.spawn_task(self.led(node))
@@ -161,10 +179,8 @@
         return self.folder / f"agent-n{node.number}.hcl"
 
     def boot_agent(self, node: Node) -> None:
-        with (self.folder / f"agent-n{node.number}.log").open("ab") as log:
-            command = [sys.executable, "-m", "pumicenotch.cli", "agent", "--config"]
-            command.append(str(self.agent_file(node)))
-            self.agents[node.number] = subprocess.Popen(command, stderr=log)
+        path = self.agent_file(node)
+        self.agents[node.number] = started(path, path.with_suffix(".log"))
 
     def disk(self, node: Node) -> dict[str, Any]:
         with contextlib.suppress(OSError, ValueError):
--- a/pumicenotch/net/agent.py
+++ b/pumicenotch/net/agent.py
@@ -57,7 +57,7 @@
             case effects.Hold(version):
                 self.group.start_soon(self.hold, version)
             case effects.Swap(slot, version):
-                self.swap(slot, version)
+                self.group.start_soon(self.swap, slot, version)
             case effects.Start():
                 self.start()
             case effects.End(force):
@@ -88,28 +88,23 @@
         return ""
 
     async def hold(self, version: str) -> None:
-        def fetch() -> str:
-            try:
-                versions.fetch(version, Path(self.told.source), self.home / "versions")
-            except versions.BadVersion as error:
-                return str(error)
-            return ""
-
-        self.put("held", version, await to_thread.run_sync(fetch))
+        """Beside the loop: to copy and to hash take a while."""
+        why = ""
+        try:
+            await to_thread.run_sync(versions.fetch, version, Path(self.told.source), self.home / "versions")
+        except versions.BadVersion as error:
+            why = str(error)
+        self.put("held", version, why)
 
-    def swap(self, slot: str, version: str) -> None:
+    async def swap(self, slot: str, version: str) -> None:
         """The content is checked once more: this is the last moment at which a spoilt one does no harm."""
         try:
-            if (found := versions.content(self.home / "versions" / version)) != version:
-                why = f"its content is {found}"
-            else:
-                tries = {"tries": 0} if slot == "agent" else {}
-                why = self.save(runs={**self.disk.runs, slot: version}, **tries)
+            found = await to_thread.run_sync(versions.content, self.home / "versions" / version)
+            tries = {"tries": 0} if slot == "agent" else {}
+            runs = {**self.disk.runs, slot: version}
+            why = self.save(runs=runs, **tries) if found == version else f"its content is {found}"
         except versions.BadVersion as error:
             why = str(error)
-        self.group.start_soon(self.swapped, slot, why)
-
-    async def swapped(self, slot: str, why: str) -> None:
         self.put("swapped", slot, why)
 
     def tidy(self) -> None:
--- a/pumicenotch/regions/plan.py
+++ b/pumicenotch/regions/plan.py
@@ -11,12 +11,8 @@
 
 WELL, WEAK, CUT, LOST, EMPTIED, RETURNING = "well", "weak", "cut", "lost", "emptied", "returning"
 STATES = (WELL, WEAK, CUT, LOST, EMPTIED, RETURNING)
-SERVES_OWN = (
-    WELL,
-    WEAK,
-    CUT,
-    RETURNING,
-)  # one that is cut off serves those who reach it, and no plan reaches them
+# One that is cut off serves those who reach it, and no plan reaches them.
+SERVES_OWN = (WELL, WEAK, CUT, RETURNING)
 REJECTED = ""  # the target of what goes nowhere
 PLACES = 4  # of a part: finer than any zone's load is known; equal parts come out equal everywhere
 LEAST = 1e-9  # of work: beyond, a rest of rounding
@@ -98,12 +94,13 @@
         self.left = {key: work for key, work in sorted(demand.items()) if work > LEAST}
         self.room = {name: self.usable(zone) for name, zone in self.zones.items()}
         self.placed: dict[tuple[str, str, str], float] = {}
-        for kind in sorted(kinds, key=lambda kind: (-kind.worth, kind.name)):
+        ranked = sorted(kinds, key=lambda kind: (-kind.worth, kind.name))
+        for kind in ranked:
             self.own(kind.name)
         for name, zone in self.zones.items():
             kept = zone.reserve * zone.room if zone.state in (WELL, RETURNING) else self.room[name]
             self.room[name] = max(0.0, self.room[name] - kept)
-        for kind in sorted(kinds, key=lambda kind: (-kind.worth, kind.name)):
+        for kind in ranked:
             for distance_ms in self.distances(kind.name):
                 self.tier(kind.name, distance_ms)
 
@@ -201,9 +198,8 @@
         was, will = old.parts(*key), new.parts(*key)
         for target, part in will.items():
             if target != REJECTED and was:
-                more[target] = more.get(target, 0.0) + max(0.0, part - was.get(target, 0.0)) * demand.get(
-                    key, 0.0
-                )
+                gain = max(0.0, part - was.get(target, 0.0)) * demand.get(key, 0.0)
+                more[target] = more.get(target, 0.0) + gain
     speeds = {target: min(1.0, most * held[target].room / work) if work > LEAST else 1.0
               for target, work in more.items() if target in held}  # fmt: skip
     ways: list[Way] = []
--- a/tests/fleet/test_releases.py
+++ b/tests/fleet/test_releases.py
@@ -6,8 +6,6 @@
 import json
 import os
 import signal
-import subprocess
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +14,7 @@
 from pumicenotch.lab.crew import Crew, Refused
 from pumicenotch.lab.fleetrun import block
 from pumicenotch.lab.relay import Way
-from pumicenotch.lab.releaserun import OLD, version
+from pumicenotch.lab.releaserun import OLD, agent_text, started, version
 from tests.fleet.harness import Releasing, played, world
 
 
@@ -189,18 +187,9 @@
 
     def boot(self, name: str) -> None:
         voter, path = self.voters[name], self.folder / f"agent-{name}.hcl"
-        self.home(name).mkdir(exist_ok=True)
-        command = [sys.executable, "-m", "pumicenotch.net.fleet", str(voter.path)]
-        path.write_text(
-            f'fleet = "lab"\nmember = "{name}"\n'
-            f'home = "{self.home(name)}"\nsource = "{self.folder / "source"}"\n'
-            f"voters = {json.dumps([self.shown(each) for each in self.voters])}\n"
-            f"command = {json.dumps(command)}\nstart_ms = 15000\n"
-            f'environment = ["PYTHONPATH={{program}}"]\nslot "program" {{ version = "{self.old}" }}\n'
-        )
-        with voter.log.open("ab") as log:
-            agent = [sys.executable, "-m", "pumicenotch.cli", "agent", "--config", str(path)]
-            voter.process = subprocess.Popen(agent, stderr=log)
+        module, slots = ["pumicenotch.net.fleet", str(voter.path)], {"program": self.old}
+        path.write_text(agent_text(self, name, module, ["PYTHONPATH={program}"], slots, 15_000))
+        voter.process = started(path, voter.log)
 
     def disk(self, name: str) -> dict[str, Any]:
         return dict(json.loads((self.home(name) / "agent.json").read_text()))
--- a/tests/test_agent_files.py
+++ b/tests/test_agent_files.py
@@ -2,12 +2,11 @@
 
 import os
 import shutil
-import sys
 from pathlib import Path
 
 import pytest
 
-from pumicenotch.cli.agent import TRIES, command_of
+from pumicenotch.cli.agent import TRIES, environment_of
 from pumicenotch.config import agent, versions
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.config.versions import PART, BadVersion, content, fetch, held, pack
@@ -138,10 +137,7 @@
     bad = pack(folder(tmp_path / "r", x="3"), tmp_path / "source")
     agent.write(told, first._replace(runs={**first.runs, "agent": bad}))
     for _ in range(TRIES):
-        command, more = command_of(str(path))
-        assert more["PYTHONPATH"].endswith(bad)
-    command, more = command_of(str(path))
-    assert more["PYTHONPATH"].endswith(first.runs["agent"])
-    assert command == [sys.executable, "-m", "pumicenotch.net.agent", str(path)]
+        assert environment_of(str(path))["PYTHONPATH"].endswith(bad)
+    assert environment_of(str(path))["PYTHONPATH"].endswith(first.runs["agent"])
     disk = agent.disk_of(told)
     assert disk.runs == first.runs and "never spoke with the fleet" in disk.trouble
