Let few tasks of little utility in where one stage is dear and reading is behind

To blame: Signals.close_idle (closed while reading was behind), Control.admit (no regard to utility before a queue), Control.too_late (ended only what was held), Control.queue (0.9 of the time left by a mean that hints do not narrow), start.KEYWORDS (readiness was not read).

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -11,7 +11,8 @@
   3. advice: the free value shuts as tasks are turned away, and callers are asked not to try elsewhere;
   4. pace: calls below follow their recent time;
   5. giving back: the limit falls while more than the cores can serve want one;
-  6. connections: idle ones are closed sooner while many are open.
+  6. connections: idle ones are closed sooner while many are open and reading keeps up;
+  7. level: where one stage is dear, tasks of less utility are rejected as read while the dear ones lose.
 """
 
 import heapq
@@ -396,6 +397,41 @@
         return max(0.0, self.free_at - now) + max(0.0, ahead) * self.recent_ms / max(self.most, 0.01)
 
 
+class Level:
+    """Where a stage is dear, tasks of less utility are let in by a chance that falls while reading is behind
+    or many of the dear are lost. Guards against all that leaves less than is asked for: cores, what is below,
+    reading itself. Harms where all are worth about as much, so there it never acts."""
+
+    DEAR = 2.0  # times a stage's mean utility: with less, what the others lose outweighs what is won
+    CUT, OPEN = 0.6, 1.1  # of the share let in, a sample: a backlog fills faster than it drains
+    BEHIND, LOST = 0.1, 0.3  # of its time that the mean task waits unread; of the dear, not served
+
+    def __init__(self, chance: Callable[[], float], stages: list[Stage]) -> None:
+        utilities = [stage.utility for stage in stages] or [1.0]
+        self.chance, self.least, self.most = chance, max(1e-9, min(utilities)), max(utilities)
+        self.dear = self.most if self.most > self.DEAR * sum(utilities) / len(utilities) else float("inf")
+        # Share of the least useful let in; mean share of its time unread; dear ones of this sample.
+        self.keep, self.unread, self.asked, self.lost = 1.0, 0.0, 0, 0
+
+    def read(self, unread: float, utility: float) -> None:
+        self.unread += 0.05 * (unread - self.unread)
+        self.asked += utility >= self.dear
+
+    def turned(self, utility: float) -> None:
+        self.lost += utility >= self.dear
+
+    def bars(self, utility: float) -> bool:
+        """Utility squared: at the lowest level the dear all pass, and of the rest hardly any."""
+        return self.dear < float("inf") and self.chance() > self.keep * (utility / self.least) ** 2
+
+    def sample(self, read: int) -> None:
+        self.unread *= 1.0 if read else 0.5  # of what nobody sends nothing is known
+        tight = self.unread > self.BEHIND or self.lost > self.LOST * self.asked + 1
+        self.asked = self.lost = 0
+        keep = self.CUT * self.keep if tight else self.OPEN * self.keep + 0.01
+        self.keep = min(1.0, max((self.least / self.most) ** 2, keep))
+
+
 class Signals:
     """What callers are told: the free value shuts while tasks are turned away for want of room. Beside it
     stand health and the time that their connections may idle."""
@@ -406,15 +442,20 @@
     # Connections a core beyond which idle ones are closed sooner: more than come back within seconds. Guards
     # against a table full of callers that come once; could harm where connecting is dear and they come back.
     LINKS, IDLE_LEAST_MS = 16.0, 1000.0
+    KEEPS_UP = 0.05  # of its time that a task waits unread: beyond, reading waits for connections made anew
+    # Unread for half its time: too late. Health is bad for three samples, then good for four at the least.
+    # Guards against crowds that come as who only rejects looks idle; could harm where a whole fleet is late.
+    LOST, BAD, GOOD = 0.5, 3, 4
 
     def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
-                 idle_ms: float) -> None:
+                 idle_ms: float, listed: bool) -> None:
         self.actions, self.signal, self.idle_ms, self.idle_most_ms = actions, signal, idle_ms, idle_ms
         # One running and one held a core until a sample is taken; then what gets through by the due time.
         self.callers = max(1, callers)
         self.credit = 2.0 * cores / self.callers
         self.many_links = self.LINKS * cores
         self.read = self.turned_away = 0
+        self.listed, self.good, self.since = listed, True, self.GOOD  # samples since health changed
         self.shut, self.said, self.leaving = 0.0, -1.0, False
         actions.health(True, stored=True)  # checks from store spare the cores, and what lies below, real work
         self.say(speed)
@@ -424,7 +465,7 @@
         self.actions.health(False, stored=True)
         self.say(0.0)
 
-    def sample(self, speed: float, links: float, room: float) -> None:
+    def sample(self, speed: float, links: float, room: float, unread: float) -> None:
         """Room: the tasks that may be here at once, running or queued, and still be answered in time. Two a
         core among 180 gateways left each 0.02, which gateways settle by chance: most saw no willing one."""
         self.credit = room / self.callers
@@ -432,11 +473,17 @@
         self.read = self.turned_away = 0
         self.shut = self.OPEN * self.shut + self.GAIN * away * (self.MOST - self.shut)
         self.say(speed)  # a cold server asks for what it can do
-        self.close_idle(links)
-
-    def close_idle(self, links: float) -> None:
+        self.close_idle(links, unread)
+        self.since += 1
+        turn = unread > self.LOST and self.since > self.GOOD if self.good else self.since > self.BAD
+        if self.listed and not self.leaving and (turn or (not self.good and unread < Level.BEHIND)):
+            self.good, self.since = not self.good, 0
+            self.actions.health(self.good, stored=True)
+
+    def close_idle(self, links: float, unread: float) -> None:
         """Halves the time that a connection may idle while many are open, and lets it grow back after."""
-        idle = max(self.IDLE_LEAST_MS, 0.5 * self.idle_ms) if links > self.many_links else 1.1 * self.idle_ms
+        many = links > self.many_links and unread < self.KEEPS_UP
+        idle = max(self.IDLE_LEAST_MS, 0.5 * self.idle_ms) if many else 1.1 * self.idle_ms
         idle = min(self.idle_most_ms, idle)
         if idle != self.idle_ms:
             self.idle_ms = idle
@@ -455,6 +502,7 @@
 
     # Of the time left, what wait and run may take by a rough estimate: queued; at once; beyond the share.
     ROOM, DOUBT, OVER_SHARE = 0.9, 1.3, 0.25
+    UNHINTED = 1.05  # in place of ROOM, of a task whose work is not told: most runs are shorter than the mean
     BEHIND = 4.0  # times the span in the order, beyond the share: of little utility wherever one is given
     CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance
     UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
@@ -466,7 +514,7 @@
                  stay_away_passed: bool = False, stay_away_most_ms: float = 0.0, halt: Halt = Halt.NONE,
                  signal: Signal = Signal.NONE, below: Below = Below.NONE, call_share: float = 1.0,
                  call_window_ms: float = 0.0, linger_ms: float = 0.0, idle_ms: float = 0.0,
-                 pools: Pools | None = None) -> None:
+                 listed_by_health: bool = False, pools: Pools | None = None) -> None:
         self.actions, self.stages, self.gauges, self.halts = actions, stages, gauges, halt is not Halt.NONE
         self.stay_away_most_ms = stay_away_most_ms if stay_away_passed else 0.0
         self.agenda = Agenda()
@@ -478,8 +526,10 @@
         self.pool(now, pools)
         # A tier guards itself: there the pace alone bounds the calls, and this many are never in hand.
         most = call_share if below is Below.SHARED else 16.0 * cores
-        self.calls = Calls(self.agenda, actions, random.Random(seed), most, call_window_ms, linger_ms)
-        self.signals = Signals(actions, signal, speed, cores, callers, idle_ms)
+        chance = random.Random(seed)
+        self.calls = Calls(self.agenda, actions, chance, most, call_window_ms, linger_ms)
+        self.level = Level(chance.random, stages)
+        self.signals = Signals(actions, signal, speed, cores, callers, idle_ms, listed_by_health)
         self.run_ms: dict[int, tuple[float, float]] = {}  # stage -> recent mean of a run, and of its hints
         self.calling: set[int] = set()  # stages whose tasks were seen at a call
         self.slot_ms = 0.0  # recent time in a place among those running
@@ -523,6 +573,7 @@
         task.limit = max(now, limit if limit is not None else task.arrived + stage.limit_ms)
         task.due = min(task.limit, task.arrived + stage.due_ms + stage.due_stretch * (work or 0.0))
         self.signals.read += 1
+        self.level.read((now - task.arrived) / max(1.0, task.due - task.arrived), stage.utility)
         self.limit.used_kb += kb
         self.duty.take(task)
         task.lane, task.caller, task.mark = self.pools.lane(stage_no), caller, mark
@@ -557,6 +608,9 @@
         fits = self.limit.fits(self.repeats.kb + (self.repeats.entry_kb if keyed else 0.0))
         if not fits or task.arrived > self.duty.last_arrival:
             self.reject(task, now)
+        elif self.level.bars(task.stage.utility):
+            self.signals.turned_away += 1
+            self.reject(task, now, self.stay_away_most_ms)
         else:
             if keyed:
                 self.repeats.keep(task, now)
@@ -574,7 +628,8 @@
         ahead = 1 + bisect_left(queue, task)
         wait = 0.0 if free else ahead * slot / slots
         full = len(queue) >= self.queues.length(slots, slot, self.due_ms)
-        part = self.DOUBT if not wait else task.hope * (self.OVER_SHARE if over_share else self.ROOM)
+        hope = self.OVER_SHARE if over_share else self.ROOM if task.work else self.UNHINTED
+        part = task.hope * hope if wait else self.DOUBT
         if full or wait + run > part * left:
             self.pools.held_off(now, task.lane, task.mark)
             unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
@@ -720,10 +775,11 @@
         if now - self.sampled_at >= SAMPLE_MS:
             self.sampled_at = now
             self.limit.sample()
+            self.level.sample(self.signals.read)
             total, slot = self.limit.total(now), self.slot(now)
             self.queues.sample(total, slot, self.due_ms)
             room = total + self.queues.length(total, slot, self.due_ms)
-            self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0), room)
+            self.signals.sample(self.limit.speed(now), gauges.get("links", 0.0), room, self.level.unread)
         self.work(now)
 
     def give_up(self, now: float, task: Task) -> None:
@@ -732,22 +788,27 @@
             (self.reject if task.state is State.HELD else self.abandon)(task, now)
 
     def too_late(self, now: float, task: Task) -> None:
-        """Past its due time, what is held or kept from its call has nothing to gain: it is told at once."""
-        if task.stage.late_utility <= 0.0 and (task.state is State.HELD or task in self.calls.waiting):
+        """Past its due time, what is held, kept from its call or can be stopped has nothing to gain: it is
+        told at once. Stopping guards against all that makes runs long; harms where the caller tries again."""
+        stops = self.halts and task.state is State.RUNNING and task.stage.effect is Effect.RESTARTABLE
+        if task.stage.late_utility <= 0 and (stops or task.state is State.HELD or task in self.calls.waiting):
             self.give_up(now, task)
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run. While many are turned away, another server is hardly
         better off and would only read it once more. Guards against tries that walk on and on; harms where
-        others have room, so never from one that leaves or is cold, nor for a rejection now and then."""
-        leaving = self.signals.leaving
+        others have room, so never from one that leaves or is cold, nor for a rejection now and then or a
+        dear task, which is worth being read again."""
+        leaving, utility = self.signals.leaving, task.stage.utility
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
-        last = not leaving and self.limit.speed(now) >= 1.0 and self.signals.shut > self.CROWDED
-        self.actions.reject(task.id, last, wait)
+        last = not leaving and utility < self.level.dear and self.signals.shut > self.CROWDED
+        self.actions.reject(task.id, last and self.limit.speed(now) >= 1.0, wait)
+        self.level.turned(utility)
         self.let_go(task, now)
 
     def abandon(self, task: Task, now: float) -> None:
         self.actions.abandon(task.id)
+        self.level.turned(task.stage.utility)
         self.let_go(task, now)
 
     def let_go(self, task: Task, now: float) -> None:
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -35,6 +35,7 @@
     "family-info.halt": ("halt", HALTS.__getitem__),
     "family-info.idle": ("idle_ms", ms),
     "family-info.memory-kb": ("memory_kb", float),
+    "family-info.readiness": ("listed_by_health", TRUTHS.__getitem__),
     "family-info.run-factor": ("run_factor", float),
     "family-info.signal": ("signal", SIGNALS.__getitem__),
     "family-info.stays-for": ("linger_ms", ms),
