Say once when a run can be stopped and when reading is behind; count samples as they are

Read once more: let_go and too_late held the same condition (now Control.stops), Control.UNREAD was Level.BEHIND, health is bad for four samples and good for five where comment and docs said three and four; the level's floor was worked out each sample, and a deployment whose utilities are all 0 would have divided by it.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -408,10 +408,10 @@
 
     def __init__(self, chance: Callable[[], float], stages: list[Stage]) -> None:
         utilities = [stage.utility for stage in stages] or [1.0]
-        self.chance, self.least, self.most = chance, max(1e-9, min(utilities)), max(utilities)
-        self.dear = self.most if self.most > self.DEAR * sum(utilities) / len(utilities) else float("inf")
-        # Share of the least useful let in; mean share of its time unread; dear ones of this sample.
-        self.keep, self.unread, self.asked, self.lost = 1.0, 0.0, 0, 0
+        self.chance, self.least, most = chance, max(1e-9, min(utilities)), max(1e-9, *utilities)
+        self.dear = most if most > self.DEAR * sum(utilities) / len(utilities) else float("inf")
+        self.floor, self.keep = (self.least / most) ** 2, 1.0  # least share let in of the least useful; that share
+        self.unread, self.asked, self.lost = 0.0, 0, 0  # mean share of its time unread; dear of this sample
 
     def read(self, unread: float, utility: float) -> None:
         self.unread += 0.05 * (unread - self.unread)
@@ -428,8 +428,7 @@
         self.unread *= 1.0 if read else 0.5  # of what nobody sends nothing is known
         tight = self.unread > self.BEHIND or self.lost > self.LOST * self.asked + 1
         self.asked = self.lost = 0
-        keep = self.CUT * self.keep if tight else self.OPEN * self.keep + 0.01
-        self.keep = min(1.0, max((self.least / self.most) ** 2, keep))
+        self.keep = min(1.0, max(self.floor, self.CUT * self.keep if tight else self.OPEN * self.keep + 0.01))
 
 
 class Signals:
@@ -443,9 +442,9 @@
     # against a table full of callers that come once; could harm where connecting is dear and they come back.
     LINKS, IDLE_LEAST_MS = 16.0, 1000.0
     KEEPS_UP = 0.05  # of its time that a task waits unread: beyond, reading waits for connections made anew
-    # Unread for half its time: too late. Health is bad for three samples, then good for four at the least.
+    # Unread for half its time: too late. Health is bad for four samples, then good for five at the least.
     # Guards against crowds that come as who only rejects looks idle; could harm where a whole fleet is late.
-    LOST, BAD, GOOD = 0.5, 3, 4
+    LOST, BAD, GOOD = 0.5, 4, 5
 
     def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
                  idle_ms: float, listed: bool) -> None:
@@ -475,7 +474,7 @@
         self.say(speed)  # a cold server asks for what it can do
         self.close_idle(links, unread)
         self.since += 1
-        turn = unread > self.LOST and self.since > self.GOOD if self.good else self.since > self.BAD
+        turn = unread > self.LOST and self.since >= self.GOOD if self.good else self.since >= self.BAD
         if self.listed and not self.leaving and (turn or (not self.good and unread < Level.BEHIND)):
             self.good, self.since = not self.good, 0
             self.actions.health(self.good, stored=True)
@@ -505,7 +504,6 @@
     UNHINTED = 1.05  # in place of ROOM, of a task whose work is not told: most runs are shorter than the mean
     BEHIND = 4.0  # times the span in the order, beyond the share: of little utility wherever one is given
     CROWDED = 0.1  # of the free value shut, by one task in twenty turned away: fewer are chance
-    UNREAD = 0.1  # of its time that a task waits to be read: reading is behind, and rejecting comes too late
 
     def __init__(self, actions: Actions, now: float, *, seed: int, stages: list[Stage], tenants: list[Tenant],
                  gauges: list[str], cores: int = 1, memory_kb: float = float("inf"), run_factor: float = 1.0,
@@ -632,7 +630,7 @@
         part = task.hope * hope if wait else self.DOUBT
         if full or wait + run > part * left:
             self.pools.held_off(now, task.lane, task.mark)
-            unread = now - task.arrived > self.UNREAD * (task.due - task.arrived)
+            unread = now - task.arrived > Level.BEHIND * (task.due - task.arrived)
             self.signals.turned_away += wait > 0.0 or unread
             self.reject(task, now, wait)
         else:
@@ -790,10 +788,13 @@
     def too_late(self, now: float, task: Task) -> None:
         """Past its due time, what is held, kept from its call or can be stopped has nothing to gain: it is
         told at once. Stopping guards against all that makes runs long; harms where the caller tries again."""
-        stops = self.halts and task.state is State.RUNNING and task.stage.effect is Effect.RESTARTABLE
-        if task.stage.late_utility <= 0 and (stops or task.state is State.HELD or task in self.calls.waiting):
+        waits = task.state is State.HELD or task in self.calls.waiting
+        if task.stage.late_utility <= 0.0 and (waits or self.stops(task)):
             self.give_up(now, task)
 
+    def stops(self, task: Task) -> bool:
+        return self.halts and task.state is State.RUNNING and task.stage.effect is Effect.RESTARTABLE
+
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
         """Final answer to a task that has not run. While many are turned away, another server is hardly
         better off and would only read it once more. Guards against tries that walk on and on; harms where
@@ -818,7 +819,7 @@
             self.over(task, now)
         elif task in self.calls.waiting:
             self.calls.waiting.remove(task)
-        elif self.halts and task.state is State.RUNNING and task.stage.effect is Effect.RESTARTABLE:
+        elif self.stops(task):
             self.actions.halt(task.id)
 
     def over(self, task: Task, now: float) -> None:
