--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -410,7 +410,7 @@
         utilities = [stage.utility for stage in stages] or [1.0]
         self.chance, self.least, most = chance, max(1e-9, min(utilities)), max(1e-9, *utilities)
         self.dear = most if most > self.DEAR * sum(utilities) / len(utilities) else float("inf")
-        self.floor, self.keep = (self.least / most) ** 2, 1.0  # least share let in of the least useful; that share
+        self.floor, self.keep = (self.least / most) ** 2, 1.0  # share let in of the least useful
         self.unread, self.asked, self.lost = 0.0, 0, 0  # mean share of its time unread; dear of this sample
 
     def read(self, unread: float, utility: float) -> None:
