--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -3,15 +3,17 @@
 
 import signal
 
-# Until the receiver stands, a reload waits: the signal's own effect would end the process.
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+# Until the receiver stands, and again once it is gone, they wait: their own effect would end the process.
+signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
+import errno
 import json
 import os
+import resource
 import subprocess
 import sys
 from collections.abc import Callable
-from functools import partial
 from typing import Any, cast
 
 import anyio
@@ -30,20 +32,24 @@
 
 UNREAD_PART = 0.125  # of the memory, for what the pool leaves unread while it hangs
 CALL_MOST = 64 * 1024  # a link below carries one call, of some KB
-FLUSH_S = 0.05  # for the last answers to leave: they are small, and their peers on the same network
+AGAIN_S = 0.1  # between tries to listen at an address still in use
+FLUSH_S = 0.05  # for the last words among instances to leave
 READER_S = 30.0  # for a file of ours to be read: a second on a quiet machine
+BOUNDS = {"stop_ms": (0.0, 1e9), "limits.memory_mb": (8.0, 1e9), "limits.sockets": (48.0, 1e9)}
 MOVABLE = ("pool", "db", "registry")  # whose addresses a reload changes
 
 
 async def signals(hub: Hub, reloads: "Reloads") -> None:
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
-    with anyio.open_signal_receiver(*numbers) as received:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        async for number in received:
-            if number == signal.SIGHUP:
-                reloads.wanted.set()
-            else:
-                hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+    with anyio.open_signal_receiver(*SIGNALS) as received:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        try:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    reloads.wanted.set()
+                else:
+                    hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+        finally:
+            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second notice while the process ends
 
 
 class Reloads:
@@ -57,7 +63,11 @@
         while True:
             await self.wanted.wait()
             self.wanted = anyio.Event()
-            await reload(hub, values)
+            try:
+                await reload(hub, values)
+            except Exception as error:
+                hub.fault("reload", error)
+                hub.put("met", "reloads_failed", f"reload: {error!r}; the running values stay in force")
 
 
 async def reload(hub: Hub, values: dict[str, Any]) -> None:
@@ -113,7 +123,10 @@
         return compiled.load(told, config)
     if config.endswith(".json"):
         return compiled.from_file(config)
-    done = subprocess.run(compiled.command(config), capture_output=True)
+    try:
+        done = subprocess.run(compiled.command(config), capture_output=True, timeout=READER_S)
+    except subprocess.TimeoutExpired:
+        raise compiled.BadConfig(f"{config}:1: not read within {READER_S:g} s") from None
     return compiled.taken(config, done.returncode, done.stdout, done.stderr)
 
 
@@ -157,22 +170,39 @@
     return await fleet.member(hub, group, side, seed, sockets)
 
 
+async def listening(host: str, port: int, most_s: float) -> SocketListener:
+    """A process before this one may still drain at that address, for as long as its notice lasts. OSError
+    when that is over."""
+    until, told = anyio.current_time() + most_s, False
+    while True:
+        try:
+            many = await anyio.create_tcp_listener(
+                local_host=host, local_port=port, backlog=gateways.BACKLOG
+            )
+            return cast(SocketListener, many.listeners[0])
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or anyio.current_time() > until:
+                raise
+        if not told:
+            logger.info("{}:{} is still in use; waits {:.1f} s at the most", host, port, most_s)
+        told = True
+        await anyio.sleep(AGAIN_S)
+
+
 async def serve(values: dict[str, Any], core: Server) -> None:
     clock = Clock()
     hub = Hub(core, clock)
     host, port = values["listen"]
     unread = int(UNREAD_PART * values["memory_mb"] * 1024 * 1024)
-    listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
-    listener = cast(SocketListener, listeners.listeners[0])
+    listener = await listening(host, port, values["stop_ms"] / 1000.0)
     async with anyio.create_task_group() as group:
         reloads = Reloads()
         group.start_soon(reloads.run, hub, values)
         group.start_soon(signals, hub, reloads)
-        pool_links = Links(hub, group, values["pool"], pool.FRAMES, partial(pool.Reader, hub), unread)
+        pool_links = Links(hub, group, values["pool"], pool.FRAMES, pool.Reader, unread)
         hub.diallers[runs.LINK], hub.movers[runs.LINK] = pool_links.dial, pool_links.move
         if values["db"] is not None:
-            reader = partial(database.Reader, hub)
-            db_links = Links(hub, group, values["db"], database.FRAMES, reader, CALL_MOST)
+            db_links = Links(hub, group, values["db"], database.FRAMES, database.Reader, CALL_MOST)
             hub.diallers[calls.PARTY], hub.movers[calls.PARTY] = db_links.dial, db_links.move
         callers = gateways.Gateways(hub, gateways.unread(unread, core.callers.most))
         hub.closers[LISTENER] = callers.closing.cancel
@@ -193,7 +223,7 @@
         if mates is not None:
             mates.put("left")
             await mates.flush(FLUSH_S)
-        await hub.flush(FLUSH_S)
+        await callers.finish(hub.left_s)
         group.cancel_scope.cancel()
 
 
@@ -205,24 +235,28 @@
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
-    except (OSError, ValueError) as error:
+        pairs = start.nested(told)
+    except (OSError, ValueError, RecursionError) as error:
         raise start.BadStart(f"LB_CONFIG {path}: {error}") from None
-    pairs = start.nested(told)
     settings = start.settings(pairs)
-    values = {
-        name: start.read(name, pairs, start.address, None) for name in ("listen", "pool", "registry", "db")
-    }
+    values = {name: start.read(name, pairs, start.peer, None) for name in MOVABLE}
+    values["listen"] = start.read("listen", pairs, start.address, None)
     for name in ("listen", "pool"):
         if values[name] is None:
             raise start.BadStart(f"missing start value {name}")
     values |= {"name": pairs.get("name", ""), "pairs": pairs}
     values["seed"] = start.read("seed", pairs, lambda text: int(text, 16), 0)
     values["memory_mb"] = start.read("limits.memory_mb", pairs, float, 192.0)
-    values["stop_ms"] = start.read("stop_ms", pairs, float, 0.0)
+    values["stop_ms"] = start.read("stop_ms", pairs, float, None)
     values["sockets"] = start.read("limits.sockets", pairs, int, 1024)
     values["shape"] = start.shape(settings)
     values["keywords"] = start.keywords(settings)
-    values["stages"], values["tenants"] = start.names(settings, "classes"), start.names(settings, "tenants")
+    values["stages"], values["tenants"] = start.named(settings, "classes"), start.named(settings, "tenants")
+    if not values["stages"]:
+        raise start.BadStart("missing start value settings.classes: no task could be told from another")
+    if values["stop_ms"] is None:
+        raise start.BadStart("missing start value stop_ms: the time from the notice to the end, in ms")
+    start.bounded(pairs, BOUNDS)
     return values
 
 
@@ -233,6 +267,9 @@
 
         # what its fleet takes of the descriptors is not the core's
         told["sockets"] -= links(values["sockets"])
+    given, _ = resource.getrlimit(resource.RLIMIT_NOFILE)  # which may be less than what was named
+    if given != resource.RLIM_INFINITY:
+        told["sockets"] = min(told["sockets"], given)
     return Server(
         below=values["db"] is not None, decides=decides,
         pools=maker(getattr(values["ours"], "plan", None), values),
--- a/pumicenotch/lab/simulate.py
+++ b/pumicenotch/lab/simulate.py
@@ -17,7 +17,7 @@
 from pumicenotch.lab.world import World, arrivals
 from pumicenotch.pools import Plan, Pools
 from pumicenotch.server.core import Server
-from pumicenotch.server.effects import Dial, Exit, Fault, Reach, Wake, Write
+from pumicenotch.server.effects import Dial, Exit, Fault, Reach, ReadOut, Wake, Write
 
 WIRE_MS = 0.3  # one way between any two parties
 MOST_OPEN = 32  # tasks on one connection
@@ -118,7 +118,7 @@
         node.by_conn[conn][message] = sent
         stage = self.world.stage[sent.task.stage].name
         told = fields(self.world, sent, sent.sent + WIRE_MS)
-        self.put(node, "task", conn, message, now, stage, told, sent.task.body)
+        self.put(node, "task", conn, message, 0.0, stage, told, sent.task.body)
 
     def cancel(self, now: float, attempt: Try) -> None:
         node = self.nodes[attempt.server]
@@ -161,6 +161,8 @@
             case Wake(after_ms):
                 node.woken += 1
                 self.at(self.now + after_ms, self.ring, node, node.woken)
+            case ReadOut(conn):
+                self.later(0.0, node, "read_out", conn)
             case Exit():
                 node.over = True
                 for open_ in node.by_conn.values():
--- a/pumicenotch/net/clock.py
+++ b/pumicenotch/net/clock.py
@@ -18,6 +18,11 @@
         """For what others have stamped."""
         return time.time() * 1000.0
 
+    def ahead(self) -> float:
+        """What the Unix clock is ahead of `now`. A stall in between makes it more, never less."""
+        now = self.now()
+        return self.unix() - now
+
     def wake(self, after_ms: float) -> None:
         self.due = self.now() + after_ms
 
--- a/pumicenotch/net/database.py
+++ b/pumicenotch/net/database.py
@@ -2,7 +2,7 @@
 
 import re
 
-from pumicenotch.net.hub import Hub
+from pumicenotch.net.dial import Put
 from pumicenotch.net.link import Frame
 
 HEAD = re.compile(rb"(?P<name>[0-9a-f]{16}) (ROWS (?P<length>[0-9]{1,9})|(?P<how>FULL|FAIL|TIMEOUT|NONE))")
@@ -14,8 +14,8 @@
 
 
 class Reader:
-    def __init__(self, hub: Hub, link: str) -> None:
-        self.put, self.link = hub.put, link
+    def __init__(self, put: Put, link: str) -> None:
+        self.put, self.link = put, link
         self.data = b""
 
     def feed(self, data: bytes) -> None:
--- a/pumicenotch/net/dial.py
+++ b/pumicenotch/net/dial.py
@@ -1,21 +1,26 @@
 """Links that this side dials, and the word to the core when one is made or lost."""
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.link import LOST, Frame, Outbox, Reader, carry, read
+from pumicenotch.net.link import LOST, Frame, Outbox, Reader, carry, read, scarce
 from pumicenotch.server.effects import Fault, Reach
 
+Put = Callable[..., None]
 DIAL_S = 1.0  # on one machine or one network a dial that takes longer does not come
 
 
 class Links:
+    """`reader` is made for each connection, from what takes its inputs and from the link's name. One that was
+    replaced delivers nothing more: what it still reads comes again on the next, or ended with the link."""
+
     def __init__(
         self, hub: Hub, group: TaskGroup, address: tuple[str, int], frames: dict[str, Frame],
-        reader: Callable[[str], Reader], unread: int,
+        reader: Callable[[Put, str], Reader], unread: int,
     ) -> None:  # fmt: skip
         self.hub, self.group, self.address, self.frames, self.reader = hub, group, address, frames, reader
         self.unread = unread
@@ -36,8 +41,10 @@
             try:
                 with anyio.move_on_after(DIAL_S):
                     stream = await anyio.connect_tcp(*self.address)
-            except OSError as error:
+            except Exception as error:  # also an address that cannot be one, which is no OSError
                 fault = Fault(Reach.REFUSED, str(error.__cause__ or error))
+                if scarce(error):
+                    self.hub.scarce()
         if scope.cancel_called:
             if stream is not None:
                 await anyio.aclose_forcefully(stream)
@@ -47,10 +54,14 @@
             self.hub.put("unlinked", link, fault)
             return
 
+        def put(name: str, *details: Any) -> None:
+            if self.hub.outboxes.get(link) is outbox:
+                self.hub.put(name, *details)
+
         async def talk() -> None:
             self.hub.add(link, outbox)
             self.hub.put("linked", link)
-            await read(stream, self.reader(link))
+            await read(stream, self.reader(put, link), outbox)
 
         ended = await carry(self.group, stream, outbox, talk)
         if ended is not None and not isinstance(ended, LOST):
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -1,15 +1,16 @@
 """The gateways' protocol: MessagePack-RPC over TCP, each connection with a reader and a writer of its own."""
 
+import socket
 from collections.abc import Callable
 from itertools import count
 from typing import Any
 
 import anyio
 import msgpack
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.link import LOST, Frame, Outbox, carry, read
+from pumicenotch.net.link import LOST, Frame, Outbox, carry, discard, read, scarce
 from pumicenotch.net.link import Reader as LinkReader
 
 FRAME_MOST = 8 * 1024  # far above any frame: a body has 2 KiB, the fields some hundred bytes
@@ -20,6 +21,15 @@
 # connection may have open. The kernel holds as much again before any of it counts.
 UNREAD_LEAST, UNREAD_MOST = 32 * 1024, 192 * 1024
 EMPTY_S = 0.05  # pause after a failed accept: out of descriptors, some come back soon
+ACCEPTS = 16  # connections taken before all else gets a turn: a full backlog keeps no task waiting long
+# Shut down on our side while the peers do not end theirs: descriptors that the core counts no more. Beyond so
+# many, half of what it leaves free for such, the oldest is closed: all that it was owed is written.
+LINGERING = 16
+SCARCE_LINGERING, SCARCE_S = 2, 5.0  # in place of it, so long after descriptors ran out
+# For the peers' own ends once the last answers are written, before the process ends: a way there and back.
+ENDS_S = 0.02
+FINISH_S = 0.002  # between looks whether all of that is so
+LAST_TRIES = 4  # to accept the last ones, where descriptors are short
 
 
 def unread(whole: int, callers: int) -> int:
@@ -54,7 +64,7 @@
     """Frames become inputs; what is no MessagePack-RPC raises ValueError with what it was."""
 
     def __init__(self, hub: Hub, conn: int) -> None:
-        self.put, self.unix, self.conn = hub.put, hub.clock.unix, conn
+        self.put, self.ahead, self.conn = hub.put, hub.clock.ahead, conn
         self.rest = b""  # of a frame that has not come whole: between reads a connection holds nothing else
 
     def feed(self, data: bytes) -> None:
@@ -82,9 +92,9 @@
             case [0, int(message), "alive", [*_]]:
                 self.put("alive", self.conn, message)
             case [0, int(message), str(stage), [dict(told), body]]:
-                self.put("task", self.conn, message, self.unix(), stage, told, body)
+                self.put("task", self.conn, message, self.ahead(), stage, told, body)
             case [0, int(message), str(stage), [*_]]:
-                self.put("task", self.conn, message, self.unix(), stage, {}, None)
+                self.put("task", self.conn, message, self.ahead(), stage, {}, None)
             case [2, "cancelRequest", [int(message)]]:
                 self.put("cancel", self.conn, message)
             case [2, str(), [*_]]:
@@ -103,47 +113,123 @@
         self.hub, self.unread, self.frames, self.reader = hub, unread, frames, reader
         self.numbers = count(1)
         self.closing = anyio.CancelScope()
+        self.outboxes: set[Outbox] = set()
+        self.lingering: dict[Outbox, None] = {}  # shut down on our side, oldest first
+        self.carried = 0  # accepted and not ended
+        self.scarce_until = 0.0
+        hub.relief.append(self.relieve)
+        self.accepting = True
+        self.none = anyio.Event()  # nothing is accepted any more, and all that was has ended
 
     async def accept(self, listener: SocketListener, group: TaskGroup) -> None:
+        raw = listener.extra(SocketAttribute.raw_socket)
         with self.closing:
-            await self.accept_each(listener, group)
+            await self.accept_each(raw, group)
         # Closed at once, those that have connected but are not accepted yet would be cut with what they sent.
         with anyio.move_on_after(LAST_S):
-            await self.accept_each(listener, group)
+            await self.accept_each(raw, group)
+        for _ in range(LAST_TRIES):
+            if self.take(raw, group, 2 * BACKLOG):
+                break
+            await anyio.sleep(EMPTY_S)
+        raw.close()  # in the same step as the last accept: nothing comes in between
         await listener.aclose()
+        self.accepting = False
+        self.look_if_none()
 
-    async def accept_each(self, listener: SocketListener, group: TaskGroup) -> None:
+    async def accept_each(self, raw: socket.socket, group: TaskGroup) -> None:
+        """In steps that no cancelling parts: a connection that was accepted is always carried."""
         while True:
+            await anyio.wait_readable(raw)
+            await anyio.sleep(0.0 if self.take(raw, group, ACCEPTS) else EMPTY_S)
+
+    def take(self, raw: socket.socket, group: TaskGroup, most: int) -> bool:
+        """Accepts those that wait, up to so many; whether none failed for want of something here."""
+        for _ in range(most):
             try:
-                stream = await listener.accept()
+                sock, _ = raw.accept()
+            except BlockingIOError:
+                break
+            except ConnectionAbortedError:
+                continue  # reset by its own side before it was accepted
             except OSError as error:
                 self.hub.put("met", "accepts_failed", f"accept: {error}")
-                await anyio.sleep(EMPTY_S)
-                continue
-            group.start_soon(self.serve, stream, group)
+                if scarce(error):
+                    self.hub.scarce()
+                return False
+            self.carried += 1
+            group.start_soon(self.serve, sock, group)
+        return True
+
+    async def serve(self, sock: socket.socket, group: TaskGroup) -> None:
+        try:
+            sock.setblocking(False)
+            try:
+                stream = await SocketStream.from_socket(sock)
+            except (OSError, ValueError) as error:  # reset before it was carried
+                sock.close()
+                self.hub.put("met", "accepts_reset", f"accept: {error}")
+                return
+            await self.converse(sock, stream, group)
+        finally:
+            self.carried -= 1
+            self.look_if_none()
+
+    def look_if_none(self) -> None:
+        if not self.accepting and not self.carried:
+            self.none.set()
 
-    async def serve(self, stream: SocketStream, group: TaskGroup) -> None:
+    async def converse(self, sock: socket.socket, stream: SocketStream, group: TaskGroup) -> None:
         conn = next(self.numbers)
-        outbox = Outbox(self.frames, self.unread)
+        outbox = Outbox(self.frames, self.unread, sock, lambda: self.hub.put("read_out", conn), self.linger)
 
         async def talk() -> None:
             self.hub.add(conn, outbox)
             self.hub.put("opened", conn)
-            await self.read(stream, conn)
+            await self.read(stream, conn, outbox)
             await outbox.ended.wait()  # the answers still owed are written until the core closes it
+            await discard(stream)
 
+        self.outboxes.add(outbox)
         try:
             error = await carry(group, stream, outbox, talk)
             if error is not None and not isinstance(error, LOST):
                 self.hub.put("met", "connections_failed", f"connection {conn}: {error!r}")
         finally:
+            self.outboxes.discard(outbox)
+            self.lingering.pop(outbox, None)
             self.hub.remove(conn, outbox)
             self.hub.put("reset", conn)
 
-    async def read(self, stream: SocketStream, conn: int) -> None:
+    async def read(self, stream: SocketStream, conn: int, outbox: Outbox) -> None:
         """To the end of what the gateway writes, or to what is no message."""
         try:
-            await read(stream, self.reader(self.hub, conn), READ_MOST)
+            await read(stream, self.reader(self.hub, conn), outbox, READ_MOST)
         except ValueError as error:
             self.hub.put("condemn", conn, "connections_misframed", str(error))
+        outbox.looking = False
         self.hub.put("eof", conn)
+
+    def linger(self, outbox: Outbox) -> None:
+        """Until the gateway ends its side too, or CLOSE_S after the core closed ours."""
+        self.lingering[outbox] = None
+        most = LINGERING if anyio.current_time() > self.scarce_until else SCARCE_LINGERING
+        if len(self.lingering) > most:
+            next(iter(self.lingering)).scope.cancel()
+
+    def relieve(self) -> None:
+        self.scarce_until = anyio.current_time() + SCARCE_S
+        for outbox in self.lingering:
+            outbox.scope.cancel()
+
+    async def finish(self, most_s: float) -> None:
+        """After the core's last word: until each connection has what it is owed and our end, then for the
+        peers' own ends, all within that time."""
+        with anyio.move_on_after(most_s):
+            while self.accepting or len(self.outboxes) < self.carried or self.owing():
+                await anyio.sleep(FINISH_S)
+            with anyio.move_on_after(ENDS_S):
+                await self.none.wait()
+
+    def owing(self) -> bool:
+        return not all(outbox.ended.is_set() for outbox in self.outboxes)
--- a/pumicenotch/net/hub.py
+++ b/pumicenotch/net/hub.py
@@ -9,7 +9,7 @@
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.link import Outbox
 from pumicenotch.server.core import Server
-from pumicenotch.server.effects import Close, Dial, Effect, Exit, Link, Log, Move, Wake, Write
+from pumicenotch.server.effects import Close, Dial, Effect, Exit, Link, Log, Move, ReadOut, Wake, Write
 
 
 class Hub:
@@ -20,7 +20,9 @@
         self.diallers: dict[str, Callable[[str, float], None]] = {}  # by party
         self.movers: dict[str, Callable[[tuple[str, int]], None]] = {}
         self.closers: dict[Link, Callable[[], None]] = {}  # of what is no connection, or none yet
+        self.relief: list[Callable[[], None]] = []  # asked for descriptors that nothing needs any more
         self.exit = anyio.Event()
+        self.left_s = 0.0  # from then on, for the last to be written
 
     def put(self, name: str, *details: Any) -> None:
         """One input. A fault in it is logged and counted, and ends neither the connection nor the process."""
@@ -34,6 +36,12 @@
             except Exception as error:
                 self.fault(type(effect).__name__, error)
 
+    def scarce(self) -> None:
+        """Descriptors have run out: what only lingers goes first, then the core gives way."""
+        for relieve in self.relief:
+            relieve()
+        self.put("scarce")
+
     def fault(self, where: str, error: Exception) -> list[Effect]:
         """Logged whole the first times: one that comes with every task must not fill the log."""
         if self.core.counters.counts["faults"] < 10:
@@ -48,6 +56,9 @@
                     self.core.counters.add("connections_slow")
                     logger.warning("{} leaves {} bytes unread and is cut", link, outbox.size)
                     outbox.scope.cancel()
+            case ReadOut(link):
+                if (outbox := self.outboxes.get(link)) is not None:
+                    outbox.look()
             case Close(link) if link in self.closers:
                 self.closers.pop(link)()
             case Close(link):
@@ -62,7 +73,8 @@
                 self.clock.wake(after_ms)
             case Log(text):
                 logger.info(text)
-            case Exit():
+            case Exit(left_ms):
+                self.left_s = left_ms / 1000.0
                 self.exit.set()
 
     def add(self, link: Link, outbox: Outbox) -> None:
--- a/pumicenotch/net/mates.py
+++ b/pumicenotch/net/mates.py
@@ -19,7 +19,7 @@
 from pumicenotch.fleet.mate import Mate
 from pumicenotch.net import gateways
 from pumicenotch.net.clock import Clock
-from pumicenotch.net.dial import Links
+from pumicenotch.net.dial import Links, Put
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.link import Frame
 
@@ -109,7 +109,7 @@
 class Outward:
     """What comes back on a link that this side has dialled."""
 
-    def __init__(self, hub: "Mates", link: str) -> None:
+    def __init__(self, hub: "Mates", _: Put, link: str) -> None:
         self.hub, self.link, self.unpacker = hub, link, Unpacker(hub.frame_most)
 
     def feed(self, data: bytes) -> None:
@@ -194,6 +194,8 @@
             case "eof":
                 self.close(details[0])
                 return
+            case "read_out" | "scarce":  # links among instances are never asked for the first
+                return
             case "reset":
                 self.conns -= 1
                 name = "closed"
--- a/pumicenotch/net/pool.py
+++ b/pumicenotch/net/pool.py
@@ -4,7 +4,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
-from pumicenotch.net.hub import Hub
+from pumicenotch.net.dial import Put
 from pumicenotch.net.link import Frame
 
 LINE_MOST = 64 * 1024  # results have 4 KiB at the most, 6 KiB in base64
@@ -36,8 +36,8 @@
 
 
 class Reader:
-    def __init__(self, hub: Hub, _: str) -> None:
-        self.put = hub.put
+    def __init__(self, put: Put, _: str) -> None:
+        self.put = put
         self.rest = b""  # of a line that has not come whole
 
     def feed(self, data: bytes) -> None:
@@ -49,8 +49,8 @@
             raise ValueError(f"a line of over {LINE_MOST} bytes")
 
     def notice(self, text: bytes) -> None:
-        """Decoded fields go straight into the call. What is no notice is skipped: a new link would bring it
-        again, and so no other after it."""
+        """Decoded fields go straight into the call. What is no notice is skipped; that its number is missing
+        shows by the next."""
         try:
             notice = json.loads(text)
             match notice["msg"]:
--- a/pumicenotch/net/registry.py
+++ b/pumicenotch/net/registry.py
@@ -1,11 +1,13 @@
 """Reports to the registry: HTTP/1.1 through h11, one at a time on a connection kept open."""
 
+from urllib.parse import quote
+
 import anyio
 import h11
 from anyio.abc import ByteStream
 
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.link import LOST, Outbox
+from pumicenotch.net.link import Outbox, scarce
 from pumicenotch.server.core import REGISTRY
 from pumicenotch.server.effects import Fault, Reach
 
@@ -44,15 +46,18 @@
                     self.http.start_next_cycle()
                     return None
                 text = "" if status == 204 else f"answered {status}"
-        except (*LOST, h11.ProtocolError) as error:
+        except Exception as error:  # also an address that cannot be one: the next report is tried as well
             text = str(error) or type(error).__name__
+            if scarce(error):
+                self.hub.scarce()
         await self.close()
         return Fault(reach, text) if text else None
 
     async def exchange(self, stream: ByteStream, state: bytes) -> int:
         body = b'{"state":"%b"}' % state
         headers = [("Host", f"{self.address[0]}:{self.address[1]}"), ("Content-Length", str(len(body)))]
-        request = h11.Request(method="PUT", target=f"/v1/instances/{self.name}", headers=headers)
+        target = f"/v1/instances/{quote(self.name, safe='')}"
+        request = h11.Request(method="PUT", target=target, headers=headers)
         parts = (request, h11.Data(data=body), h11.EndOfMessage())
         await stream.send(b"".join(self.http.send(part) or b"" for part in parts))
         status = 0
--- a/pumicenotch/route/__main__.py
+++ b/pumicenotch/route/__main__.py
@@ -24,7 +24,7 @@
 from pumicenotch.route.nodes import NodeLinks
 
 LOOK_S = 0.25  # between looks at the map's file: a move is with a router that soon
-FLUSH_S = 0.05  # for the last answers to leave
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
 
 
 def made(told: RouterFile, clock: Clock) -> Router:
@@ -44,9 +44,13 @@
 
 
 async def signals(hub: Hub) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
-        async for number in received:
-            hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+    with anyio.open_signal_receiver(*SIGNALS) as received:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        try:
+            async for number in received:
+                hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
+        finally:
+            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second notice while the process ends
 
 
 async def maps(hub: Hub, core: Router, path: str) -> None:
@@ -91,13 +95,13 @@
         logger.info("listening on {}:{}", *listener.extra(SocketAttribute.local_address)[:2])
         group.start_soon(partial(clock.run, lambda: hub.put("time")))
         await hub.exit.wait()
-        await hub.flush(FLUSH_S)
+        await callers.finish(hub.left_s)
         group.cancel_scope.cancel()
 
 
 def main() -> None:
     # The map is looked at by itself, and nothing else is read again: this signal is for servers.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, *SIGNALS})
     logs.to_stderr()
     clock = Clock()
     try:
--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -54,7 +54,7 @@
     TICK_MS = 25.0
     MARGIN_MS = 35.0  # before a task's time limit: as the server's
     UNHEARD_MS = 300.0  # before the stop the door closes
-    STOP_MARGIN_MS = 100.0
+    STOP_MARGIN_MS, END_MS = 100.0, 40.0  # as the server's
     RETRY, BURST = 0.2, 20.0  # further tries for each first one of a tenant, and saved up
     SPARE = 64  # descriptors beside those of callers and nodes
 
@@ -66,7 +66,7 @@
         super().__init__(Tasks(stages, numbers, {}), sockets // 2, max(8, half))
         self.most_ways = max(4, half)
         self.cells, self.confirmed = cells, confirmed
-        self.stop_ms = stop_ms
+        self.stop_ms, self.stop = stop_ms, float("inf")
         chance = random.Random(seed)
         self.views = Views(chance.random)
         self.budget = Budget(self.RETRY, self.BURST, 4096)
@@ -96,7 +96,7 @@
         if self.leaving:
             return
         self.leaving = True
-        stop = self.now + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
+        stop = self.stop = self.now + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
         self.callers.tell_all(self.now)
         self.agenda.at(max(self.now, stop - self.UNHEARD_MS), self.close_door, None)
         self.agenda.at(stop - self.MARGIN_MS, self.give_all_up, None)
@@ -115,8 +115,13 @@
     def exit(self, now: float, _: None) -> None:
         if not self.over:
             self.over = True
+            self.give_all_up(now, None)
+            self.effects += [] if self.quiet else [Close(LISTENER)]
+            for conn in list(self.callers.connections):
+                self.callers.end(conn)
             self.show_counters()
-            self.effects.append(Exit())
+            left = self.stop + self.STOP_MARGIN_MS - self.END_MS - self.now
+            self.effects.append(Exit(max(self.END_MS, left)))
 
     def show_counters(self) -> None:
         self.effects.append(
@@ -136,6 +141,8 @@
     def opened(self, conn: int) -> None:
         self.counters.add("connections")
         self.callers.opened(self.now, conn, told=self.leaving)
+        if self.over:
+            self.callers.end(conn)
 
     def alive(self, conn: int, message: int) -> None:
         if conn in self.callers.connections:
@@ -143,10 +150,11 @@
             self.effects.append(Write(conn, ("alive", message, None, not self.leaving)))
 
     def task(
-        self, conn: int, message: int, unix: float, stage: str, fields: Mapping[str, str], body: Any
+        self, conn: int, message: int, ahead_ms: float, stage: str, fields: Mapping[str, str], body: Any
     ) -> None:
         if not self.received(conn, message):
             return
+        unix = self.now + ahead_ms
         try:
             held = self.tasks.read(conn, message, unix, stage, fields, body)
         except BadTask as error:
@@ -154,6 +162,10 @@
             return
         self.callers.taken(conn, message, held)
         self.tasks.add(held)
+        if self.over:
+            self.answer(held, "failed")  # it may have run on a node, which can't be asked any more
+            self.tasks.remove(held)
+            return
         tenant = fields.get("acct", "")
         begun = walk(
             self.cells,
@@ -345,6 +357,6 @@
     name: getattr(Router, name)
     for name in (
         "start", "time", "leave", "show_counters", "remap", "met", "opened", "eof", "reset", "condemn",
-        "alive", "task", "cancel", "linked", "unlinked", "drains", "returned",
+        "read_out", "scarce", "alive", "task", "cancel", "linked", "unlinked", "drains", "returned",
     )
 }  # fmt: skip
--- a/pumicenotch/route/nodes.py
+++ b/pumicenotch/route/nodes.py
@@ -2,13 +2,12 @@
 dials."""
 
 from collections.abc import Callable
-from functools import partial
 from typing import Any
 
 import msgpack
 from anyio.abc import TaskGroup
 
-from pumicenotch.net.dial import Links
+from pumicenotch.net.dial import Links, Put
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.link import Frame
 
@@ -23,8 +22,8 @@
 
 
 class Reader:
-    def __init__(self, hub: Hub, link: str) -> None:
-        self.put, self.link = hub.put, link
+    def __init__(self, put: Put, link: str) -> None:
+        self.put, self.link = put, link
         self.unpacker = msgpack.Unpacker(
             max_buffer_size=8 * FRAME_MOST, max_str_len=FRAME_MOST, max_bin_len=FRAME_MOST, max_array_len=64,
             max_map_len=64, max_ext_len=0, unicode_errors="surrogateescape",
@@ -71,4 +70,4 @@
             address = self.address(node)
         except (LookupError, ValueError):
             address = ("127.0.0.1", 0)  # refused, as a node that is not there
-        Links(self.hub, self.group, address, FRAMES, partial(Reader, self.hub), UNREAD).dial(link, after_ms)
+        Links(self.hub, self.group, address, FRAMES, Reader, UNREAD).dial(link, after_ms)
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -31,6 +31,7 @@
     REPORT_MS = 1000.0  # a third of the time after which the registry takes a silent server off its list
     HOUSE_MS = 250.0  # between looks for idle connections: a quarter of the shortest time they may idle
     STOP_MARGIN_MS = 100.0  # left of the notice when the last answers go out: a crowded core is late
+    END_MS = 40.0  # of that margin, for the process to end once the last answers are written
     UNHEARD_MS = 300.0  # before the stop the door closes: enough for what crossed it to be answered
     KEPT_PART = 0.125  # of the memory, for results that are kept: they never bring the program down
     CELL_AGAIN_MS = 200.0  # to come back after a map was old: some reads of a map by a router
@@ -96,7 +97,7 @@
         self.agenda.at(self.house_at, self.house, None)
         self.calls.close_idle(now)
         if now >= self.quiet_from and not self.callers.connections:
-            self.exit(now, None)
+            self.exit(now, None)  # what the listener still holds is answered after it
 
     def leave(self) -> None:
         """Asked to end: callers and the registry are told, then what is in hand is answered."""
@@ -124,8 +125,16 @@
         self.over = True
         if self.control is not None:
             self.control.tick(self.now, self.gauges)  # after a stall the last answers may still be owed
+        if self.quiet_from == float("inf"):
+            self.effects.append(Close(LISTENER))
+        for conn, connection in list(self.callers.connections.items()):
+            for held in list(connection.open.values()):  # none, but for a fault
+                self.answer(held, "failed")
+            if conn in self.callers.connections:
+                self.callers.end(conn)
         self.show_counters()
-        self.effects.append(Exit())
+        left = self.stop + self.STOP_MARGIN_MS - self.END_MS - self.now
+        self.effects.append(Exit(max(self.END_MS, left)))
 
     def show_counters(self) -> None:
         self.counters.counts["results_dropped"] = self.kept.dropped
@@ -196,12 +205,17 @@
         # One that comes in the grace is of use until the door closes. Told at once, its gateway would open
         # another for each task, and a handshake costs the cores as much as some tasks.
         self.callers.opened(self.now, conn, told=self.quiet_from < float("inf"))
+        if self.over:
+            self.callers.end(conn)
 
     def task(
-        self, conn: int, message: int, unix: float, stage: str, fields: Mapping[str, str], body: Any
+        self, conn: int, message: int, ahead_ms: float, stage: str, fields: Mapping[str, str], body: Any
     ) -> None:
+        """`ahead_ms`: what the Unix clock is ahead of `now`, read before it: a stall between the two readings
+        lets a task seem older than it is, never younger."""
         if not self.received(conn, message):
             return
+        unix = self.now + ahead_ms
         try:
             held = self.tasks.read(conn, message, unix, stage, fields, body)
             waited = max(0.0, unix - held.t0)
@@ -217,6 +231,8 @@
             self.counters.add(f"cells_{cell}")
             self.answer(held, "rejected", self.CELL_AGAIN_MS, False, cell)
             self.tasks.remove(held)
+        elif self.over:
+            self.too_late(held, same)
         elif self.control is None:  # none is to arrive before the pool is up, and nothing of it has run
             self.reject(held.id, False, 0.0)
         else:
@@ -225,6 +241,17 @@
                 held.peer, held.again, held.print() if self.pools is not None else 0,
             )  # fmt: skip
 
+    def too_late(self, held: Held, same: int | None) -> None:
+        """Read after the last word: it cannot be run any more. What has run already is not rejected."""
+        entry = self.kept.reuse(held) if same is not None else None
+        if entry is None:
+            self.reject(held.id, False, 0.0)
+        elif entry.outcome is Outcome.OK:
+            self.answer(held, "served", entry.result)
+            self.tasks.remove(held)
+        else:
+            self.abandon(held.id)
+
     def barred(self, held: Held, unix: float, fields: Mapping[str, str], known: bool) -> str:
         """Why the task may not run on this node, by the cells that its tenant lives in; nothing if it may. A
         caller that is no router brings no stamp: it goes by this node's own map. Read at another time than
@@ -447,7 +474,7 @@
     name: getattr(Server, name)
     for name in (
         "start", "time", "leave", "show_counters", "reported", "linked", "unlinked", "opened", "eof", "reset",
-        "condemn", "reload", "repool", "remap",
+        "condemn", "read_out", "scarce", "reload", "repool", "remap",
         "task", "cancel", "alive", "met", "bound", "polled", "blocked", "finished",
         "chatter", "unknown", "replied",
     )
--- a/pumicenotch/server/effects.py
+++ b/pumicenotch/server/effects.py
@@ -11,6 +11,13 @@
     message: tuple[Any, ...]  # the kind, then the fields that its frame takes
 
 
+class ReadOut(NamedTuple):
+    """The input `read_out` is to follow as soon as all that has come on this connection is read: closed
+    before, it would cut a task that is there."""
+
+    link: int
+
+
 class Close(NamedTuple):
     link: Link
 
@@ -36,10 +43,12 @@
 
 
 class Exit(NamedTuple):
-    pass
+    """The core has said its last word; so much time is left for it to be written."""
+
+    left_ms: float
 
 
-Effect = Write | Close | Move | Dial | Wake | Log | Exit
+Effect = Write | ReadOut | Close | Move | Dial | Wake | Log | Exit
 
 
 class Reach(Enum):
--- a/pumicenotch/server/front.py
+++ b/pumicenotch/server/front.py
@@ -70,8 +70,17 @@
         connection = self.callers.connections.get(conn)
         if connection is not None:
             connection.ended = True
+            self.callers.read_out(conn)  # nothing more comes
             self.callers.close_if_over(conn)
 
+    def read_out(self, conn: int) -> None:
+        """All that has come on it is read: the answer to ReadOut."""
+        self.callers.read_out(conn)
+
+    def scarce(self) -> None:
+        """Descriptors have run out."""
+        self.callers.scarce(self.now)
+
     def reset(self, conn: int) -> None:
         """The connection is gone, and with it whoever waited for answers on it."""
         connection = self.callers.gone(conn)
--- a/pumicenotch/server/runs.py
+++ b/pumicenotch/server/runs.py
@@ -22,6 +22,7 @@
     def __init__(self, effects: list[Effect], backoff: Backoff) -> None:
         self.effects, self.backoff = effects, backoff
         self.serial = 0  # of the last notice read
+        self.missing_after = -1  # the notice before the last one found missing
         self.polls = 0
         self.asked_at: float | None = None  # of a `bind` or `poll` that is not answered yet
         self.up = False  # the link takes commands
@@ -78,8 +79,14 @@
         self.effects.append(Dial(LINK, self.backoff.wait()))
 
     def fresh(self, serial: int) -> bool:
-        """Whether the notice is the next to be read; one read before is replayed and skipped."""
+        """Whether the notice is the next to be read; one read before is replayed and skipped. Where one is
+        missing, as it came spoilt, a new link brings it again with all after it. It does so once for each:
+        what is spoilt for good must not hold up the others."""
         if serial <= self.serial:
             return False
+        if serial > self.serial + 1 and self.missing_after != self.serial:
+            self.missing_after = self.serial
+            self.renew()
+            return False
         self.serial = serial
         return True
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -1,6 +1,7 @@
 """Turns the values that a server is started with, as lines or as nested JSON, into keyword arguments:
 times in ms, absent keys left out."""
 
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,9 @@
 TRUTHS = {"true": True, "false": False}
 
 
+HOST = re.compile(r"[0-9a-zA-Z_-]+(\.[0-9a-zA-Z_-]+)*|[0-9a-fA-F.]*:[0-9a-fA-F:.]*(%[0-9a-zA-Z]+)?", re.ASCII)
+
+
 def ms(text: str) -> float:
     return float(text) / 1000.0
 
@@ -57,7 +61,9 @@
     try:
         return kind(pairs[path])
     except (ValueError, KeyError):
-        raise BadStart(f"malformed start value {path}={pairs[path]!r}") from None
+        words = getattr(kind, "__self__", None)  # of a table that names what is allowed
+        allowed = f"; give one of {', '.join(words)}" if isinstance(words, dict) else ""
+        raise BadStart(f"malformed start value {path}={pairs[path]!r}{allowed}") from None
 
 
 def lines(text: str) -> dict[str, str]:
@@ -100,10 +106,20 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host:
+    """Raises ValueError for what nothing can be dialled at."""
+    host, _, digits = text.rpartition(":")
+    name, port = host.strip("[]"), int(digits)
+    if not HOST.fullmatch(name) or not 0 <= port <= 65535:
         raise ValueError("no host:port")
-    return host.strip("[]"), int(port)
+    return name, port
+
+
+def peer(text: str) -> tuple[str, int]:
+    """An address to dial: port 0 is for listeners, which the system gives one."""
+    found = address(text)
+    if not found[1]:
+        raise ValueError("no port to dial")
+    return found
 
 
 def names(pairs: dict[str, str], what: str) -> dict[str, int]:
@@ -113,24 +129,55 @@
 
 # Path -> the least and the most that a value may be: beyond them no deployment makes sense, and the decisions
 # would divide by nothing or take no task at all.
+FINITE = 1e15  # some thousand years in the wire's unit: sums and ratios of it stay numbers
 BOUNDS: dict[str, tuple[float, float]] = {
-    "family-info.cores": (1, float("inf")),
-    "family-info.memory-kb": (1e-9, float("inf")),
-    "family-info.run-factor": (1, float("inf")),
-    "family-info.call-share": (0, float("inf")),
-    "family-info.callers": (0, float("inf")),
-    "rules.fall-multiple": (1e-9, float("inf")),
+    "caps.max-retry-after": (0, FINITE),
+    "family-info.call-share": (0, FINITE),
+    "family-info.callers": (0, FINITE),
+    "family-info.cores": (1, FINITE),
+    "family-info.dep-window": (0, FINITE),
+    "family-info.entry-kb": (0, FINITE),
+    "family-info.idle": (0, FINITE),
+    "family-info.memory-kb": (1e-9, FINITE),
+    "family-info.run-factor": (1, FINITE),
+    "family-info.stays-for": (0, FINITE),
     "rules.cold-share": (0, 1),
+    "rules.fall-multiple": (1e-9, FINITE),
+    "rules.stop-sending-within": (0, FINITE),
+    "rules.warm-after": (0, FINITE),
+    "servers": (1, FINITE),
+}
+OF_STAGE: dict[str, tuple[float, float]] = {
+    "aim-stretch": (0, FINITE),
+    "deadline": (1, FINITE),
+    "late-value": (0, FINITE),
+    "memory-span": (0, FINITE),
+    "target": (1, FINITE),
+    "worth": (0, FINITE),
 }
+OF_TENANT: dict[str, tuple[float, float]] = {"allowance-per-s": (0, FINITE), "share": (0, FINITE)}
+UTILITY_LEAST = 1e-6  # of a stage that is worth nothing: it goes last, and is divided by
 
 
-def bounded(pairs: dict[str, str]) -> None:
-    for path, (least, most) in BOUNDS.items():
+Bounds = dict[str, tuple[float, float]]
+
+
+def bounded(pairs: dict[str, str], bounds: Bounds = BOUNDS, prefix: str = "") -> None:
+    for name, (least, most) in bounds.items():
+        path = prefix + name
         value = read(path, pairs, float, None)
         if value is not None and not least <= value <= most:
             raise BadStart(f"{path}={pairs[path]}: out of range; give a value from {least:g} to {most:g}")
 
 
+def named(pairs: dict[str, str], what: str) -> dict[str, int]:
+    """`names`, where none may be there twice: their tasks could not be told apart."""
+    found, count = names(pairs, what), read(f"{what}.count", pairs, int, 0)
+    if len(found) < count:
+        raise BadStart(f"{what}: a name is there twice among {count}; give each a name of its own")
+    return found
+
+
 def shape(pairs: dict[str, str]) -> str:
     """Which shape of deployment the settings describe: 'credit' where callers are told how many tasks each
     may have out here (lagos-roster, delsol-avrakning), 'share' where they are told a share or a level, as
@@ -158,22 +205,29 @@
 
 def stage(pairs: dict[str, str], at: int, skips: list[float]) -> Stage:
     prefix = f"classes.{at}."
+    bounded(pairs, OF_STAGE, prefix)
     limit_ms = read(prefix + "deadline", pairs, ms, None)
     if limit_ms is None:
         raise BadStart(f"missing start value {prefix}deadline")
+    effect = read(prefix + "effect", pairs, EFFECTS.__getitem__, Effect.SIDE_EFFECTING)
+    window_ms = read(prefix + "memory-span", pairs, ms, 0.0)
+    if effect is Effect.FINGERPRINTED and not window_ms:
+        path = prefix + "memory-span"
+        raise BadStart(f"missing start value {path}: how long a task by_key may come again, above 0")
     return Stage(
         due_ms=read(prefix + "target", pairs, ms, limit_ms),
         due_stretch=read(prefix + "aim-stretch", pairs, float, 0.0),
         limit_ms=limit_ms,
-        effect=read(prefix + "effect", pairs, EFFECTS.__getitem__, Effect.SIDE_EFFECTING),
-        window_ms=read(prefix + "memory-span", pairs, ms, 0.0),
-        utility=read(prefix + "worth", pairs, float, 1.0),
+        effect=effect,
+        window_ms=window_ms,
+        utility=max(UTILITY_LEAST, read(prefix + "worth", pairs, float, 1.0)),
         late_utility=read(prefix + "late-value", pairs, float, 0.0),
         skip_utility=skips[at] if at < len(skips) else 0.0,
     )
 
 
 def tenant(pairs: dict[str, str], at: int) -> Tenant:
+    bounded(pairs, OF_TENANT, f"tenants.{at}.")
     return Tenant(
         share=read(f"tenants.{at}.share", pairs, float, 1.0),
         allowance_per_s=read(f"tenants.{at}.allowance-per-s", pairs, float, None),
--- a/tests/serve.py
+++ b/tests/serve.py
@@ -9,6 +9,7 @@
     reload PARTY ...           moves those to other addresses
     finish ID HOW [RESULT] | block ID BODY      notices with the next number
     mute [off]                 polls stay unanswered until `off` answers the last one
+    unread                     from now on `put read_out CONN` alone says that all that has come is read
     frozen MS                  moves the clock with no timer on the way
     out LINK KIND [ARG ...]    written once; `none` for never, `out-count N LINK KIND ...` for N times
     did EFFECT [ARG ...] | did-not EFFECT       any other effect
@@ -21,7 +22,7 @@
 
 from pumicenotch.interface import Below
 from pumicenotch.server.core import Server
-from pumicenotch.server.effects import Fault, Reach, Wake, Write
+from pumicenotch.server.effects import Fault, Reach, ReadOut, Wake, Write
 from tests.play import Play, numbers, rid, short
 
 RID = re.compile("[0-9a-f]{16}")
@@ -49,6 +50,7 @@
         self.made: list[tuple[str, ...]] = []
         self.serials = count(1)
         self.ring = 0.0
+        self.unread = False
 
     def step(self, name: str, *details: Any) -> None:
         for effect in self.core.step(self.now, name, *details):
@@ -58,6 +60,8 @@
                 self.made.append(("Write", *map(plain, (effect.link, *effect.message))))
                 if effect.message[0] == "poll" and self.answers:
                     self.step("polled", effect.message[1], tuple(self.gauges.values()))
+            elif isinstance(effect, ReadOut) and not self.unread:
+                self.step("read_out", effect.link)
             else:
                 self.made.append((type(effect).__name__, *map(str, effect)))
 
@@ -89,6 +93,9 @@
     def do_frozen(self, plain: list[str], pairs: dict[str, Any]) -> None:
         self.now = 1e6 + float(plain[0])  # no timer rang on the way
 
+    def do_unread(self, plain: list[str], pairs: dict[str, Any]) -> None:
+        self.unread = True
+
     def do_mute(self, plain: list[str], pairs: dict[str, Any]) -> None:
         self.answers = plain == ["off"]
         if self.answers:
@@ -107,7 +114,7 @@
         told = {"rid": rid(name), "t0": int(arrived), "peer": 1, "prio": 0.5, "mem": 1.5, **pairs}
         fields = {key: str(value) for key, value in told.items() if value != "absent"}
         sent = None if body == "none" else body.encode()
-        self.step("task", int(conn), int(message), self.now, stage, fields, sent)
+        self.step("task", int(conn), int(message), 0.0, stage, fields, sent)
 
     def do_put(self, plain: list[str], pairs: dict[str, Any]) -> None:
         details = [argument(word) for word in plain[1:]]
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -9,6 +9,8 @@
 import sys
 import time
 from base64 import b64decode, b64encode
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -53,6 +55,13 @@
         except ConnectionResetError:
             return True
 
+    def closed_cleanly(self) -> bool:
+        """Waits for the other side to end its writing; a reset is none."""
+        try:
+            return self.sock.recv(1) == b""
+        except ConnectionResetError:
+            return False
+
 
 class Party:
     """A listening address that accepts when it is told to."""
@@ -171,6 +180,16 @@
         self.process.send_signal(signal.SIGHUP)
         return self.logged("(reload.*)")
 
+    @contextmanager
+    def held(self) -> Iterator[None]:
+        """The process stands still meanwhile: what is put in place is all there in one turn of its loop."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
+        try:
+            yield
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
     def end(self) -> tuple[int, str]:
         """Asks it to end, and returns its exit status and its last counters."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_cells_node.py
+++ b/tests/test_cells_node.py
@@ -75,7 +75,7 @@
         }
         if stage == "put":
             fields["token"] = more.pop("token", 32 * "a")
-        self.step("task", 1, self.message, self.now, stage, fields | more, b"body")
+        self.step("task", 1, self.message, 0.0, stage, fields | more, b"body")
         for link, kind, *rest in self.written:
             if link == 1 and kind == "rejected":
                 return str(rest[4])
--- /dev/null
+++ b/tests/test_pairs.py
@@ -0,0 +1,202 @@
+"""The core is given pairs of events in both orders, at the times where they cross: drawn by hypothesis,
+judged by what holds whatever the order."""
+
+from collections import Counter
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pumicenotch.interface import Below, Effect, Stage
+from pumicenotch.server.core import Server
+from pumicenotch.server.effects import Close, Exit, Fault, Reach, ReadOut, Wake, Write
+from tests.play import rid
+
+STAGES = {"read": Effect.RESTARTABLE, "put": Effect.FINGERPRINTED, "pay": Effect.SIDE_EFFECTING}
+WINDOW_MS = 400.0  # shorter than some runs here
+EVENTS = (
+    "task read", "task put", "task pay", "again", "cancel", "reset", "eof", "finish", "block", "reply", "cut",
+    "leave", "relink", "stop", "moved", "scarce", "read_out", "unanswered", "silent_pool",
+)  # fmt: skip
+
+
+class World:
+    """One core and the peers that it has, as far as the test plays them. Runs are counted by fingerprint."""
+
+    def __init__(self) -> None:
+        def stage(effect: Effect) -> Stage:
+            window_ms = WINDOW_MS if effect is Effect.FINGERPRINTED else 0.0
+            return Stage(300.0, 0.0, 600.0, effect, window_ms, 1.0, 0.0, 0.0)
+
+        keywords = {
+            "stages": [stage(each) for each in STAGES.values()], "tenants": [], "gauges": [], "cores": 2,
+            "crowd_multiple": 8.0, "below": Below.TIER, "drain_grace_ms": 200.0,
+        }  # fmt: skip
+        self.core = Server(
+            keywords=keywords, stages=dict(zip(STAGES, range(3), strict=True)), tenants={}, seed=1,
+            stop_ms=800.0, below=True, memory_mb=64.0, sockets=64,
+        )  # fmt: skip
+        self.now, self.ring = 1e6, 1e6
+        self.serial = self.tasks = self.polls = 0
+        self.message: Counter[int] = Counter()
+        self.sent: dict[tuple[int, int], tuple[str, str, float]] = {}  # rid, token, when it came
+        self.answers: Counter[tuple[int, int]] = Counter()
+        self.kinds: dict[tuple[int, int], str] = {}
+        self.gone: set[int] = set()  # connections that are over for one side
+        self.excused: set[tuple[int, int]] = set()
+        self.token: dict[str, str] = {}
+        self.ran: dict[str, list[float]] = {}  # a fingerprint's runs, by when their tasks came
+        self.running: dict[str, str] = {}  # rid: stage, the pool's
+        self.blocked: set[str] = set()
+        self.links: dict[str, str] = {}  # of calls: the rid
+        self.to_read_out: list[int] = []
+        self.mute = self.over = False
+        self.step("start")
+        self.step("linked", "pool")
+        self.step("bound", "running", 1e6)
+        for conn in (1, 2, 3):
+            self.step("opened", conn)
+
+    def step(self, name: str, *details: Any) -> None:
+        later: list[tuple[Any, ...]] = []
+        for effect in self.core.step(self.now, name, *details):
+            match effect:
+                case Wake(after_ms):
+                    self.ring = self.now + after_ms
+                case Write("pool", ("poll", cookie)) if not self.mute:
+                    later.append(("polled", cookie, ()))
+                case Write("pool", ("spawn", name_, stage, _)):
+                    self.spawned(name_, stage)
+                case Write("pool", ("supply" | "pass", name_, *_)):
+                    self.blocked.discard(name_)
+                case Write(int(conn), ("served" | "rejected" | "failed" as kind, message, *_)):
+                    assert conn not in self.gone, "an answer after our close"
+                    self.answers[conn, message] += 1
+                    self.kinds[conn, message] = kind
+                case Write(str(link), ("call", name_, *_)):
+                    self.links[link] = name_
+                case ReadOut(conn):
+                    self.to_read_out.append(conn)
+                case Close(int(conn)):
+                    self.gone.add(conn)
+                case Exit():
+                    self.over = True
+        dials = [each for each in list(self.core.calls.ways) if not self.core.calls.ways[each].up]
+        for link in dials:
+            later.append(("linked", link))
+        for each in later:
+            if each[0] != "linked" or each[1] in self.core.calls.ways:
+                self.step(*each)
+
+    def spawned(self, name: str, stage: str) -> None:
+        if name in self.running:
+            return  # it runs already: nothing happens
+        assert not self.over, "run after the last word"
+        self.running[name] = stage
+        token = self.token.get(name, "")
+        if token:
+            came = next(when for each, _, when in self.sent.values() if each == name)
+            runs = self.ran.setdefault(token, [])
+            assert not any(came - before <= WINDOW_MS for before in runs), "run twice within the window"
+            runs.append(came)
+
+    def task(self, stage: str, token: str = "") -> None:
+        open_ = [conn for conn in (1, 2, 3) if conn not in self.gone]
+        if not open_:
+            return
+        conn = open_[self.tasks % len(open_)]
+        self.tasks += 1
+        self.message[conn] += 1
+        name = rid(f"t{self.tasks}")
+        fields = {"rid": name, "t0": str(int(self.now)), "peer": "1", "prio": "0.5", "mem": "1"}
+        if stage == "put":
+            token = fields["token"] = token or f"{self.tasks:032x}"
+            self.token[name] = token
+        self.sent[conn, self.message[conn]] = (name, token, self.now)
+        self.step("task", conn, self.message[conn], 0.0, stage, fields, b"body")
+
+    def pool(self, msg: str, *details: Any) -> None:
+        self.serial += 1
+        self.step(msg, self.serial, *details)
+
+    def do(self, event: str) -> None:
+        open_ = [key for key in self.sent if not self.answers[key] and key[0] not in self.gone]
+        match event.split():
+            case ["task", stage]:
+                self.task(stage)
+            case ["again"] if self.token:
+                self.task("put", list(self.token.values())[-1])
+            case ["cancel"] if open_:
+                self.excused.add(open_[0])
+                self.step("cancel", *open_[0])
+            case ["reset" | "eof" as how] if (left := [conn for conn in (1, 2, 3) if conn not in self.gone]):
+                if how == "reset":
+                    self.gone.add(left[0])
+                    self.excused |= {key for key in self.sent if key[0] == left[0]}
+                self.step(how, left[0])
+            case ["finish"] if self.running:
+                name = next(iter(self.running))
+                del self.running[name]
+                self.blocked.discard(name)
+                self.pool("finished", name, "fine", b"result")
+            case ["block"] if free := [name for name in self.running if name not in self.blocked]:
+                self.blocked.add(free[0])
+                self.pool("blocked", free[0], b"q")
+            case ["reply"] if self.links:
+                link, name = self.links.popitem()
+                self.step("replied", link, name, "ROWS", b"rows")
+            case ["cut"] if self.links:
+                link, _ = self.links.popitem()
+                self.step("unlinked", link, Fault(Reach.BROKEN, "cut"))
+            case ["relink"]:
+                self.step("unlinked", "pool", Fault(Reach.BROKEN, "cut"))
+                self.step("linked", "pool")
+                self.step("bound", "running", 1e6)
+            case ["leave" | "scarce" as name]:
+                self.step(name)
+            case ["stop"]:
+                self.now += 900.0  # a stall with no timer on the way
+            case ["moved"]:
+                self.step("reload", {"db": ("127.0.0.9", 1)}, "nothing")
+            case ["read_out"] if self.to_read_out:
+                self.step("read_out", self.to_read_out.pop(0))
+            case ["silent_pool"]:
+                self.mute = not self.mute
+
+    def run(self, ms: float) -> None:
+        until = self.now + ms
+        while self.ring <= until:
+            self.now = max(self.now, self.ring)
+            self.ring = self.now + 1000.0
+            self.step("time")
+        self.now = until
+
+
+@given(
+    before=st.lists(st.sampled_from(EVENTS), max_size=6),
+    pair=st.tuples(st.sampled_from(EVENTS), st.sampled_from(EVENTS)),
+    wait=st.sampled_from([0.0, 25.0, 199.0, 200.0, 390.0, 400.0, 420.0, 600.0, 800.0]),
+    gap=st.sampled_from([0.0, 1.0, 30.0]),
+)
+def test_pairs_of_events_in_both_orders(
+    before: list[str], pair: tuple[str, str], wait: float, gap: float
+) -> None:
+    for first, second in (pair, pair[::-1]):
+        world = World()
+        world.do("task put")
+        for event in before:
+            world.do(event)
+        world.run(wait)
+        world.do(first)
+        world.run(gap)
+        world.do(second)
+        world.mute = False
+        world.run(2500.0)
+        for key in world.sent:
+            wanted = (0, 1) if key in world.excused else (1,)
+            assert world.answers[key] in wanted, (key, world.answers[key], world.core.counters.text())
+        for key, (name, token, _) in world.sent.items():
+            if world.kinds.get(key) == "rejected" and not token:
+                assert name not in world.running, "rejected though it runs"
+        assert world.core.counters.counts["faults"] == 0
+        assert world.core.tasks.open == 0
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -56,7 +56,7 @@
         }  # fmt: skip
         if stage == "put":
             fields["token"] = 32 * "a"
-        self.step("task", 1, self.message, UNIX + self.now, stage, fields | more, b"body")
+        self.step("task", 1, self.message, UNIX, stage, fields | more, b"body")
         return self.message
 
     def dials(self) -> list[str]:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,6 +14,8 @@
 from tests.standin import Gateway, Party, Program, blob, result
 
 FINE = '{"listen": "127.0.0.1:0", "pool": "127.0.0.1:1", '
+CLASSES = '"stop_ms": 900, "settings": {"classes": [{%s}]}}'
+ONE = '"settings": {"classes": [{"name": "x", "deadline": 9}]}'
 BODIES = [b"", bytes(range(256)) * 8, b"\r\n\x00{}"]
 
 
@@ -271,6 +273,19 @@
         (FINE + '"settings": {"family-info": {"cores": "many"}}}', "family-info.cores='many'"),
         (FINE + '"settings": {"classes": [{"name": "x"}]}}', "missing start value classes.0.deadline"),
         (None, "LB_CONFIG is not set"),
+        (FINE + '"db": "127.0.0.1:70000"}', "malformed start value db='127.0.0.1:70000'"),
+        (FINE + ONE + "}", "missing start value stop_ms"),
+        (FINE + ONE + ', "stop_ms": -1}', "stop_ms=-1: out of range; give a value from 0"),
+        (FINE + ONE + ', "stop_ms": NaN}', "stop_ms=nan: out of range"),
+        (FINE + ONE + ', "stop_ms": 900, "limits": {"sockets": 7}}', "limits.sockets=7: out of range"),
+        (FINE + '"stop_ms": 900}', "missing start value settings.classes"),
+        (FINE + CLASSES % '"name": "x", "deadline": 0', "classes.0.deadline=0: out of range"),
+        (FINE + CLASSES % '"name": "x", "deadline": 9, "worth": -2', "classes.0.worth=-2: out of range"),
+        (FINE + CLASSES % '"name": "x", "deadline": Infinity', "classes.0.deadline=inf: out of range"),
+        (FINE + CLASSES % '"name": "x", "deadline": 9, "effect": "x"', "give one of repeatable, by_key"),
+        (FINE + CLASSES % '"name": "x", "deadline": 9, "effect": "by_key"', "classes.0.memory-span"),
+        (FINE + CLASSES % '"name": "x", "deadline": 9},{"name": "x", "deadline": 9', "name is there twice"),
+        ("[" * 100000, "config.json"),
     ],
 )  # fmt: skip
 def test_a_bad_start_ends_with_one_plain_line(tmp_path: Path, change: str | None, said: str) -> None:
