Pace the further signals of a test: as fast as they go they starved the process

Seen: one of 20 runs of test_crossings stood still on a busy machine; the test and the program both ran at full, the one sending signals without a pause, the other taking them. Now one a millisecond, and its log is read.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -193,10 +193,16 @@
 
 @pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP])
 def test_further_signals_up_to_the_very_end(tmp_path: Path, again: signal.Signals) -> None:
-    with Program(tmp_path, stop_ms=300) as program:
+    """One a millisecond, so that the process gets on with its end between them."""
+    with Program(tmp_path, stop_ms=300) as program, ThreadPoolExecutor(1) as reading:
+        assert program.process.stderr is not None
+        reading.submit(program.process.stderr.read)
         program.process.send_signal(LEAVE)
+        until = time.monotonic() + WAIT_S
         while program.process.poll() is None:
+            assert time.monotonic() < until
             program.process.send_signal(again)
+            time.sleep(0.001)
         assert program.process.returncode == 0
 
 
