Say once how a process takes its signals; mend a comment's place and a docstring

Read once more. __main__ and route/__main__ held the same unblock, receive, block again: now net/signals.received.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -27,6 +27,7 @@
 from pumicenotch.net.dial import Links
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.registry import Registry
+from pumicenotch.net.signals import received
 from pumicenotch.server import calls, runs
 from pumicenotch.server.core import LISTENER, REGISTRY, Server
 
@@ -40,16 +41,12 @@
 
 
 async def signals(hub: Hub, reloads: "Reloads") -> None:
-    with anyio.open_signal_receiver(*SIGNALS) as received:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-        try:
-            async for number in received:
-                if number == signal.SIGHUP:
-                    reloads.wanted.set()
-                else:
-                    hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
-        finally:
-            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second notice while the process ends
+    with received(SIGNALS) as coming:
+        async for number in coming:
+            if number == signal.SIGHUP:
+                reloads.wanted.set()
+            else:
+                hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
 
 
 class Reloads:
--- a/pumicenotch/net/link.py
+++ b/pumicenotch/net/link.py
@@ -80,7 +80,6 @@
     async def take(self) -> bytes:
         """All that was put, once there is any or it is closed; what was taken before counts as written."""
         self.size -= self.taken
-        self.taken = 0
         await self.ready.wait()
         self.ready = anyio.Event()
         data = b"".join(self.parts)
--- a/pumicenotch/route/__main__.py
+++ b/pumicenotch/route/__main__.py
@@ -20,6 +20,7 @@
 from pumicenotch.net import gateways, logs
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.hub import Hub
+from pumicenotch.net.signals import received
 from pumicenotch.route.decide import LISTENER, PARTY, Router
 from pumicenotch.route.nodes import NodeLinks
 
@@ -44,13 +45,9 @@
 
 
 async def signals(hub: Hub) -> None:
-    with anyio.open_signal_receiver(*SIGNALS) as received:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-        try:
-            async for number in received:
-                hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
-        finally:
-            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second notice while the process ends
+    with received(SIGNALS) as coming:
+        async for number in coming:
+            hub.put("show_counters" if number == signal.SIGUSR1 else "leave")
 
 
 async def maps(hub: Hub, core: Router, path: str) -> None:
--- a/pumicenotch/start.py
+++ b/pumicenotch/start.py
@@ -129,8 +129,9 @@
 
 # Path -> the least and the most that a value may be: beyond them no deployment makes sense, and the decisions
 # would divide by nothing or take no task at all.
-FINITE = 1e15  # some thousand years in the wire's unit: sums and ratios of it stay numbers
-BOUNDS: dict[str, tuple[float, float]] = {
+Bounds = dict[str, tuple[float, float]]
+FINITE = 1e15  # some thirty years in the wire's unit: sums and ratios of it stay numbers
+BOUNDS: Bounds = {
     "caps.max-retry-after": (0, FINITE),
     "family-info.call-share": (0, FINITE),
     "family-info.callers": (0, FINITE),
@@ -147,7 +148,7 @@
     "rules.warm-after": (0, FINITE),
     "servers": (1, FINITE),
 }
-OF_STAGE: dict[str, tuple[float, float]] = {
+OF_STAGE: Bounds = {
     "aim-stretch": (0, FINITE),
     "deadline": (1, FINITE),
     "late-value": (0, FINITE),
@@ -155,13 +156,10 @@
     "target": (1, FINITE),
     "worth": (0, FINITE),
 }
-OF_TENANT: dict[str, tuple[float, float]] = {"allowance-per-s": (0, FINITE), "share": (0, FINITE)}
+OF_TENANT: Bounds = {"allowance-per-s": (0, FINITE), "share": (0, FINITE)}
 UTILITY_LEAST = 1e-6  # of a stage that is worth nothing: it goes last, and is divided by
 
 
-Bounds = dict[str, tuple[float, float]]
-
-
 def bounded(pairs: dict[str, str], bounds: Bounds = BOUNDS, prefix: str = "") -> None:
     for name, (least, most) in bounds.items():
         path = prefix + name
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,7 +29,7 @@
 
 
 def answers(gateway: Gateway, count: int = 1) -> list[Any]:
-    """That many final answers, with what came before them; then nothing but the end may come."""
+    """The next final answers, that many; notifications between them are passed over."""
     found: list[Any] = []
     while len(found) < count:
         frame = gateway.answer()
