--- /dev/null
+++ b/benchmarks/capacity/connections.py
@@ -0,0 +1,112 @@
+"""Role `server.connections`: the server's core with open connections of callers, in simulated time. Each
+caller keeps one connection and asks now and then whether the server is alive."""
+
+from itertools import count
+from typing import Any
+
+from benchmarks.capacity.assumptions import CORES, SOCKETS
+from benchmarks.capacity.decisions import GAUGES, STAGES
+from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
+from benchmarks.capacity.slope import Reading, Slope, readings
+from pumicenotch.interface import Tenant
+from pumicenotch.server.core import Server
+from pumicenotch.server.effects import Write
+
+ROLE = "server.connections"
+STAGE, TENANT = "read", "t0"
+CHECK_MS = 5000.0  # between questions of one caller
+SPAN_MS, TICK_MS = 3000.0, 25.0
+REPEATS = 3
+CONNECTIONS_USUAL = 500
+CODEC_BODY = b"x" * 200
+
+
+class Driver:
+    """The pool answers at once; callers are numbered from 1."""
+
+    def __init__(self, callers: int, seed: int) -> None:
+        keywords: dict[str, Any] = {
+            "stages": STAGES, "tenants": [Tenant(1.0, None)], "gauges": GAUGES, "cores": int(CORES.value),
+            "run_factor": 2.0, "crowd_multiple": 8.0,
+        }  # fmt: skip
+        self.core = Server(
+            keywords=keywords, stages={STAGE: 0}, tenants={TENANT: 0}, seed=seed, stop_ms=5000.0, below=False,
+            memory_mb=512.0, sockets=int(SOCKETS.value),
+        )  # fmt: skip
+        self.meter, self.now = StepMeter(), 0.0
+        self.messages, self.serials = count(1), count(1)
+        self.callers = callers
+        self.waiting: list[tuple[str, tuple[Any, ...]]] = []
+        self.put("start")
+        self.put("linked", "pool")
+        self.put("bound", "ready", 60_000.0)
+        for conn in range(1, callers + 1):
+            self.put("opened", conn)
+            self.put("alive", conn, next(self.messages))
+        self.meter = StepMeter()
+
+    def put(self, name: str, *details: Any) -> None:
+        self.waiting.append((name, details))
+        while self.waiting:
+            kind, more = self.waiting.pop(0)
+            for effect in self.meter.run(kind, self.core.step, self.now, kind, *more):
+                self.react(effect)
+
+    def react(self, effect: Any) -> None:
+        match effect:
+            case Write("pool", ("poll", cookie)):
+                self.waiting.append(("polled", (cookie, (0.5, 4.0, 0.3, float(self.callers)))))
+            case Write("pool", ("spawn", name, *_)):
+                self.waiting.append(("finished", (next(self.serials), name, "fine", b"x")))
+
+    def play(self, requests_per_s: float) -> "Driver":
+        """Checks and requests spread evenly over the callers and the time."""
+        steps = int(SPAN_MS / TICK_MS)
+        checks, requests, asked, sent = 0.0, 0.0, count(), count()
+        for _ in range(steps):
+            self.now += TICK_MS
+            checks += self.callers * TICK_MS / CHECK_MS
+            requests += requests_per_s * TICK_MS / 1000.0
+            while checks >= 1.0:
+                checks -= 1.0
+                self.put("alive", 1 + next(asked) % self.callers, next(self.messages))
+            while requests >= 1.0:
+                requests -= 1.0
+                self.request(1 + next(sent) * 7 % self.callers)
+            self.put("time")
+        return self
+
+    def request(self, conn: int) -> None:
+        message = next(self.messages)
+        fields = {"rid": f"{message:016x}", "t0": str(int(self.now)), "mem": "20", "prio": "0.5",
+                  "peer": str(conn), "acct": TENANT}  # fmt: skip
+        self.put("task", conn, message, 0.0, STAGE, fields, CODEC_BODY)
+
+
+def measured(callers: int, requests_per_s: float, seed: int) -> list[Reading]:
+    played = [Driver(callers, seed).play(requests_per_s) for _ in range(REPEATS)]
+    return readings(
+        ROLE,
+        processor=min(each.meter.share(SPAN_MS) for each in played),
+        longest_step=min(each.meter.longest_ms for each in played),
+    )
+
+
+def by_callers(size: float, seed: int) -> list[Reading]:
+    callers = int(size)
+    built = readings(
+        ROLE,
+        state=state_bytes(lambda: Driver(callers, seed)),
+        start=least_ms(lambda: Driver(callers, seed)),
+    )
+    return built + measured(callers, 0.0, seed)
+
+
+def by_requests(size: float, seed: int) -> list[Reading]:
+    return measured(CONNECTIONS_USUAL, size, seed)
+
+
+SLOPES = (
+    Slope((ROLE,), "callers", (62, 125, 250, 500, 1000, 2000, 16_000), by_callers),
+    Slope((ROLE,), "requests_per_s", (16, 32, 64, 128, 256), by_requests),
+)
--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,115 @@
+"""Role `server.decisions`: one Control under drawn requests, in simulated time."""
+
+import heapq
+import random
+from itertools import count
+from typing import Any
+
+from benchmarks.capacity.assumptions import CORES, RUN
+from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
+from benchmarks.capacity.slope import Reading, Slope, readings
+from pumicenotch.control import Control
+from pumicenotch.interface import Effect, Outcome, Stage, Tenant
+
+ROLE = "server.decisions"
+STAGES = [Stage(1000.0, 0.0, 3000.0, Effect.RESTARTABLE, 0.0, 1.0, 0.0, 0.0)]
+GAUGES = ["core_use", "on_cores", "heap", "links"]
+SPAN_MS = 4000.0
+REPEATS = 3
+KNOWN_USUAL, ACTIVE_USUAL, REQUESTS_USUAL = 1000, 100, 128
+
+
+class Driver:
+    """Takes what the control asks for, and ends each run after a drawn time."""
+
+    def __init__(self, seed: int, known: int) -> None:
+        self.chance = random.Random(seed)
+        self.events: list[tuple[float, int, str, tuple[Any, ...]]] = []
+        self.order, self.now, self.running = count(), 0.0, 0
+        self.meter = StepMeter()
+        self.control = build(self, seed, known)
+
+    def __getattr__(self, name: str) -> Any:
+        if name.startswith("_"):
+            raise AttributeError(name)
+        return self.nothing
+
+    def nothing(self, *_: object, **__: object) -> None: ...
+
+    def at(self, after: float, name: str, *details: Any) -> None:
+        heapq.heappush(self.events, (self.now + after, next(self.order), name, details))
+
+    def run(self, task: int) -> None:
+        self.running += 1
+        self.at(self.chance.expovariate(1.0 / RUN.value), "ended", task, Outcome.OK)
+
+    def wake(self, after_ms: float) -> None:
+        self.at(after_ms, "tick")
+
+    def play(self, active: int, requests_per_s: float) -> "Driver":
+        """Requests of tenants 0 to `active`, each in turn, until the span is over."""
+        idents, gap, due = count(1), 1000.0 / requests_per_s, 0.0
+        while self.now < SPAN_MS:
+            if not self.events or due <= self.events[0][0]:
+                self.now, ident = due, next(idents)
+                due += self.chance.uniform(0.5, 1.5) * gap
+                self.meter.run("task", self.control.task, self.now, ident, 0, ident % active, 0.5, None, None,
+                               20.0, None)  # fmt: skip
+                continue
+            self.now, _, name, details = heapq.heappop(self.events)
+            if name == "tick":
+                use = min(1.0, self.running / CORES.value)
+                details = ((use, float(self.running), 0.3, 100.0),)
+            elif name == "ended":
+                self.running -= 1
+            self.meter.run(name, getattr(self.control, name), self.now, *details)
+        return self
+
+
+def build(actions: Any, seed: int, known: int) -> Control:
+    tenants = [Tenant(1.0 / known, 20.0 if at % 2 else None) for at in range(known)]
+    return Control(
+        actions, 0.0, seed=seed, stages=STAGES, tenants=tenants, gauges=GAUGES, cores=int(CORES.value),
+        run_factor=2.0, crowd_multiple=8.0, servers=2500, callers=1000,
+    )  # fmt: skip
+
+
+class Silent:
+    """Actions that nobody carries out."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_, **__: None
+
+
+def measured(known: int, active: int, requests_per_s: float, seed: int) -> list[Reading]:
+    played = [Driver(seed, known).play(active, requests_per_s) for _ in range(REPEATS)]
+    return readings(
+        ROLE,
+        processor=min(each.meter.share(SPAN_MS) for each in played),
+        longest_step=min(each.meter.longest_ms for each in played),
+    )
+
+
+def by_known(size: float, seed: int) -> list[Reading]:
+    known = int(size)
+    built = readings(
+        ROLE,
+        state=state_bytes(lambda: build(Silent(), seed, known)),
+        start=least_ms(lambda: build(Silent(), seed, known)),
+    )
+    return built + measured(known, min(ACTIVE_USUAL, known), REQUESTS_USUAL, seed)
+
+
+def by_active(size: float, seed: int) -> list[Reading]:
+    return measured(KNOWN_USUAL, int(size), 256.0, seed)
+
+
+def by_requests(size: float, seed: int) -> list[Reading]:
+    return measured(KNOWN_USUAL, ACTIVE_USUAL, size, seed)
+
+
+SLOPES = (
+    Slope((ROLE,), "tenants_known", (300, 1000, 3000, 10_000, 30_000, 54_000), by_known),
+    Slope((ROLE,), "tenants_active", (8, 16, 32, 64, 128, 256), by_active),
+    Slope((ROLE,), "requests_per_s", (16, 32, 64, 128, 256), by_requests),
+)
--- /dev/null
+++ b/benchmarks/capacity/hollow.py
@@ -0,0 +1,369 @@
+"""A fleet at size with few real processes: five voters, a server and an agent run the real code; all other
+members are hollow. A hollow member asks the leader at the real pace, answers and sends probes and whole pages
+at the real rates, and decides nothing. Time is simulated; sizes of messages are those of the real codec."""
+
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from benchmarks.capacity.meter import StepMeter, cpu_ns, frozen_heap
+from pumicenotch.fleet import effects
+from pumicenotch.fleet import state as state_
+from pumicenotch.fleet.budgets import SERVING, Budget, Member
+from pumicenotch.lab.fleets import Day, Process, Spec
+from pumicenotch.members import messages
+from pumicenotch.members.messages import NEWS_MOST, Ack, News, Opinion, Ping, Standing, Who, Whole
+
+PERIOD_MS = 1000.0  # of probes: each member is probed once a period in the mean
+MINE_MS = 500.0  # between a member's questions, where the leader names no longer time
+PAGES_MS = 15_000.0  # between a member's exchanges of everything
+PAGES_TO_SEEDS = 2.0 / 3.0  # of them while nobody is dead: two turns in three go to a seed
+LIFE = "0123456789ab"  # as long as the real ones; so are names and addresses
+BEGAN = 1_790_000_000_000
+REGIONS = 7
+USES = ("ledger",)
+SERVER = "server-measured"
+RUNS = [
+    ["agent", "sha256-0123456789ab"],
+    ["config", "sha256-0123456789ab"],
+    ["server", "sha256-0123456789ab"],
+]
+HOLDS = ["sha256-0123456789ab"]
+COUNTS = [["read", 1e5, 1e5, 10.0, 1e5, 10.0, 1e6], ["write", 1e5, 1e5, 10.0, 1e5, 10.0, 1e6]]
+VOTERS = 5
+GOSSIP_MOST = 11  # news with a probe, beside the prober's own
+RECENT_MS = 30_000.0  # for which it is handed on
+TABLE_READY = 10  # exchanges that a member has behind it
+
+
+class Meter(StepMeter):
+    """What one process did, sent and received."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.codec_ns = 0
+        self.sent: dict[str, int] = {}
+        self.received: dict[str, int] = {}
+        self.sent_messages: dict[str, int] = {}
+        self.received_messages: dict[str, int] = {}
+
+    def note(self, inward: bool, kind: str, size: int) -> None:
+        sizes, counts = (self.received, self.received_messages) if inward else (self.sent, self.sent_messages)
+        sizes[kind] = sizes.get(kind, 0) + size
+        counts[kind] = counts.get(kind, 0) + 1
+
+
+class HollowMember:
+    """A member with its agent: both only ask the leader how they stand, at the pace that the leader names."""
+
+    def __init__(self, who: Who, due: float, pages: list[list[Any]]) -> None:
+        """`pages` is what it answers who wants everything."""
+        self.me, self.due, self.number = who, due, 0
+        self.pages = pages
+        self.asks: list[tuple[str, tuple[Any, ...]]] = []  # before its ordinary question
+        self.agreed = 0
+        self.leader = ""
+        self.again_ms = 0.0
+
+    def step(self, now: float, name: str, *details: Any) -> list[effects.Effect]:
+        found: list[effects.Effect] = []
+        match name, details:
+            case "told", [sender, "members", params]:
+                found += self.heard(sender, params)
+            case "answered", [_, error, result]:
+                self.answered(now, error, result)
+        if now >= self.due:
+            found += self.questions()
+            self.due = now + max(MINE_MS, self.again_ms)
+        return [*found, effects.Wake(self.due)]
+
+    def heard(self, sender: tuple[str, str, str], params: Any) -> list[effects.Effect]:
+        if params[0] == "whole" and params[2]:
+            return [effects.Post(sender[2], "members", tuple(page)) for page in self.pages]
+        if params[0] != "ping":
+            return []
+        mine = News(self.me, 1, Standing.SERVING, Opinion.ALIVE, self.me.name)
+        answer = messages.plain(Ack(params[1], (mine,), ()))
+        return [effects.Post(sender[2], "members", tuple(answer))]
+
+    def questions(self) -> list[effects.Effect]:
+        name, life = self.me.name, self.me.life
+        if self.asks:
+            return [self.ask(*self.asks[0])]
+        agent = (name, life, RUNS, HOLDS, "", "")
+        return [
+            self.ask("mine", (name, life, False)),
+            self.ask("agent", agent),
+            effects.Post(self.leader, "counts", (COUNTS, 90.0)),
+        ]
+
+    def ask(self, verb: str, args: tuple[Any, ...]) -> effects.Effect:
+        self.number += 1
+        return effects.Ask(self.leader, self.number, verb, args)
+
+    def answered(self, now: float, error: Any, result: Any) -> None:
+        if error is None and self.asks:
+            self.asks.pop(0)
+            self.agreed += 1
+            self.due = now if self.asks else now + max(MINE_MS, self.again_ms)
+        elif error is None and isinstance(result, dict):
+            self.again_ms = float(result.get("again_ms", self.again_ms))
+            self.due = max(self.due, now + self.again_ms)
+
+
+class MeasuredDay(Day):
+    """A day whose watched processes are metered."""
+
+    def __init__(self, seed: int, **more: Any) -> None:
+        super().__init__(seed, measure=True, **more)
+        self.meters: dict[str, Meter] = {}
+        self.packed = (0, 0)  # size and unpacking time of what was packed last
+
+    def watch(self, *names: str) -> None:
+        for name in names:
+            self.meters[name] = Meter()
+
+    def put(self, name: str, what: str, *details: Any) -> None:
+        process, meter = self.processes[name], self.meters.get(name)
+        if meter is None or process.core is None or process.stopped:
+            super().put(name, what, *details)
+            return
+        kind = (
+            f"{what} {details[1]}" if what == "told" else f"{what} {details[2]}" if what == "asked" else what
+        )
+        for effect in meter.run(kind, process.core.step, self.now, what, *details):
+            self.carry_out(process, effect)
+
+    def wire(self, process: Process, told: Any) -> Any:
+        process.messages += 1
+        began = cpu_ns()
+        packed = msgpack.packb(told)
+        meter = self.meters.get(process.spec.name)
+        if meter is not None:
+            meter.codec_ns += cpu_ns() - began
+        process.bytes += len(packed)
+        began = cpu_ns()
+        made = msgpack.unpackb(packed, use_list=False)
+        self.packed = (len(packed), cpu_ns() - began)
+        return made
+
+    def send(self, process: Process, to: str, what: str, *details: Any) -> None:
+        size, took = self.packed
+        kind = str(details[1]) if what == "told" else what
+        if (meter := self.meters.get(process.spec.name)) is not None:
+            meter.note(False, kind, size)
+        if (meter := self.meters.get(to)) is not None and (process.address, to) not in self.cut:
+            meter.note(True, kind, size)
+            meter.codec_ns += took
+        super().send(process, to, what, *details)
+
+
+def zone_name(at: int) -> str:
+    return f"zone-{at:02d}"
+
+
+def zone_budgets(zones: int) -> tuple[Budget, ...]:
+    """One budget a zone, named, and one over all."""
+    each = [Budget(f"zone-{at}", "zone", zone_name(at), most_out=10) for at in range(zones)]
+    return (*each, Budget("all", "fleet", most_out=100))
+
+
+def founded(seed: int, budgets: tuple[Budget, ...]) -> MeasuredDay:
+    """Five voters in five zones and one server, all agreed to serve."""
+    day = MeasuredDay(seed)
+    day.budgets = budgets
+    for at in range(VOTERS):
+        day.add(f"v{at + 1}", zone_name(at), voter=True)
+    day.add(SERVER, zone_name(0))
+    day.start()
+    day.until(lambda: bool(day.leader()))
+    day.until(
+        lambda: (
+            len(day.state().members) == VOTERS + 1
+            and not any(map(day.state().is_out, day.state().members.values()))
+        )
+    )
+    day.run(5000.0)
+    return day
+
+
+class HollowFleet:
+    """Five real voters and one real server among hollow ones; all are agreed to serve."""
+
+    def __init__(self, servers: int, seed: int, *, zones: int = 20, budgets: tuple[Budget, ...] = ()) -> None:
+        self.chance = random.Random(seed)
+        self.servers, self.zones = servers, zones
+        self.day = founded(seed, budgets or zone_budgets(zones))
+        self.leader = self.day.leader()
+        self.follower = next(name for name in sorted(self.day.voters) if name != self.leader)
+        self.server = SERVER
+        self.names = [f"server-{at:07d}" for at in range(servers - 1)]
+        self.members = [self.member(at, name) for at, name in enumerate(self.names)]
+        self.news = [News(self.who(at), 1, Standing.SERVING, Opinion.ALIVE, "") for at in range(servers - 1)]
+        self.recent: deque[News] = deque(maxlen=GOSSIP_MOST)  # what is news at the moment
+        self.install_state()
+        self.install_members()
+        self.start_hollow()
+        self.watched = (self.leader, self.follower, self.server)
+
+    def zone(self, at: int) -> str:
+        return zone_name(at % self.zones)
+
+    def region(self, at: int) -> str:
+        return f"region-{at % self.zones % REGIONS}"
+
+    def who(self, at: int) -> Who:
+        name = self.names[at]
+        return Who(name, name, LIFE, BEGAN, self.zone(at), self.region(at))
+
+    def member(self, at: int, name: str) -> Member:
+        return Member(name, LIFE, self.zone(at), self.region(at), uses=USES, standing=SERVING)
+
+    def install_state(self) -> None:
+        """The agreed state with all members in it, at each voter, as a snapshot would bring it."""
+        for name in self.day.voters:
+            core: Any = self.day.processes[name].core
+            told = json.loads(core.state.dump())
+            told["members"] += [list(each) for each in self.members]
+            nodes = [[each.name, LIFE, RUNS, HOLDS, "", "", ["", "", 0], 0] for each in self.members]
+            told["form"], told["releases"] = 2, {"level": 2, "stands": [], "nodes": nodes, "releases": []}
+            core.state = state_.load(json.dumps(told).encode())
+            core.heard_mine_at |= {each.name: (LIFE, self.day.now) for each in self.members}
+
+    def install_members(self) -> None:
+        """Everybody is known to the real processes, and nothing is news any more."""
+        for name, process in self.day.processes.items():
+            table: Any = process.core
+            members = table.members
+            for each in self.news:
+                members.news[each.who.name] = each
+                members.since[each.who.name] = self.day.now
+            members.spread.clear()
+            members.order = []
+            members.pages_told = TABLE_READY + self.chance.randrange(3)
+            members.page_at = self.day.now + self.chance.uniform(0.0, PAGES_MS)
+            assert len(members.news) >= len(self.news), name
+
+    def start_hollow(self) -> None:
+        again_ms = max(MINE_MS, 5.0 * self.servers)
+        pages = [messages.plain(page) for page in self.pages(False)]
+        for at, name in enumerate(self.names):
+            process = self.day.processes[name] = Process(Spec(name, self.zone(at), False, {}), name)
+            process.life = 1
+            core = HollowMember(self.who(at), self.day.now + self.chance.uniform(0.0, again_ms), pages)
+            core.leader, core.again_ms = self.leader, again_ms
+            process.core = core  # type: ignore[assignment]
+            self.day.alarm(process, core.due)
+
+    # What hollow members would send
+
+    def probes(self, to: str) -> None:
+        """One probe a period from somebody by chance."""
+
+        def one() -> None:
+            self.tell(self.any_hollow(), to, Ping(1, (self.chance.choice(self.news), *self.recent), ()))
+            self.day.at(self.day.now + self.chance.expovariate(1.0 / PERIOD_MS), one)
+
+        self.day.at(self.day.now + self.chance.expovariate(1.0 / PERIOD_MS), one)
+
+    def exchanges(self, to: str, each_ms: float) -> None:
+        """Everything, so often in the mean, from somebody by chance, who wants everything back."""
+
+        def one() -> None:
+            self.page(self.any_hollow(), to)
+            self.day.at(self.day.now + self.chance.uniform(0.9, 1.1) * each_ms, one)
+
+        self.day.at(self.day.now + self.chance.uniform(0.0, each_ms), one)
+
+    def pages(self, reply: bool) -> list[Whole]:
+        parts = [tuple(self.news[at : at + NEWS_MOST]) for at in range(0, len(self.news), NEWS_MOST)]
+        return [Whole(part, reply and at == len(parts) - 1) for at, part in enumerate(parts)]
+
+    def page(self, name: str, to: str) -> None:
+        for page in self.pages(True):
+            self.tell(name, to, page)
+
+    def any_hollow(self) -> str:
+        return self.chance.choice(self.names)
+
+    def tell(self, name: str, to: str, message: messages.Message) -> None:
+        process = self.day.processes[name]
+        told = self.day.wire(process, messages.plain(message))
+        self.day.send(process, to, "told", (name, LIFE, name), "members", told)
+
+    def ordinary(self) -> None:
+        """Probes and exchanges at the rates of a fleet in which nothing happens."""
+        many = len(self.day.processes)
+        to_voter = PAGES_MS / (many * PAGES_TO_SEEDS / len(self.day.voters))
+        to_server = PAGES_MS / (1.0 - PAGES_TO_SEEDS)
+        for name in self.watched:
+            self.probes(name)
+            self.exchanges(name, to_voter if name in self.day.voters else to_server)
+
+    # What happens to members
+
+    def every(self, each_ms: float, do: Callable[[], None]) -> None:
+        """From now on, so often in the mean."""
+
+        def one() -> None:
+            do()
+            self.day.at(self.day.now + self.chance.uniform(0.5, 1.5) * each_ms, one)
+
+        self.day.at(self.day.now + self.chance.uniform(0.0, 1.0) * each_ms, one)
+
+    def restart(self) -> None:
+        """One leaves and comes back as a new process."""
+        at = self.chance.randrange(len(self.names))
+        core: Any = self.day.processes[self.names[at]].core
+        if core.asks:
+            return
+        old = core.me
+        self.tell_news(News(old, 2, Standing.OUT, Opinion.ALIVE, old.name))
+        core.me = old._replace(life=f"{self.chance.getrandbits(48):012x}", began=old.began + 1)
+        member = self.members[at]._replace(life=core.me.life)
+        core.asks = [
+            ("gone", (old.name, old.life)),
+            ("join", (state_.told(member),)),
+            ("serving", (old.name, core.me.life)),
+        ]
+        core.due = self.day.now
+        self.day.alarm(self.day.processes[old.name], core.due)
+        self.news[at] = News(core.me, 1, Standing.SERVING, Opinion.ALIVE, old.name)
+        self.tell_news(self.news[at])
+
+    def fail(self) -> None:
+        """One is taken for silent by a majority of the voters, and speaks again."""
+        name = self.any_hollow()
+        leader: Any = self.day.processes[self.leader].core
+        life = leader.state.members[name].life
+        self.propose("against", name, life, state_.SILENT)
+
+    def propose(self, *entry: Any) -> None:
+        """An entry that the leader itself makes, metered as its own step."""
+        leader: Any = self.day.processes[self.leader].core
+        meter = self.day.meters.get(self.leader, Meter())
+        meter.run("propose", leader.propose_own, *entry)
+        self.day.put(self.leader, "time")  # carries out what the proposal asks for
+
+    def tell_news(self, news: News) -> None:
+        self.recent.append(news)
+        self.day.at(self.day.now + RECENT_MS, lambda: self.forget_news(news))
+
+    def forget_news(self, news: News) -> None:
+        if news in self.recent:
+            self.recent.remove(news)
+
+    def measure(self, span_ms: float, windows: int, warm_ms: float = 2000.0) -> dict[str, Meter]:
+        self.day.run(warm_ms)
+        self.day.meters.clear()
+        self.day.watch(*self.watched)
+        with frozen_heap():
+            for _ in range(windows):
+                self.day.run(span_ms / windows)
+                for meter in self.day.meters.values():
+                    meter.end_window()
+        return dict(self.day.meters)
--- /dev/null
+++ b/benchmarks/capacity/mechanisms.py
@@ -0,0 +1,69 @@
+"""What carries each cost at the size: a file and a name, or what is missing."""
+
+from typing import NamedTuple
+
+MISSING = "missing"
+
+
+class Mechanism(NamedTuple):
+    """Of the rows of a role, by what grows and measure; an empty text stands for any."""
+
+    role: str
+    by: str
+    measure: str
+    text: str
+
+
+MECHANISMS = (
+    Mechanism("server.decisions", "tenants_known", "start", "`control.py` `Queues.__init__`, once"),
+    Mechanism("server.decisions", "tenants_known", "state", "`control.py` `Line`: one a known tenant"),
+    Mechanism(
+        "server.decisions", "tenants_known", "",
+        f"{MISSING}: `control.py` `Queues.sample` goes over all known tenants once a second",
+    ),
+    Mechanism(
+        "server.decisions", "", "longest_step",
+        f"{MISSING}: the sample over all known tenants (1,000 here) in one step",
+    ),
+    Mechanism("server.decisions", "", "", "`control.py` `Queues.waiting`: only those that wait are seen"),
+    Mechanism("server.connections", "", "", "`server/callers.py` `Callers.close_idle`, four times a second"),
+    Mechanism(
+        "server.configuration", "", "start", "`cells/map.py` `load`, before the server serves"
+    ),
+    Mechanism("server.configuration", "", "state", "`cells/map.py` `CellMap`: the whole fleet's map"),
+    Mechanism("server.configuration", "", "text", "`cells/map.py` `dump`"),
+    Mechanism(
+        "server.configuration", "", "",
+        f"{MISSING}: whole files, read in one piece; nothing carries a change to 2,500 servers",
+    ),
+    Mechanism("server.process", "", "", "the parts below, held together"),
+    Mechanism(
+        "server.membership", "servers", "sent",
+        f"{MISSING}: `members/members.py` `Members.exchange` sends everything each 15 s",
+    ),
+    Mechanism(
+        "server.membership", "servers", "received",
+        f"{MISSING}: `members/members.py` `Members.exchange` gets everything each 15 s",
+    ),
+    Mechanism(
+        "server.membership", "servers", "longest_step",
+        f"{MISSING}: `members/members.py` `probe_next` and `exchange` sort and send all in one step",
+    ),
+    Mechanism("server.membership", "", "", "`members/members.py` `Members.gossip`: 12 news a message"),
+    Mechanism("server.agreement", "", "", "`fleet/seat.py` `Seat.again_ms`: 5 ms a member between questions"),
+    Mechanism("voter.leader", "servers", "sent", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.leader", "servers", "received", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.follower", "servers", "", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.leader", "", "", "`fleet/seat.py` `Seat.again_ms`; `agree/voter.py` `Voter.feed`"),
+    Mechanism("voter.follower", "", "", "`agree/voter.py` `Voter.take`; `fleet/state.py` `State.apply`"),
+    Mechanism("agent", "", "", "`fleet/agent.py` `Agent.hear`: at the pace that the leader names"),
+    Mechanism("router", "tenants_known", "start", "`cells/map.py` `load`, before the router serves"),
+    Mechanism("router", "", "", "`route/decide.py` `Router.onward`; `cells/place.py` `unit`, remembered"),
+)  # fmt: skip
+
+
+def mechanism(role: str, by: str, measure: str) -> str:
+    for each in MECHANISMS:
+        if each.role == role and each.by in ("", by) and each.measure in ("", measure):
+            return each.text
+    return MISSING
--- /dev/null
+++ b/benchmarks/capacity/members.py
@@ -0,0 +1,130 @@
+"""Roles `voter.leader`, `voter.follower`, `server.membership` and `server.agreement`: real processes in a
+fleet whose other members are hollow."""
+
+from itertools import count
+from typing import Any
+
+import msgpack
+
+from benchmarks.capacity.hollow import HollowFleet, Meter, zone_budgets
+from benchmarks.capacity.meter import NS_PER_MS, least_ms, state_bytes
+from benchmarks.capacity.slope import Reading, Slope, readings
+from pumicenotch.fleet import state as state_
+from pumicenotch.members import messages
+from pumicenotch.members.members import Members
+
+LEADER, FOLLOWER, MEMBERSHIP, AGREEMENT = (
+    "voter.leader",
+    "voter.follower",
+    "server.membership",
+    "server.agreement",
+)
+ROLES = (LEADER, FOLLOWER, MEMBERSHIP, AGREEMENT)
+SPAN_MS = 45_000.0  # three exchanges of whole pages, one of each kind
+WINDOWS = 3  # each with one exchange
+SERVERS_USUAL = 640  # where something else grows
+AGREEMENT_KINDS = ("asked", "answered", "counts")
+MEMBERS_KINDS = ("members",)
+
+
+def of_kinds(counted: dict[str, int], kinds: tuple[str, ...]) -> float:
+    return sum(counted.get(kind, 0) for kind in kinds) / SPAN_MS * 1000.0
+
+
+def traffic(role: str, meter: Meter, kinds: tuple[str, ...] | None = None) -> list[Reading]:
+    def rate(counted: dict[str, int]) -> float:
+        return of_kinds(counted, kinds if kinds is not None else tuple(counted))
+
+    return readings(
+        role,
+        sent=rate(meter.sent), received=rate(meter.received),
+        sent_messages=rate(meter.sent_messages), received_messages=rate(meter.received_messages),
+    )  # fmt: skip
+
+
+def process(role: str, meter: Meter) -> list[Reading]:
+    """Steps and codec together; sockets are not in it."""
+    spent = (meter.total_ns + meter.codec_ns) / NS_PER_MS / SPAN_MS
+    return readings(role, processor=spent, longest_step=meter.longest_ms)
+
+
+def read_fleet(fleet: HollowFleet) -> list[Reading]:
+    meters = fleet.measure(SPAN_MS, WINDOWS)
+    found: list[Reading] = []
+    for role, name in ((LEADER, fleet.leader), (FOLLOWER, fleet.follower)):
+        found += traffic(role, meters[name]) + process(role, meters[name])
+    server = meters[fleet.server]
+    found += traffic(MEMBERSHIP, server, MEMBERS_KINDS) + process(MEMBERSHIP, server)
+    return found + traffic(AGREEMENT, server, AGREEMENT_KINDS)
+
+
+def absorbed(fleet: HollowFleet, wired: list[bytes]) -> Members:
+    """The table of a process that hears of everybody for the first time."""
+    core: Any = fleet.day.processes[fleet.server].core
+    made = Members(core.me, 0.0, ["seed"], core.chance)
+    for page in wired:
+        told = msgpack.unpackb(page, use_list=False)
+        made.step(0.0, "message", "seed", messages.message_of(told))
+    return made
+
+
+def built(fleet: HollowFleet) -> list[Reading]:
+    """State and start: the table of members from whole pages, the agreed state from a snapshot."""
+    wired = [msgpack.packb(messages.plain(page)) for page in fleet.pages(False)]
+    leader: Any = fleet.day.processes[fleet.leader].core
+    dumped = leader.state.dump()
+    table, table_ms = state_bytes(lambda: absorbed(fleet, wired)), least_ms(lambda: absorbed(fleet, wired))
+    agreed, agreed_ms = state_bytes(lambda: state_.load(dumped)), least_ms(lambda: state_.load(dumped))
+    found = readings(MEMBERSHIP, state=table, start=table_ms)
+    for role in (LEADER, FOLLOWER):
+        found += readings(role, state=table + agreed, start=table_ms + agreed_ms, text=len(dumped))
+    return found
+
+
+def by_servers(size: float, seed: int) -> list[Reading]:
+    fleet = HollowFleet(int(size), seed)
+    found = built(fleet)
+    fleet.ordinary()
+    return found + read_fleet(fleet)
+
+
+def by_zones(size: float, seed: int) -> list[Reading]:
+    fleet = HollowFleet(SERVERS_USUAL, seed, zones=int(size))
+    fleet.ordinary()
+    return [each for each in read_fleet(fleet) if each.role != AGREEMENT]
+
+
+def by_changes(size: float, seed: int) -> list[Reading]:
+    """Budgets agreed anew: the largest entry of an operator that there is today."""
+    fleet, number = HollowFleet(SERVERS_USUAL, seed), count()
+    budgets = [list(each) for each in zone_budgets(20)]
+    fleet.ordinary()
+
+    def change() -> None:
+        fleet.day.ask(fleet.leader, "budget", f"change-{next(number)}", budgets, "operator")
+
+    fleet.every(1000.0 / size, change)
+    return [each for each in read_fleet(fleet) if each.role in (LEADER, FOLLOWER)]
+
+
+def by_restarts(size: float, seed: int) -> list[Reading]:
+    fleet = HollowFleet(SERVERS_USUAL, seed)
+    fleet.ordinary()
+    fleet.every(86_400_000.0 / size, fleet.restart)
+    return read_fleet(fleet)
+
+
+def by_failures(size: float, seed: int) -> list[Reading]:
+    fleet = HollowFleet(SERVERS_USUAL, seed)
+    fleet.ordinary()
+    fleet.every(86_400_000.0 / size, fleet.fail)
+    return [each for each in read_fleet(fleet) if each.role in (LEADER, FOLLOWER)]
+
+
+SLOPES = (
+    Slope(ROLES, "servers", (80, 160, 320, 640, 1280, 2500), by_servers, 16),
+    Slope((LEADER, FOLLOWER, MEMBERSHIP), "zones", (4, 8, 12, 16, 20), by_zones),
+    Slope((LEADER, FOLLOWER), "changes_per_s", (0.25, 0.5, 1, 2, 4, 8), by_changes, 0.01),
+    Slope(ROLES, "restarts_per_day", (2900, 11_600, 29_000, 58_000, 116_000), by_restarts),
+    Slope((LEADER, FOLLOWER), "failures_per_day", (2900, 11_600, 29_000, 58_000, 116_000), by_failures),
+)
--- /dev/null
+++ b/benchmarks/capacity/roles.py
@@ -0,0 +1,41 @@
+"""All roles, and the slopes that are measured of each."""
+
+from benchmarks.capacity import (
+    agent,
+    configuration,
+    connections,
+    decisions,
+    members,
+    resident,
+    router,
+)
+from benchmarks.capacity.slope import Slope
+
+SLOPES: tuple[Slope, ...] = (
+    *decisions.SLOPES,
+    *connections.SLOPES,
+    *configuration.SLOPES,
+    *resident.SLOPES,
+    *members.SLOPES,
+    *agent.SLOPES,
+    *router.SLOPES,
+)
+ROLES: tuple[str, ...] = tuple(sorted({role for slope in SLOPES for role in slope.roles}))
+GROUPS: tuple[str, ...] = tuple(sorted({role.split(".")[0] for role in ROLES}))
+
+
+class UnknownRole(ValueError):
+    """The text names the roles that there are."""
+
+
+def named(wanted: list[str]) -> set[str]:
+    """The roles of these names; `server` stands for all `server.…`. None named: all."""
+    found: set[str] = set()
+    for name in wanted:
+        matches = {role for role in ROLES if role == name or role.startswith(f"{name}.")}
+        if not matches:
+            raise UnknownRole(
+                f"role {name!r} is unknown; allowed: {', '.join(dict.fromkeys((*GROUPS, *ROLES)))}"
+            )
+        found |= matches
+    return found or set(ROLES)
--- /dev/null
+++ b/benchmarks/capacity/router.py
@@ -0,0 +1,120 @@
+"""Role `router`: the routing reducer with its cell map, callers and connections to nodes, in simulated time.
+Nodes answer at once."""
+
+from itertools import count
+from typing import Any
+
+from benchmarks.capacity.assumptions import SOCKETS, TENANTS
+from benchmarks.capacity.configuration import cell_map
+from benchmarks.capacity.decisions import STAGES
+from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
+from benchmarks.capacity.slope import Reading, Slope, readings
+from pumicenotch.cells.map import CellMap, dump, load
+from pumicenotch.route.decide import Router
+from pumicenotch.server.effects import Dial, Write
+
+ROLE = "router"
+STAGE = "read"
+SPAN_MS, TICK_MS = 2000.0, 25.0
+REPEATS = 3
+TENANTS_USUAL, SERVERS_USUAL, CALLERS_USUAL, REQUESTS_USUAL = 3000, 320, 100, 640
+UNIX_MS = 1.79e12
+BODY = b"x" * 200
+
+
+class Driver:
+    """Callers are numbered from 1 and keep one connection each; requests go round tenants and callers."""
+
+    def __init__(self, cells: CellMap, callers: int, seed: int) -> None:
+        self.core = Router(
+            cells=cells, confirmed=UNIX_MS, stages=STAGES, numbers={STAGE: 0}, seed=seed, stop_ms=5000.0,
+            sockets=int(SOCKETS.value),
+        )  # fmt: skip
+        self.meter, self.now, self.callers = StepMeter(), 0.0, callers
+        self.tenants = list(cells.tenants)
+        self.messages, self.asked = count(1), count()
+        self.waiting: list[tuple[str, tuple[Any, ...]]] = []
+        self.put("start")
+        for conn in range(1, callers + 1):
+            self.put("opened", conn)
+            self.put("alive", conn, next(self.messages))
+        self.meter = StepMeter()
+
+    def put(self, name: str, *details: Any) -> None:
+        self.waiting.append((name, details))
+        while self.waiting:
+            kind, more = self.waiting.pop(0)
+            for effect in self.meter.run(kind, self.core.step, self.now, kind, *more):
+                self.react(effect)
+
+    def react(self, effect: Any) -> None:
+        match effect:
+            case Dial(link, _):
+                self.waiting.append(("linked", (link,)))
+            case Write(str(link), ("task", message, *_)):
+                self.waiting.append(("returned", (link, message, "served", b"x", {"hint": "0.5"})))
+
+    def play(self, requests_per_s: float) -> "Driver":
+        owed = 0.0
+        for _ in range(int(SPAN_MS / TICK_MS)):
+            self.now += TICK_MS
+            owed += requests_per_s * TICK_MS / 1000.0
+            while owed >= 1.0:
+                owed -= 1.0
+                self.request(next(self.asked))
+            self.put("time")
+        return self
+
+    def request(self, at: int) -> None:
+        message = next(self.messages)
+        fields = {"rid": f"{message:016x}", "t0": str(int(UNIX_MS + self.now)), "mem": "20", "prio": "0.5",
+                  "peer": "1", "acct": self.tenants[at * 31 % len(self.tenants)]}  # fmt: skip
+        self.put("task", 1 + at % self.callers, message, UNIX_MS, STAGE, fields, BODY)
+
+
+def measured(cells: CellMap, callers: int, requests_per_s: float, seed: int) -> list[Reading]:
+    played = [Driver(cells, callers, seed).play(requests_per_s) for _ in range(REPEATS)]
+    assert played[0].core.counters.counts["answered_served"] > 0, played[0].core.counters.text()
+    return readings(
+        ROLE,
+        processor=min(each.meter.share(SPAN_MS) for each in played),
+        longest_step=min(each.meter.longest_ms for each in played),
+    )
+
+
+def with_map(tenants: int, servers: int, seed: int) -> list[Reading]:
+    text = dump(cell_map(tenants, servers))
+    cells = load(text)
+    built = readings(
+        ROLE,
+        state=state_bytes(lambda: Driver(load(text), CALLERS_USUAL, seed)),
+        start=least_ms(lambda: Driver(load(text), CALLERS_USUAL, seed)),
+        text=len(text),
+    )
+    return built + measured(cells, CALLERS_USUAL, REQUESTS_USUAL, seed)
+
+
+def by_tenants(size: float, seed: int) -> list[Reading]:
+    return with_map(int(size), SERVERS_USUAL, seed)
+
+
+def by_servers(size: float, seed: int) -> list[Reading]:
+    return with_map(TENANTS_USUAL, int(size), seed)
+
+
+def by_callers(size: float, seed: int) -> list[Reading]:
+    cells, callers = cell_map(TENANTS_USUAL, SERVERS_USUAL), int(size)
+    built = readings(ROLE, state=state_bytes(lambda: Driver(cells, callers, seed)))
+    return built + measured(cells, callers, REQUESTS_USUAL, seed)
+
+
+def by_requests(size: float, seed: int) -> list[Reading]:
+    return measured(cell_map(TENANTS_USUAL, SERVERS_USUAL), CALLERS_USUAL, size, seed)
+
+
+SLOPES = (
+    Slope((ROLE,), "tenants_known", (300, 1000, 3000, 10_000, 30_000, int(TENANTS.value)), by_tenants),
+    Slope((ROLE,), "servers", (80, 160, 320, 640, 1280, 2500), by_servers, 8),
+    Slope((ROLE,), "callers", (20, 37, 74, 148, 296, 1000), by_callers),
+    Slope((ROLE,), "requests_per_s", (160, 320, 640, 1280, 2560), by_requests),
+)
--- /dev/null
+++ b/benchmarks/capacity/rows.py
@@ -0,0 +1,106 @@
+"""From measurements to the rows of the page: a slope's value at the size, its fit, and its budget."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import mean
+
+from benchmarks.capacity import assumptions, fits
+from benchmarks.capacity.assumptions import Assumption
+from benchmarks.capacity.mechanisms import MISSING, mechanism
+from benchmarks.capacity.records import Measurement
+
+BUDGETS_AT_SERVER: dict[str, Assumption] = {
+    "processor": assumptions.PROCESSOR,
+    "state": assumptions.MEMORY,
+    "memory": assumptions.MEMORY,
+    "sent": assumptions.TRAFFIC,
+    "received": assumptions.TRAFFIC,
+    "longest_step": assumptions.STEP,
+}
+EVENTS = ("rack_lost", "switch_lost", "zone_lost", "region_cut", "zone_returning", "rolling_restarts")
+
+
+@dataclass(frozen=True)
+class Row:
+    role: str
+    by: str
+    measure: str
+    unit: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+
+    @property
+    def target(self) -> float:
+        return assumptions.target(self.role, self.by)
+
+    @property
+    def fit(self) -> fits.Fit:
+        return fits.fit(self.sizes, self.values)
+
+    @property
+    def trial(self) -> fits.Trial | None:
+        return fits.tried(self.sizes, self.values) if len(self.sizes) >= fits.POINTS_LEAST else None
+
+    @property
+    def value(self) -> float:
+        """At the target: measured there, or what the fit makes of it."""
+        if self.target in self.sizes:
+            return self.values[self.sizes.index(self.target)]
+        return self.fit.at(self.target)
+
+    @property
+    def basis(self) -> str:
+        if self.target in self.sizes:
+            return "measured"
+        least, most = min(self.sizes), max(self.sizes)
+        if self.target > most:
+            return f"extrapolated from {most:g}"
+        if self.target < least:
+            return f"extrapolated from {least:g}"
+        return f"by the fit, {least:g} to {most:g}"
+
+    @property
+    def budget(self) -> Assumption | None:
+        if self.role.startswith("server.") or self.role == "agent":
+            return BUDGETS_AT_SERVER.get(self.measure)
+        if self.role.startswith("voter.") and self.measure == "processor":
+            return assumptions.LEADER
+        if self.role == "router" and self.measure == "longest_step":
+            return assumptions.STEP
+        return None
+
+    @property
+    def share(self) -> float | None:
+        return self.value / self.budget.value if self.budget is not None else None
+
+    @property
+    def mechanism(self) -> str:
+        return mechanism(self.role, self.by, self.measure)
+
+    @property
+    def missing(self) -> bool:
+        return self.mechanism.startswith(MISSING)
+
+    @property
+    def command(self) -> str:
+        largest = f"{max(self.sizes):g}" if max(self.sizes) < 1e6 else f"{max(self.sizes):.0f}"
+        return f"`python -m benchmarks.capacity {self.role} --by {self.by} --sizes {largest}`"
+
+
+def rows(measurements: Iterable[Measurement]) -> list[Row]:
+    """One for each role, by and measure; of several seeds the mean."""
+    found: dict[tuple[str, str, str, str], dict[float, list[float]]] = defaultdict(lambda: defaultdict(list))
+    for each in measurements:
+        found[each.role, each.by, each.measure, each.unit][each.size].append(each.value)
+    made = []
+    for (role, by, measure, unit), sizes in found.items():
+        order = sorted(sizes)
+        made.append(Row(role, by, measure, unit, tuple(order), tuple(mean(sizes[size]) for size in order)))
+    return made
+
+
+def worst(some: Iterable[Row], role: str, measure: str) -> Row | None:
+    """Of the slopes of one role and measure the one that comes to the most at the size."""
+    found = [row for row in some if (row.role, row.measure) == (role, measure) and row.by not in EVENTS]
+    return max(found, key=lambda row: row.value, default=None)
