--- a/benchmarks/capacity/agent.py
+++ b/benchmarks/capacity/agent.py
@@ -4,7 +4,8 @@
 
 import msgpack
 
-from benchmarks.capacity.hollow import HOLDS, RUNS, VOTERS
+from benchmarks.capacity.hollow import HOLDS, RUNS
+from benchmarks.capacity.measured_day import VOTERS
 from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.fleet import effects
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -8,13 +8,12 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgpack
-
-from benchmarks.capacity.meter import StepMeter, cpu_ns, frozen_heap
+from benchmarks.capacity.measured_day import Meter, fleet_budgets, founded, zone_name
+from benchmarks.capacity.meter import frozen_heap
 from pumicenotch.fleet import effects
 from pumicenotch.fleet import state as state_
-from pumicenotch.fleet.budgets import SERVING, Budget, Member
-from pumicenotch.lab.fleets import Day, Process, Spec
+from pumicenotch.fleet.budgets import SERVING, Member
+from pumicenotch.lab.fleets import Process, Spec
 from pumicenotch.members import messages
 from pumicenotch.members.messages import NEWS_MOST, Ack, News, Opinion, Ping, Standing, Who, Whole
 
@@ -25,7 +24,6 @@
 LIFE = "0123456789ab"  # as long as the real ones; so are names and addresses
 BEGAN = 1_790_000_000_000
 REGIONS = 7
-USES = ("ledger",)
 SERVER = "server-measured"
 RUNS = [
     ["agent", "sha256-0123456789ab"],
@@ -34,29 +32,12 @@
 ]
 HOLDS = ["sha256-0123456789ab"]
 COUNTS = [["read", 1e5, 1e5, 10.0, 1e5, 10.0, 1e6], ["write", 1e5, 1e5, 10.0, 1e5, 10.0, 1e6]]
-VOTERS = 5
+MEMORY_MB = 90.0
 GOSSIP_MOST = 11  # news with a probe, beside the prober's own
 RECENT_MS = 30_000.0  # for which it is handed on
 TABLE_READY = 10  # exchanges that a member has behind it
 
 
-class Meter(StepMeter):
-    """What one process did, sent and received."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.codec_ns = 0
-        self.sent: dict[str, int] = {}
-        self.received: dict[str, int] = {}
-        self.sent_messages: dict[str, int] = {}
-        self.received_messages: dict[str, int] = {}
-
-    def note(self, inward: bool, kind: str, size: int) -> None:
-        sizes, counts = (self.received, self.received_messages) if inward else (self.sent, self.sent_messages)
-        sizes[kind] = sizes.get(kind, 0) + size
-        counts[kind] = counts.get(kind, 0) + 1
-
-
 class HollowMember:
     """A member with its agent: both only ask the leader how they stand, at the pace that the leader names."""
 
@@ -98,7 +79,7 @@
         return [
             self.ask("mine", (name, life, False)),
             self.ask("agent", agent),
-            effects.Post(self.leader, "counts", (COUNTS, 90.0)),
+            effects.Post(self.leader, "counts", (COUNTS, MEMORY_MB)),
         ]
 
     def ask(self, verb: str, args: tuple[Any, ...]) -> effects.Effect:
@@ -115,89 +96,13 @@
             self.due = max(self.due, now + self.again_ms)
 
 
-class MeasuredDay(Day):
-    """A day whose watched processes are metered."""
-
-    def __init__(self, seed: int, **more: Any) -> None:
-        super().__init__(seed, measure=True, **more)
-        self.meters: dict[str, Meter] = {}
-        self.packed = (0, 0)  # size and unpacking time of what was packed last
-
-    def watch(self, *names: str) -> None:
-        for name in names:
-            self.meters[name] = Meter()
-
-    def put(self, name: str, what: str, *details: Any) -> None:
-        process, meter = self.processes[name], self.meters.get(name)
-        if meter is None or process.core is None or process.stopped:
-            super().put(name, what, *details)
-            return
-        kind = (
-            f"{what} {details[1]}" if what == "told" else f"{what} {details[2]}" if what == "asked" else what
-        )
-        for effect in meter.run(kind, process.core.step, self.now, what, *details):
-            self.carry_out(process, effect)
-
-    def wire(self, process: Process, told: Any) -> Any:
-        process.messages += 1
-        began = cpu_ns()
-        packed = msgpack.packb(told)
-        meter = self.meters.get(process.spec.name)
-        if meter is not None:
-            meter.codec_ns += cpu_ns() - began
-        process.bytes += len(packed)
-        began = cpu_ns()
-        made = msgpack.unpackb(packed, use_list=False)
-        self.packed = (len(packed), cpu_ns() - began)
-        return made
-
-    def send(self, process: Process, to: str, what: str, *details: Any) -> None:
-        size, took = self.packed
-        kind = str(details[1]) if what == "told" else what
-        if (meter := self.meters.get(process.spec.name)) is not None:
-            meter.note(False, kind, size)
-        if (meter := self.meters.get(to)) is not None and (process.address, to) not in self.cut:
-            meter.note(True, kind, size)
-            meter.codec_ns += took
-        super().send(process, to, what, *details)
-
-
-def zone_name(at: int) -> str:
-    return f"zone-{at:02d}"
-
-
-def zone_budgets(zones: int) -> tuple[Budget, ...]:
-    """One budget a zone, named, and one over all."""
-    each = [Budget(f"zone-{at}", "zone", zone_name(at), most_out=10) for at in range(zones)]
-    return (*each, Budget("all", "fleet", most_out=100))
-
-
-def founded(seed: int, budgets: tuple[Budget, ...]) -> MeasuredDay:
-    """Five voters in five zones and one server, all agreed to serve."""
-    day = MeasuredDay(seed)
-    day.budgets = budgets
-    for at in range(VOTERS):
-        day.add(f"v{at + 1}", zone_name(at), voter=True)
-    day.add(SERVER, zone_name(0))
-    day.start()
-    day.until(lambda: bool(day.leader()))
-    day.until(
-        lambda: (
-            len(day.state().members) == VOTERS + 1
-            and not any(map(day.state().is_out, day.state().members.values()))
-        )
-    )
-    day.run(5000.0)
-    return day
-
-
 class HollowFleet:
     """Five real voters and one real server among hollow ones; all are agreed to serve."""
 
-    def __init__(self, servers: int, seed: int, *, zones: int = 20, budgets: tuple[Budget, ...] = ()) -> None:
+    def __init__(self, servers: int, seed: int, *, zones: int = 20, services: int = 1) -> None:
         self.chance = random.Random(seed)
-        self.servers, self.zones = servers, zones
-        self.day = founded(seed, budgets or zone_budgets(zones))
+        self.servers, self.zones, self.services = servers, zones, services
+        self.day = founded(seed, fleet_budgets(zones), [(SERVER, zone_name(0))])
         self.leader = self.day.leader()
         self.follower = next(name for name in sorted(self.day.voters) if name != self.leader)
         self.server = SERVER
@@ -213,6 +118,9 @@
     def zone(self, at: int) -> str:
         return zone_name(at % self.zones)
 
+    def service(self, at: int) -> str:
+        return f"service-{at % self.services:04d}"
+
     def region(self, at: int) -> str:
         return f"region-{at % self.zones % REGIONS}"
 
@@ -221,7 +129,7 @@
         return Who(name, name, LIFE, BEGAN, self.zone(at), self.region(at))
 
     def member(self, at: int, name: str) -> Member:
-        return Member(name, LIFE, self.zone(at), self.region(at), uses=USES, standing=SERVING)
+        return Member(name, LIFE, self.zone(at), self.region(at), uses=(self.service(at),), standing=SERVING)
 
     def install_state(self) -> None:
         """The agreed state with all members in it, at each voter, as a snapshot would bring it."""
@@ -300,6 +208,7 @@
         many = len(self.day.processes)
         to_voter = PAGES_MS / (many * PAGES_TO_SEEDS / len(self.day.voters))
         to_server = PAGES_MS / (1.0 - PAGES_TO_SEEDS)
+        self.every(MINE_MS, lambda: self.day.put(self.server, "counted", COUNTS, MEMORY_MB))
         for name in self.watched:
             self.probes(name)
             self.exchanges(name, to_voter if name in self.day.voters else to_server)
--- a/benchmarks/capacity/mechanisms.py
+++ b/benchmarks/capacity/mechanisms.py
@@ -38,12 +38,8 @@
     ),
     Mechanism("server.process", "", "", "the parts below, held together"),
     Mechanism(
-        "server.membership", "servers", "sent",
-        f"{MISSING}: `members/members.py` `Members.exchange` sends everything each 15 s",
-    ),
-    Mechanism(
-        "server.membership", "servers", "received",
-        f"{MISSING}: `members/members.py` `Members.exchange` gets everything each 15 s",
+        "server.membership", "servers", "traffic",
+        f"{MISSING}: `members/members.py` `Members.exchange` sends and gets everything each 15 s",
     ),
     Mechanism(
         "server.membership", "servers", "longest_step",
@@ -51,13 +47,20 @@
     ),
     Mechanism("server.membership", "", "", "`members/members.py` `Members.gossip`: 12 news a message"),
     Mechanism("server.agreement", "", "", "`fleet/seat.py` `Seat.again_ms`: 5 ms a member between questions"),
-    Mechanism("voter.leader", "servers", "sent", "`members/members.py` `Members.exchange`: as n squared"),
-    Mechanism("voter.leader", "servers", "received", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.leader", "servers", "traffic", "`members/members.py` `Members.exchange`: as n squared"),
     Mechanism("voter.follower", "servers", "", "`members/members.py` `Members.exchange`: as n squared"),
     Mechanism("voter.leader", "", "", "`fleet/seat.py` `Seat.again_ms`; `agree/voter.py` `Voter.feed`"),
     Mechanism("voter.follower", "", "", "`agree/voter.py` `Voter.take`; `fleet/state.py` `State.apply`"),
     Mechanism("agent", "", "", "`fleet/agent.py` `Agent.hear`: at the pace that the leader names"),
     Mechanism("router", "tenants_known", "start", "`cells/map.py` `load`, before the router serves"),
+    Mechanism(
+        "router.configuration", "", "",
+        f"{MISSING}: whole files, read in one piece in the event loop (`route/__main__.py` `maps`)",
+    ),
+    Mechanism(
+        "router.dials", "", "",
+        f"{MISSING}: `route/__main__.py` `address_of` goes over all nodes and tenants for each dial",
+    ),
     Mechanism("router", "", "", "`route/decide.py` `Router.onward`; `cells/place.py` `unit`, remembered"),
 )  # fmt: skip
 
--- a/benchmarks/capacity/members.py
+++ b/benchmarks/capacity/members.py
@@ -6,7 +6,8 @@
 
 import msgpack
 
-from benchmarks.capacity.hollow import HollowFleet, Meter, zone_budgets
+from benchmarks.capacity.hollow import HollowFleet
+from benchmarks.capacity.measured_day import Meter, fleet_budgets
 from benchmarks.capacity.meter import NS_PER_MS, least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.fleet import state as state_
@@ -23,6 +24,8 @@
 SPAN_MS = 45_000.0  # three exchanges of whole pages, one of each kind
 WINDOWS = 3  # each with one exchange
 SERVERS_USUAL = 640  # where something else grows
+DAY_MS = 86_400_000.0
+OFTEN_A_DAY = 58_000.0  # restarts, twenty times the usual: some within the span
 AGREEMENT_KINDS = ("asked", "answered", "counts")
 MEMBERS_KINDS = ("members",)
 
@@ -94,10 +97,19 @@
     return [each for each in read_fleet(fleet) if each.role != AGREEMENT]
 
 
+def by_services(size: float, seed: int) -> list[Reading]:
+    """Each service is a group of its callers, with a budget of its own; groups are counted anew where members
+    come and go."""
+    fleet = HollowFleet(SERVERS_USUAL, seed, services=int(size))
+    fleet.ordinary()
+    fleet.every(DAY_MS / OFTEN_A_DAY, fleet.restart)
+    return [each for each in read_fleet(fleet) if each.role in (LEADER, FOLLOWER)]
+
+
 def by_changes(size: float, seed: int) -> list[Reading]:
     """Budgets agreed anew: the largest entry of an operator that there is today."""
     fleet, number = HollowFleet(SERVERS_USUAL, seed), count()
-    budgets = [list(each) for each in zone_budgets(20)]
+    budgets = [list(each) for each in fleet_budgets(20)]
     fleet.ordinary()
 
     def change() -> None:
@@ -110,20 +122,21 @@
 def by_restarts(size: float, seed: int) -> list[Reading]:
     fleet = HollowFleet(SERVERS_USUAL, seed)
     fleet.ordinary()
-    fleet.every(86_400_000.0 / size, fleet.restart)
+    fleet.every(DAY_MS / size, fleet.restart)
     return read_fleet(fleet)
 
 
 def by_failures(size: float, seed: int) -> list[Reading]:
     fleet = HollowFleet(SERVERS_USUAL, seed)
     fleet.ordinary()
-    fleet.every(86_400_000.0 / size, fleet.fail)
+    fleet.every(DAY_MS / size, fleet.fail)
     return [each for each in read_fleet(fleet) if each.role in (LEADER, FOLLOWER)]
 
 
 SLOPES = (
     Slope(ROLES, "servers", (80, 160, 320, 640, 1280, 2500), by_servers, 16),
     Slope((LEADER, FOLLOWER, MEMBERSHIP), "zones", (4, 8, 12, 16, 20), by_zones),
+    Slope((LEADER, FOLLOWER), "services", (75, 150, 300, 600, 1200), by_services),
     Slope((LEADER, FOLLOWER), "changes_per_s", (0.25, 0.5, 1, 2, 4, 8), by_changes, 0.01),
     Slope(ROLES, "restarts_per_day", (2900, 11_600, 29_000, 58_000, 116_000), by_restarts),
     Slope((LEADER, FOLLOWER), "failures_per_day", (2900, 11_600, 29_000, 58_000, 116_000), by_failures),
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -2,6 +2,7 @@
 
 from benchmarks.capacity import (
     agent,
+    bad_hours,
     configuration,
     connections,
     decisions,
@@ -17,6 +18,7 @@
     *configuration.SLOPES,
     *resident.SLOPES,
     *members.SLOPES,
+    *bad_hours.SLOPES,
     *agent.SLOPES,
     *router.SLOPES,
 )
--- a/benchmarks/capacity/router.py
+++ b/benchmarks/capacity/router.py
@@ -4,7 +4,7 @@
 from itertools import count
 from typing import Any
 
-from benchmarks.capacity.assumptions import SOCKETS, TENANTS
+from benchmarks.capacity.assumptions import SOCKETS
 from benchmarks.capacity.configuration import cell_map
 from benchmarks.capacity.decisions import STAGES
 from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
@@ -14,6 +14,8 @@
 from pumicenotch.server.effects import Dial, Write
 
 ROLE = "router"
+MAP = "router.configuration"  # the whole cell map, read again in the event loop when its file changes
+DIALS = "router.dials"  # the address of a node, looked up for each dial
 STAGE = "read"
 SPAN_MS, TICK_MS = 2000.0, 25.0
 REPEATS = 3
@@ -91,6 +93,8 @@
         start=least_ms(lambda: Driver(load(text), CALLERS_USUAL, seed)),
         text=len(text),
     )
+    built += readings(MAP, longest_step=least_ms(lambda: load(text)))
+    built += readings(DIALS, longest_step=least_ms(cells.addresses))
     return built + measured(cells, CALLERS_USUAL, REQUESTS_USUAL, seed)
 
 
@@ -113,8 +117,8 @@
 
 
 SLOPES = (
-    Slope((ROLE,), "tenants_known", (300, 1000, 3000, 10_000, 30_000, int(TENANTS.value)), by_tenants),
-    Slope((ROLE,), "servers", (80, 160, 320, 640, 1280, 2500), by_servers, 8),
+    Slope((ROLE, MAP, DIALS), "tenants_known", (300, 1000, 3000, 10_000, 30_000, 54_000), by_tenants),
+    Slope((ROLE, MAP, DIALS), "servers", (80, 160, 320, 640, 1280, 2500), by_servers, 8),
     Slope((ROLE,), "callers", (20, 37, 74, 148, 296, 1000), by_callers),
     Slope((ROLE,), "requests_per_s", (160, 320, 640, 1280, 2560), by_requests),
 )
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -14,8 +14,7 @@
     "processor": assumptions.PROCESSOR,
     "state": assumptions.MEMORY,
     "memory": assumptions.MEMORY,
-    "sent": assumptions.TRAFFIC,
-    "received": assumptions.TRAFFIC,
+    "traffic": assumptions.TRAFFIC,
     "longest_step": assumptions.STEP,
 }
 EVENTS = ("rack_lost", "switch_lost", "zone_lost", "region_cut", "zone_returning", "rolling_restarts")
@@ -66,7 +65,7 @@
             return BUDGETS_AT_SERVER.get(self.measure)
         if self.role.startswith("voter.") and self.measure == "processor":
             return assumptions.LEADER
-        if self.role == "router" and self.measure == "longest_step":
+        if self.role.startswith("router") and self.measure == "longest_step":
             return assumptions.STEP
         return None
 
@@ -97,10 +96,29 @@
     for (role, by, measure, unit), sizes in found.items():
         order = sorted(sizes)
         made.append(Row(role, by, measure, unit, tuple(order), tuple(mean(sizes[size]) for size in order)))
-    return made
+    return made + traffic(made)
 
 
-def worst(some: Iterable[Row], role: str, measure: str) -> Row | None:
-    """Of the slopes of one role and measure the one that comes to the most at the size."""
+def traffic(some: list[Row]) -> list[Row]:
+    """What is sent and received together: the measure that the budget speaks of."""
+    found: dict[tuple[str, str], list[Row]] = defaultdict(list)
+    for row in some:
+        if row.measure in ("sent", "received"):
+            found[row.role, row.by].append(row)
+    return [
+        Row(role, by, "traffic", "bytes/s", parts[0].sizes,
+            tuple(sum(each) for each in zip(*(part.values for part in parts), strict=True)))
+        for (role, by), parts in found.items()
+    ]  # fmt: skip
+
+
+def worst(some: Iterable[Row], role: str, measure: str, by: str = "") -> Row | None:
+    """Of the slopes of one role and measure (and of one thing that grows, if named) the one that comes to the
+    most at the size."""
     found = [row for row in some if (row.role, row.measure) == (role, measure) and row.by not in EVENTS]
+    found = [row for row in found if by in ("", row.by)]
     return max(found, key=lambda row: row.value, default=None)
+
+
+def find(some: Iterable[Row], role: str, by: str, measure: str) -> Row | None:
+    return next((row for row in some if (row.role, row.by, row.measure) == (role, by, measure)), None)
--- /dev/null
+++ b/benchmarks/capacity/totals.py
@@ -0,0 +1,128 @@
+"""The tables of totals: a server's budget, the time added to a request, and load."""
+
+from benchmarks.capacity import assumptions
+from benchmarks.capacity.markdown import amount, count, percent, table
+from benchmarks.capacity.rows import Row, find, worst
+
+SERVER_PARTS = {  # by what grows in them; "": by whatever comes to the most
+    "server.decisions": "tenants_known",
+    "server.connections": "callers",
+    "server.membership": "",
+    "server.agreement": "",
+    "server.configuration": "",
+    "agent": "",
+}
+
+
+def server_total(found: list[Row]) -> str:
+    """What a server spends on control, part by part, against its budget."""
+    head = "part | processor | sent and received | state | longest step"
+    measures = ("processor", "traffic", "state", "longest_step")
+    lines: list[list[str]] = []
+    figures = {
+        role: [worst(found, role, measure, by) for measure in measures] for role, by in SERVER_PARTS.items()
+    }
+    for role, own in figures.items():
+        lines.append([role, *map(cell, own)])
+    columns = [
+        [row.value for row in column if row is not None] for column in zip(*figures.values(), strict=True)
+    ]
+    totals = [*map(sum, columns[:-1]), max(columns[-1], default=0.0)]
+    budgets = (assumptions.PROCESSOR, assumptions.TRAFFIC, assumptions.MEMORY, assumptions.STEP)
+    units = ("s/s", "bytes/s", "bytes", "ms")
+    lines.append(["**all**", *(amount(each, unit) for each, unit in zip(totals, units, strict=True))])
+    lines.append(["budget", *(amount(each.value, each.unit) for each in budgets)])
+    shares = [each / budget.value for each, budget in zip(totals, budgets, strict=True)]
+    lines.append(["share", *map(percent, shares)])
+    return table(head, lines)
+
+
+def cell(row: Row | None) -> str:
+    if row is None:
+        return "-"
+    return f"{amount(row.value, row.unit)} ({row.by})"
+
+
+STEPS: tuple[tuple[str, str, str, float], ...] = (  # role, by, what, how often a second
+    ("server.decisions", "tenants_known", "the sample over all known tenants", 1.0),
+    ("server.connections", "callers", "the look for idle connections", 4.0),
+    ("server.membership", "servers", "a probe with an exchange of everything", 1.0 / 15.0),
+    ("server.configuration", "tenants_known", "a whole cell map read", assumptions.CHANGES.value / 86_400.0),
+)
+
+
+def added_table(found: list[Row]) -> str:
+    """Where the time that is added to a request goes: steps that hold the loop while it waits."""
+    lines = []
+    for role, by, what, rate in STEPS:
+        row = find(found, role, by, "longest_step")
+        if row is None:
+            lines.append([role, what, "not measured", "-", "-", "-"])
+            continue
+        met = min(1.0, row.value / 1000.0 * rate)
+        lines.append(
+            [
+                role,
+                what,
+                amount(row.value, "ms"),
+                f"{rate:.3g}/s",
+                percent(met),
+                "in the slowest of 100" if met >= 0.01 else "beyond 99 in 100",
+            ]
+        )
+    return table("part | step | longest | how often | requests that meet it | which", lines)
+
+
+def load_table(found: list[Row]) -> str:
+    """Requests and connections a server, and what bounds them."""
+    mean = assumptions.REQUESTS.value / assumptions.SERVERS.value
+    lines = [["requests a server, mean", f"{mean:.0f}/s", "320,000 requests/s over 2,500 servers"]]
+    busiest = mean * assumptions.UNEVEN.value
+    lines.append(["requests a server, busiest", f"{busiest:.0f}/s", "assumed uneven, below"])
+    for role, what in (("server.connections", "the whole core"), ("server.decisions", "the decisions alone")):
+        row = find(found, role, "requests_per_s", "processor")
+        if row is not None:
+            each = row.value / row.target
+            lines.append(
+                [
+                    f"requests that {what} bears in one process",
+                    f"{1.0 / each:,.0f}/s",
+                    f"{1e6 * each:.0f} us a request at {row.target:.0f}/s; sockets not in it; " + row.command,
+                ]
+            )
+    row = find(found, "server.connections", "callers", "state")
+    lines.append(
+        ["connections of callers a server", count(assumptions.CALLERS_AT_SERVER.value), "assumed, below"]
+    )
+    lines.append(
+        ["bound by descriptors", count(assumptions.SOCKETS.value / 2.0), "half of them go to callers"]
+    )
+    if row is not None:
+        each = row.fit.slope
+        lines.append(
+            [
+                "bound by memory",
+                count(assumptions.MEMORY.value / each),
+                f"{each:.0f} bytes of state each; buffers of sockets not in it; {row.command}",
+            ]
+        )
+    step = find(found, "server.connections", "callers", "longest_step")
+    if step is not None:
+        lines.append(
+            [
+                "bound by a step of 1 ms",
+                reached(step, assumptions.STEP.value),
+                f"the look for idle ones; fit: {step.fit.name}; {step.command}",
+            ]
+        )
+    return table("what | figure | from", lines)
+
+
+def reached(row: Row, value: float) -> str:
+    """The size between whose measured neighbours the value is reached."""
+    before = 0.0
+    for size, each in zip(row.sizes, row.values, strict=True):
+        if each > value:
+            return f"between {count(before)} and {count(size)}"
+        before = size
+    return f"beyond {count(before)}, the largest measured"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,14 +12,14 @@
 
 SIZES = [80.0, 160.0, 320.0, 640.0, 1280.0, 2500.0]
 GOOD = {
-    "role": "agent", "measure": "sent", "unit": "bytes/s", "by": "servers", "size": 80, "value": 1.5, "seed": 1,
-    "commit": "abc",
+    "role": "agent", "measure": "sent", "unit": "bytes/s", "by": "servers", "size": 80, "value": 1.5,
+    "seed": 1, "commit": "abc",
 }  # fmt: skip
 
 
 @pytest.mark.parametrize("shape", ["linear", "n log n", "n squared", "log n", "inverse"])
 def test_a_curve_is_known_by_its_points_and_foretells_the_largest(shape: str) -> None:
-    told = fits.Fit(shape, 7.0, 3.0, 0.0)
+    told = fits.Fit(shape, 0.01, 3.0, 0.0)
     values = [told.at(size) for size in SIZES]
     found, trial = fits.fit(SIZES, values), fits.tried(SIZES, values)
     assert (found.shape, found.name) == (shape, shape)
