--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 # With CONFIG=config.json one server alone; without, one with an emulated world round it, until Ctrl-C.
--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -173,9 +173,7 @@
     until, told = anyio.current_time() + most_s, False
     while True:
         try:
-            many = await anyio.create_tcp_listener(
-                local_host=host, local_port=port, backlog=gateways.BACKLOG
-            )
+            many = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=gateways.BACKLOG)
             return cast(SocketListener, many.listeners[0])
         except OSError as error:
             if error.errno != errno.EADDRINUSE or anyio.current_time() > until:
--- a/pumicenotch/config/compiled.py
+++ b/pumicenotch/config/compiled.py
@@ -8,7 +8,7 @@
 from pumicenotch.pools.plan import BadPlan, Plan, Pool, check, unknown
 
 if TYPE_CHECKING:  # nothing of a fleet is loaded where there is none
-    from pumicenotch.fleet.side import Side
+    from pumicenotch.fleet.settings import FleetSettings
 
 FORM = 1  # of the line; a server refuses what it does not know
 
@@ -23,7 +23,7 @@
     plan: Plan | None = None
     node: str = ""  # this node's name in the cell map
     map: str = ""  # the file of the cell map; "": the node knows of no cells
-    fleet: "Side | None" = None  # its place in a fleet, if it is in one
+    fleet: "FleetSettings | None" = None  # its place in a fleet, if it is in one
 
 
 def dump(ours: Ours) -> str:
@@ -47,9 +47,9 @@
             raise TypeError("no names")
         fleet = None
         if told.get("fleet") is not None:
-            from pumicenotch.fleet.side import side_of
+            from pumicenotch.fleet.settings import settings_of
 
-            fleet = side_of(told["fleet"])
+            fleet = settings_of(told["fleet"])
         if told["plan"] is None:
             return Ours(None, node, map_file, fleet)
         pools = tuple(Pool(**{**pool, "stages": tuple(pool["stages"])}) for pool in told["plan"]["pools"])
@@ -96,8 +96,12 @@
     """What it means, for a person."""
     plan = ours.plan
     cells = f"node {ours.node} by the map {ours.map}" if ours.map else ""
-    side = ours.fleet
-    fleet = f"{side.name} of {side.fleet}, among instances on {side.listen}" if side is not None else ""
+    settings = ours.fleet
+    fleet = (
+        f"{settings.name} of {settings.fleet}, among instances on {settings.listen}"
+        if settings is not None
+        else ""
+    )
     if plan is None:
         return {"pools": [], "meaning": "no pools: all classes are as one", "cells": cells, "fleet": fleet}
     return {
--- a/pumicenotch/config/file.py
+++ b/pumicenotch/config/file.py
@@ -79,7 +79,7 @@
 def ours_of(path: str | Path) -> Ours:
     """All that an HCL file says. Raises BadFile."""
     told = read(path, File)
-    fleet = told.fleet.side() if told.fleet is not None else None
+    fleet = told.fleet.settings() if told.fleet is not None else None
     if told.cells is None:
         return Ours(told.plan(), fleet=fleet)
     return Ours(told.plan(), told.cells.node, str((Path(path).parent / told.cells.map).resolve()), fleet)
--- a/pumicenotch/config/fleet.py
+++ b/pumicenotch/config/fleet.py
@@ -8,7 +8,7 @@
 
 from pumicenotch.config.schema import Schema, read
 from pumicenotch.fleet import budgets
-from pumicenotch.fleet.side import Side
+from pumicenotch.fleet.settings import FleetSettings
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^[^:]+:[0-9]{1,5}$")]
@@ -36,8 +36,8 @@
     voters: Annotated[tuple[Address, ...], Field(min_length=1, max_length=7)]
     seeds: tuple[Address, ...] = ()
 
-    def side(self) -> Side:
-        return Side(
+    def settings(self) -> FleetSettings:
+        return FleetSettings(
             self.name, self.member, self.listen, self.voters, self.seeds, self.zone, self.region, self.cell,
             self.serves, self.uses, self.capacity, advertise=self.advertise or "",
         )  # fmt: skip
@@ -113,15 +113,15 @@
             raise ValueError(f"member {self.member!r} is none of the voters: {', '.join(names)}")
         return self
 
-    def side(self) -> Side:
+    def settings(self) -> FleetSettings:
         names = tuple((block.name, block.address) for block in self.voter)
-        hands = tuple(
+        manual_members = tuple(
             budgets.Member(
                 each.name, "", each.zone, each.region, each.cell, each.serves, each.uses, each.capacity
             )
             for each in self.by_hand
         )
-        return Side(
+        return FleetSettings(
             self.fleet,
             self.member,
             self.listen,
@@ -131,7 +131,7 @@
             self.region,
             names=names,
             budgets=self.budgets(),
-            hands=hands,
+            manual_members=manual_members,
             advertise=self.advertise or "",
         )
 
@@ -142,10 +142,10 @@
         raise ValueError(f"{kind} {', '.join(twice)}: stands twice")
 
 
-def voter_of(path: str | Path) -> tuple[Side, int]:
+def voter_of(path: str | Path) -> tuple[FleetSettings, int]:
     """A voter's file, and its seed. Raises BadFile."""
     told = read(path, VoterFile)
-    return told.side(), told.seed
+    return told.settings(), told.seed
 
 
 def budgets_of(path: str | Path) -> tuple[budgets.Budget, ...]:
--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -1,23 +1,23 @@
 """The agent beside a server: it holds versions, starts and ends its server, and takes no step between
 versions that was not agreed an instant ago. Cut off from the fleet it keeps its server running as it is.
 
-A permission is good for as long as a question waits for its answer (`ASK_MS`), by this process's own clock:
-one that comes later, or that its process slept through, is none."""
+A permission is good for as long as a request waits for its answer (`REQUEST_TIMEOUT_MS`), by this
+process's own clock: one that comes later, or that its process slept through, is none."""
 
 from collections.abc import Iterable
 from typing import Any, ClassVar
 
-from pumicenotch.fleet.asker import Asker
 from pumicenotch.fleet.budgets import SERVING
 from pumicenotch.fleet.effects import Anew, End, Hold, Proven, Reread, Start, Swap
 from pumicenotch.fleet.entries import TEXT_MOST
 from pumicenotch.fleet.release import GONE, RESTARTS, STARTING, STUCK
+from pumicenotch.fleet.voter_client import VoterClient
 
 LOOP = "crash loop"  # how that trouble begins
 AGENT_FAILED = "agent refused"  # how a trouble begins of a version of the agent itself
 
 
-class Agent(Asker):
+class Agent(VoterClient):
     """Its inputs: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
     `held` (version, why not), `swapped` (slot, why not)."""
 
@@ -67,13 +67,13 @@
         self.wanted: tuple[str, ...] = ()  # versions to hold
 
     def due(self) -> float:
-        return min(self.ask_due(), self.now + self.SAY_MS / 2.0)
+        return min(self.request_due(), self.now + self.SAY_MS / 2.0)
 
     def start(self) -> None:
         self.log(f"the agent of {self.node}: {self.told_runs()}")
 
     def time(self) -> None:
-        self.unanswered()
+        self.check_timeout()
 
     def told_runs(self) -> str:
         return ", ".join(f"{slot} {version}" for slot, version in sorted(self.runs.items()))
@@ -138,8 +138,8 @@
 
     def say_soon(self) -> None:
         self.say_at = self.now
-        if self.ask is None:
-            self.ask_at = min(self.ask_at, self.now)
+        if self.request is None:
+            self.request_at = min(self.request_at, self.now)
 
     # Versions
 
@@ -174,22 +174,22 @@
 
     # What it says and asks
 
-    def want(self) -> None:
+    def next_request(self) -> None:
         self.look()
-        if self.ask is not None or self.now < self.ask_at or not self.voters or self.swapping:
+        if self.request is not None or self.now < self.request_at or not self.voters or self.swapping:
             return
         slot, version = self.move
         if self.now >= self.say_at:
             self.say_at = self.now + self.SAY_MS
             runs = sorted(self.runs.items())
             down = "" if self.served else STARTING if self.child else GONE
-            self.send("agent", self.node, self.life, runs, self.holds, down, self.trouble)
+            self.ask("agent", self.node, self.life, runs, self.holds, down, self.trouble)
         elif version in self.holds and slot in RESTARTS and self.child:
             self.have_it_end()
         elif version in self.holds and (slot not in RESTARTS or self.heard()):
-            self.send("move", self.node, self.life, slot, version)
-        if self.ask is None and self.ask_at <= self.now:
-            self.ask_at = self.say_at
+            self.ask("move", self.node, self.life, slot, version)
+        if self.request is None and self.request_at <= self.now:
+            self.request_at = self.say_at
 
     def have_it_end(self) -> None:
         """By its permit the server drains by itself. One that does not is ended, its permit begun first; one
@@ -200,7 +200,7 @@
             if self.now - self.begun_at > self.drain_ms:
                 self.end(self.KILL_MS)
         elif self.permit and self.now - self.permit_at > self.PATIENCE_MS and not self.halted:
-            self.send("began", self.node, self.known_life, self.permit)
+            self.ask("began", self.node, self.known_life, self.permit)
 
     def agreed(self, verb: str, result: dict[str, Any]) -> None:
         match verb:
--- a/pumicenotch/fleet/mate.py
+++ b/pumicenotch/fleet/member_node.py
@@ -6,11 +6,11 @@
 from collections.abc import Iterable
 from typing import Any, ClassVar
 
-from pumicenotch.fleet.asker import UNKNOWN, Asker
 from pumicenotch.fleet.budgets import SERVING, Member
 from pumicenotch.fleet.effects import Leave, Post, Reply
 from pumicenotch.fleet.entries import NAMES_MOST, TEXT_MOST
 from pumicenotch.fleet.state import told
+from pumicenotch.fleet.voter_client import UNKNOWN, VoterClient
 from pumicenotch.members import messages
 from pumicenotch.members.members import Members
 from pumicenotch.members.messages import Changed, Opinion, Refused, Send, Standing, Who
@@ -18,13 +18,13 @@
 HALT = "halt"  # the key under which members hand a halt on
 
 
-class Mate(Asker):
+class MemberNode(VoterClient):
     """Its inputs: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
     message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
     whether it is overloaded past use), `leave` (why), `left`, `counted` (rows as `fleet/watch` reads them,
     MB)."""
 
-    MINE_MS = 500.0  # between words to the leader, unless it names a longer time
+    HEARTBEAT_MS = 500.0  # between heartbeats to the leader, unless it names a longer time
 
     INPUTS: ClassVar = frozenset(
         ("start", "time", "told", "asked", "closed", "answered", "serve", "leave", "left", "counted")
@@ -37,35 +37,35 @@
         """`voters` are the addresses of all voters; `member` is what the fleet counts of this process."""
         super().__init__(voters, now, seed)
         self.fleet, self.me, self.member = fleet, me, member
-        self.members = Members(me, now, seeds, self.chance)
-        self.mine_at = now
+        self.members = Members(me, now, seeds, self.random)
+        self.heartbeat_at = now
         # What is agreed of this process, as far as it was told.
-        self.joined = self.agreed_serving = self.gone_told = self.leaving_told = False
+        self.joined = self.agreed_serving = self.gone_sent = self.leaving_sent = False
         self.permit, self.began = 0, False
         # that permit is agreed as begun, though this process has not heard so when it asked
         self.begun = False
         self.agreed_halt = ""  # why nothing goes on
         self.waits = ""  # for what a drain of it waits, and about how long
-        self.no_permit = ""  # why the last one could not be used
-        self.count_at, self.mine_wait = (
+        self.permit_refusal = ""  # why the last one could not be used
+        self.counts_at, self.heartbeat_wait = (
             now,
-            self.MINE_MS,
-        )  # as often as its other words, among many more seldom
+            self.HEARTBEAT_MS,
+        )  # as often as its heartbeats, among many more seldom
         self.counting = False  # whether the leader wants to hear how this process does
         # What it is.
-        self.serves = self.leaving = self.over = self.overloaded = False
+        self.serves = self.leaving = self.ending = self.overloaded = False
         self.why = ""
-        self.taken = ""  # by whom the name is taken
+        self.name_taken_by = ""  # by whom the name is taken
 
     def due(self) -> float:
-        return min(self.members.due(), self.ask_due())
+        return min(self.members.due(), self.request_due())
 
     def start(self) -> None:
         self.time()
 
     def time(self) -> None:
         self.of_members("time")
-        self.unanswered()
+        self.check_timeout()
 
     # Members
 
@@ -87,18 +87,20 @@
     def told(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
         """A notification of another process of this fleet."""
         try:
-            self.hear(sender, method, params)
+            self.receive(sender, method, params)
         except ValueError as error:
             self.counts["notices_unreadable"] += 1
             self.log(f"{sender[0]}: {method}: {error}")
 
-    def hear(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def receive(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
         match method:
             case "members":
                 self.of_members("message", sender[2], messages.message_of(params))
             case "permitted" if params and type(params[0]) is int:
                 self.permit = max(self.permit, params[0])
-                self.ask_at = min(self.ask_at, self.now)  # not at the next word that is due anyway
+                self.request_at = min(
+                    self.request_at, self.now
+                )  # not at the next heartbeat that is due anyway
             case _:
                 self.counts["notices_unknown"] += 1
 
@@ -166,7 +168,7 @@
             "members": rows[:NAMES_MOST],
             "opinions": dict(many),
             "counts": dict(self.counts),
-            "taken": self.taken,
+            "taken": self.name_taken_by,
         }
 
     def reply(self, conn: int, message: int, result: Any) -> None:
@@ -177,52 +179,52 @@
 
     # What it wants agreed of itself: every request may come twice, or late, and changes nothing then
 
-    def want(self) -> None:
-        if self.ask is not None or self.now < self.ask_at or not self.voters:
+    def next_request(self) -> None:
+        if self.request is not None or self.now < self.request_at or not self.voters:
             return
         name, life = self.me.name, self.me.life
-        if self.over:
-            if not self.gone_told and self.joined:
-                self.send("gone", name, life)
+        if self.ending:
+            if not self.gone_sent and self.joined:
+                self.ask("gone", name, life)
         elif not self.joined:
-            self.send("join", told(self.member._replace(life=life)))
-        elif self.leaving and not self.leaving_told:
-            self.send("leaving", name, life, self.why)
+            self.ask("join", told(self.member._replace(life=life)))
+        elif self.leaving and not self.leaving_sent:
+            self.ask("leaving", name, life, self.why)
         elif self.permit and not self.leaving and not self.began and (self.begun or not self.halted()):
-            self.send("began", name, life, self.permit)
+            self.ask("began", name, life, self.permit)
         elif self.serves and not self.leaving and not self.agreed_serving:
-            self.send("serving", name, life)
-        elif self.now >= self.mine_at:
-            self.mine_at = self.now + self.MINE_MS
-            self.send("mine", name, life, self.overloaded)
+            self.ask("serving", name, life)
+        elif self.now >= self.heartbeat_at:
+            self.heartbeat_at = self.now + self.HEARTBEAT_MS
+            self.ask("mine", name, life, self.overloaded)
         else:
-            self.ask_at = self.mine_at
+            self.request_at = self.heartbeat_at
 
     def agreed(self, verb: str, result: dict[str, Any]) -> None:
         match verb:
             case "join":
-                self.joined, self.taken = True, ""
+                self.joined, self.name_taken_by = True, ""
             case "serving":
                 self.agreed_serving = True
             case "leaving":
-                self.leaving_told = True
+                self.leaving_sent = True
             case "gone":
-                self.gone_told = True
+                self.gone_sent = True
             case "began":
                 self.began = True
                 self.effects.append(Leave(f"by permit of epoch {self.permit}"))
             case "mine":
-                self.heard_mine(result)
+                self.heartbeat_answered(result)
 
-    def heard_mine(self, result: dict[str, Any]) -> None:
+    def heartbeat_answered(self, result: dict[str, Any]) -> None:
         """What the leader says is agreed: a hint, since it may have stopped leading. No step rests on it."""
         again, permit = result.get("again_ms"), result.get("permit")
         if isinstance(again, int | float) and 0 < again <= 60_000:
-            self.mine_wait = max(self.MINE_MS, again)
-            self.mine_at = self.now + self.mine_wait
+            self.heartbeat_wait = max(self.HEARTBEAT_MS, again)
+            self.heartbeat_at = self.now + self.heartbeat_wait
         self.joined = bool(result.get("known"))
         if not self.joined:
-            self.leaving_told = False  # a fleet that was founded anew counts it again
+            self.leaving_sent = False  # a fleet that was founded anew counts it again
         self.agreed_serving = result.get("standing") == SERVING
         self.permit, self.begun = permit if type(permit) is int else 0, bool(result.get("begun"))
         self.agreed_halt = str(result.get("halted", ""))[:1000]
@@ -235,14 +237,14 @@
     def refused(self, verb: str, text: str) -> None:
         self.counts[f"{verb}_refused"] += 1
         if verb == "join":
-            if text != self.taken:
+            if text != self.name_taken_by:
                 self.log(f"cannot join the fleet: {text}")
-            self.taken = text
+            self.name_taken_by = text
         elif verb == "began":
-            self.permit = 0  # the leader's next word tells whether it is there still
-            if text != self.no_permit:
+            self.permit = 0  # the leader's next answer tells whether it is there still
+            if text != self.permit_refusal:
                 self.log(f"permit refused: {text}")
-            self.no_permit = text
+            self.permit_refusal = text
         else:
             self.joined = False  # it knows another life, or none: say all again
 
@@ -250,37 +252,41 @@
 
     def serve(self, good: bool, overloaded: bool) -> None:
         if overloaded != self.overloaded:
-            self.overloaded, self.mine_at, self.ask_at = overloaded, self.now, min(self.ask_at, self.now)
+            self.overloaded, self.heartbeat_at, self.request_at = (
+                overloaded,
+                self.now,
+                min(self.request_at, self.now),
+            )
         if good != self.serves:
-            self.ask_at = min(self.ask_at, self.now)
+            self.request_at = min(self.request_at, self.now)
             self.serves = good
             if not self.leaving:
                 self.stand(Standing.SERVING if good else Standing.JOINING)
 
     def counted(self, rows: Any, memory_mb: float) -> None:
-        """How its tasks have gone, since its start: for whoever leads, while a release is on. Lost words do
-        no harm: the next one says it all again."""
-        if self.counting and self.joined and not self.leaving and self.now >= self.count_at:
-            self.count_at = self.now + max(self.MINE_MS, self.mine_wait) - 1.0
-            self.post(self.voters[self.voter_at], "counts", rows, memory_mb)
+        """How its tasks have gone, since its start: for whoever leads, while a release is on. Lost ones do
+        no harm: the next says it all again."""
+        if self.counting and self.joined and not self.leaving and self.now >= self.counts_at:
+            self.counts_at = self.now + max(self.HEARTBEAT_MS, self.heartbeat_wait) - 1.0
+            self.post(self.voters[self.voter_index], "counts", rows, memory_mb)
 
     def leave(self, why: str) -> None:
         """It drains from now on, whether anybody agreed or not."""
         if not self.leaving:
             self.leaving, self.why = True, why[:TEXT_MOST] or "asked to leave"
             self.stand(Standing.DRAINING)
-            self.hurry()
+            self.request_now()
 
     def left(self) -> None:
         """It is about to end."""
-        if not self.over:
-            self.leaving = self.over = True
+        if not self.ending:
+            self.leaving = self.ending = True
             self.stand(Standing.OUT)
-            self.hurry()
+            self.request_now()
 
-    def hurry(self) -> None:
-        """The next word goes out at once, whatever the last one came to."""
-        self.ask, self.ask_at, self.failures = None, self.now, 0
+    def request_now(self) -> None:
+        """The next request goes out at once, whatever the last one came to."""
+        self.request, self.request_at, self.failures = None, self.now, 0
 
     def stand(self, standing: Standing) -> None:
         self.of_members("stand", standing)
--- a/pumicenotch/fleet/side.py
+++ b/pumicenotch/fleet/settings.py
@@ -6,11 +6,11 @@
 from pumicenotch.fleet.budgets import Budget, Member
 
 
-class BadSide(ValueError):
+class BadSettings(ValueError):
     """It was not written by this program's own reader."""
 
 
-class Side(NamedTuple):
+class FleetSettings(NamedTuple):
     """A member's, and with `names` a voter's."""
 
     fleet: str
@@ -26,7 +26,7 @@
     capacity: float = 1.0
     names: tuple[tuple[str, str], ...] = ()  # voters by name and address
     budgets: tuple[Budget, ...] = ()
-    hands: tuple[Member, ...] = ()
+    manual_members: tuple[Member, ...] = ()
     advertise: str = ""  # where others reach it, if not where it listens
 
     @property
@@ -47,17 +47,17 @@
         )
 
 
-def side_of(told: Any) -> Side | None:
-    """A server's, from the compiled plan, where it has one. Raises BadSide."""
+def settings_of(told: Any) -> FleetSettings | None:
+    """A server's, from the compiled plan, where it has one. Raises BadSettings."""
     if told is None:
         return None
     try:
         values: dict[str, Any] = {
             key: tuple(value) if isinstance(value, list) else value for key, value in told.items()
         }
-        made = Side(**values)
+        made = FleetSettings(**values)
         if not all(isinstance(each, str) for each in (made.fleet, made.name, made.listen, *made.voters)):
             raise TypeError("texts are wanted")
         return made
     except (TypeError, AttributeError) as error:
-        raise BadSide(f"fleet: {error}") from None
+        raise BadSettings(f"fleet: {error}") from None
--- a/pumicenotch/fleet/seat.py
+++ b/pumicenotch/fleet/voter_node.py
@@ -1,5 +1,5 @@
-"""A voter's process: a mate that has a seat in the agreement too. Whoever leads proposes what is asked for,
-judges by all voters' observations who is out against its will, and tells holders of their permits."""
+"""A voter's process: a member that has a replica of the agreed log too. Whoever leads proposes what is asked
+for, judges by all voters' observations who is out against its will, and tells holders of their permits."""
 
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -10,18 +10,26 @@
 from pumicenotch.agree.voter import LEADER, Voter
 from pumicenotch.fleet import release as release_
 from pumicenotch.fleet import state as state_
-from pumicenotch.fleet.asker import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
 from pumicenotch.fleet.effects import Exit
 from pumicenotch.fleet.entries import BadEntry, Said
-from pumicenotch.fleet.mate import Mate
+from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.release import BUDGETS, Release, waves_of
 from pumicenotch.fleet.state import ENTRIES, SILENT, State
+from pumicenotch.fleet.voter_client import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN
 from pumicenotch.fleet.watch import Watch, memory_of, rows_of
 from pumicenotch.members.messages import Opinion
 
-OWN = ("begin", "against", "level", "word", "usual", "soaked", "harm")  # entries that only a leader makes
-READS = ("status", "why", "log", "halts", "releases", "one_release", "waves")
+LEADER_ENTRIES = (
+    "begin",
+    "against",
+    "level",
+    "word",
+    "usual",
+    "soaked",
+    "harm",
+)  # entries that only a leader makes
+READ_VERBS = ("status", "why", "log", "halts", "releases", "one_release", "waves")
 ROWS_MOST = 200  # of a table in one answer: some 30 KB
 OVERLOADED = "overloaded"
 
@@ -35,130 +43,143 @@
     until: float
 
 
-class Seat(Mate):
-    DUTY_MS = 250.0  # between looks at what a leader has to propose: a part of what a person notices
-    SEEN_MS = 1000.0  # between a voter's words to the leader on whom it thinks dead
-    SEEN_LASTS_MS = 5000.0  # of such a word: some lost ones change nothing
-    UNHEARD_MS = 15_000.0  # for news of a member to reach a voter: many times what it takes among a thousand
-    TAKEN_MS = 3000.0  # a name's process that was heard from so lately keeps it
+class VoterNode(MemberNode):
+    LEADER_CHECK_MS = 250.0  # between looks at what a leader has to propose: a part of what a person notices
+    OPINION_MS = 1000.0  # between a voter's messages to the leader on whom it thinks dead
+    OPINION_LASTS_MS = 5000.0  # of such a message: some lost ones change nothing
+    NO_NEWS_MS = 15_000.0  # for news of a member to reach a voter: many times what it takes among a thousand
+    NAME_HELD_MS = 3000.0  # a name's process that was heard from so lately keeps it
     # for a proposal, before its asker hears that nobody agreed: a change of leaders fits in
-    AGREE_MS = 3000.0
+    PROPOSAL_TIMEOUT_MS = 3000.0
     COMPACT_AT = 1024  # entries after which they make way for a snapshot: some hundred KB
-    LEAVE_MS = 1500.0  # for the handing over and the word of its leaving, before the process ends
-    MINE_A_MEMBER_MS = 5.0  # so that all members' words cost a leader a bounded part of a core
+    HAND_OVER_MS = 1500.0  # for the handing over and the message of its leaving, before the process ends
+    HEARTBEAT_A_MEMBER_MS = 5.0  # so that all members' heartbeats cost a leader a bounded part of a core
 
     def __init__(
         self,
         *,
         names: dict[str, str],
         budgets: Iterable[Budget] = (),
-        hands: Iterable[Member] = (),
+        manual_members: Iterable[Member] = (),
         **rest: Any,
     ) -> None:
         """`names` are all voters' addresses by name, this one's too; budgets and members by hand are those
         that a new fleet begins with."""
         super().__init__(voters=names.values(), **rest)
         self.names = names
-        self.seat = f"{self.me.name}/{self.me.life}"
-        self.founding = Founding(self.seat, names)
+        self.replica = f"{self.me.name}/{self.me.life}"
+        self.founding = Founding(self.replica, names)
         self.voter = self.new_voter(Seats())
-        self.begins_with = (tuple(budgets), tuple(hands))
+        self.initial_state = (tuple(budgets), tuple(manual_members))
         self.state = State()
         self.pending: dict[int, Pending] = {}
-        self.reads: dict[int, tuple[int, int, str, Any]] = {}  # key -> conn, message, verb, args
-        self.keys = 0
-        self.wanting: dict[str, str] = {}  # name -> seat of processes that want one
-        self.sees: dict[str, tuple[float, frozenset[str]]] = {}  # by name of the observer
-        self.unheard: dict[str, float] = {}  # counted members that no news has come of, since when
-        self.heard_mine_at: dict[str, tuple[str, float]] = {}  # member -> life, when
+        self.pending_reads: dict[int, tuple[int, int, str, Any]] = {}  # key -> conn, message, verb, args
+        self.last_read = 0
+        self.joining_replicas: dict[str, str] = {}  # name -> replica of processes that want a vote
+        self.dead_seen_by: dict[str, tuple[float, frozenset[str]]] = {}  # by name of the observer
+        self.no_news_since: dict[str, float] = {}  # counted members that no news has come of, since when
+        self.heartbeat_seen: dict[str, tuple[str, float]] = {}  # member -> life, when
         # since it leads: when each spoke last, whether overloaded
-        self.words: dict[str, tuple[float, bool]] = {}
-        self.since: dict[str, float] = {}  # of those that wait or hold a permit: when this process saw it
-        self.durations: list[float] = []  # of the last permits, as this process saw them
+        self.heartbeats: dict[str, tuple[float, bool]] = {}
+        # of those that wait or hold a permit: when this process saw it
+        self.drain_seen_at: dict[str, float] = {}
+        self.drain_durations: list[float] = []  # of the last permits, as this process saw them
         self.watch = Watch()  # while it leads
-        self.levels: dict[str, tuple[float, int]] = {}  # by voter: when it spoke, and what it understands
-        self.duty_at = self.seen_at = self.now
+        # by voter: when it spoke, and what it understands
+        self.voter_levels: dict[str, tuple[float, int]] = {}
+        self.check_at = self.opinion_at = self.now
         self.leave_at = float("inf")
 
     def new_voter(self, seats: Seats) -> Voter:
-        return Voter(self.seat, self.now, seats, self.chance.uniform)
+        return Voter(self.replica, self.now, seats, self.random.uniform)
 
     @property
     def leads(self) -> bool:
         return self.voter.role == LEADER
 
     def due(self) -> float:
-        return min(super().due(), self.voter.due, self.duty_at, self.leave_at)
+        return min(super().due(), self.voter.due, self.check_at, self.leave_at)
 
     def time(self) -> None:
-        # In service is a voter that has a seat: until then a majority may be without it, whatever it serves.
-        self.serve(self.seat in self.voter.log.seats.voters, False)
+        # In service is a voter whose replica has a vote: until then a majority may be without it.
+        self.serve(self.replica in self.voter.log.seats.voters, False)
         super().time()
         if self.now >= self.voter.due:
-            self.of_voter("time")
-        if self.now >= self.duty_at:
-            self.duty_at = self.now + self.DUTY_MS
-            self.found()
-            self.duty()
-        if self.now >= self.leave_at or (self.over and self.gone_told):
+            self.step_voter("time")
+        if self.now >= self.check_at:
+            self.check_at = self.now + self.LEADER_CHECK_MS
+            self.find_fleet()
+            self.lead()
+        if self.now >= self.leave_at or (self.ending and self.gone_sent):
             self.leave_at = float("inf")
             self.effects.append(Exit())
 
-    # A seat
+    # Getting a vote
 
-    def found(self) -> None:
-        """Until it has a seat it asks for one; once it has, it passes the founding on for a while."""
+    def find_fleet(self) -> None:
+        """Until its replica has a vote it asks for one; then it passes the founding on for a while."""
         if self.voter.log.last > 0:
             self.founding.over = True
-            if self.seat in self.voter.log.seats.all:
+            if self.replica in self.voter.log.seats.all:
                 return
-        self.say(self.founding.time(self.now))
-        self.seated_by_founding()
+        self.send_founding(self.founding.time(self.now))
+        self.take_founded_seats()
 
-    def seated_by_founding(self) -> None:
+    def take_founded_seats(self) -> None:
         seats = self.founding.seats
         if seats is not None and not self.voter.log.seats.voters and self.voter.log.last == 0:
             self.voter = self.new_voter(seats)
             self.log(f"the fleet is founded: {', '.join(seats.voters)}")
-            self.say(self.founding.time(self.now))
+            self.send_founding(self.founding.time(self.now))
 
-    def say(self, told: list[Say]) -> None:
-        for each in told:
+    def send_founding(self, messages: list[Say]) -> None:
+        for each in messages:
             if each.to in self.names:
                 self.post(self.names[each.to], "found", *each.told)
 
-    def hear(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def receive(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
         name, life, _ = sender
-        seat = f"{name}/{life}"
+        replica = f"{name}/{life}"
         match method:
             case "agree" | "sees" if name not in self.names:
                 raise agree.BadMessage(f"{name} is no voter of this fleet")
             case "agree":
-                self.of_voter("message", seat, agree.message_of(params))
+                self.step_voter("message", replica, agree.message_of(params))
             case "found":
                 if name not in self.names:
                     raise agree.BadMessage(f"{name} is no voter of this fleet")
-                if params and params[0] == "who" and self.leads and seat not in self.voter.log.seats.voters:
-                    self.wanting[name] = seat
-                self.say(self.founding.said(seat, params))
-                self.seated_by_founding()
+                if (
+                    params
+                    and params[0] == "who"
+                    and self.leads
+                    and replica not in self.voter.log.seats.voters
+                ):
+                    self.joining_replicas[name] = replica
+                self.send_founding(self.founding.said(replica, params))
+                self.take_founded_seats()
             case "sees":
-                self.sees[name] = (self.now, frozenset(each for each in params if isinstance(each, str)))
-                self.levels[name] = (self.now, max([1, *(each for each in params if type(each) is int)]))
+                self.dead_seen_by[name] = (
+                    self.now,
+                    frozenset(each for each in params if isinstance(each, str)),
+                )
+                self.voter_levels[name] = (
+                    self.now,
+                    max([1, *(each for each in params if type(each) is int)]),
+                )
             case "counts":
                 if self.leads and len(params) == 2 and name in self.state.members:
                     self.watch.told(self.now, name, life, rows_of(params[0]), memory_of(params[1]))
             case _:
-                super().hear(sender, method, params)
+                super().receive(sender, method, params)
 
     # The voter
 
-    def of_voter(self, name: str, *details: Any) -> None:
+    def step_voter(self, name: str, *details: Any) -> None:
         todo = self.voter.step(self.now, name, *details)
         while todo:
             effect = todo.pop(0)
             match effect:
-                case Store(serial):  # in memory: a process that ends comes back as another seat
+                case Store(serial):  # in memory: a process that ends comes back as another replica
                     todo += self.voter.step(self.now, "stored", serial)
                 case Send(to, message):
                     if address := self.names.get(name_of(to)):
@@ -169,19 +190,19 @@
                     self.state = state_.load(data)
                     self.log(f"takes the fleet's state as of {index}")
                 case Readable(key, _):
-                    self.readable(key)
+                    self.answer_read(key)
                 case Unreadable(key):
-                    self.unread(key)
+                    self.read_failed(key)
                 case Led(leader, term):
-                    self.led(leader, term)
+                    self.leader_changed(leader, term)
 
-    def led(self, leader: str, term: int) -> None:
+    def leader_changed(self, leader: str, term: int) -> None:
         self.log(f"{leader or 'nobody'} leads in term {term}")
-        if leader == self.seat:
-            self.sees, self.words, self.wanting, self.levels = {}, {}, {}, {}
+        if leader == self.replica:
+            self.dead_seen_by, self.heartbeats, self.joining_replicas, self.voter_levels = {}, {}, {}, {}
             self.watch = Watch()
-            # Whose word went to the former leader counts as heard: a name is not free for want of a memory.
-            self.heard_mine_at = {each.name: (each.life, self.now) for each in self.state.members.values()}
+            # Who sent heartbeats to the former leader counts as heard: its name is not free.
+            self.heartbeat_seen = {each.name: (each.life, self.now) for each in self.state.members.values()}
         elif self.pending:
             for pending in self.pending.values():
                 self.not_leader(pending.conn, pending.message)
@@ -203,7 +224,7 @@
         else:
             before = set(self.state.permits)
             said = self.state.apply(index, entry.data)
-            self.timed(before)
+            self.note_permits(before)
         pending = self.pending.pop(index, None)
         if pending is not None and pending.term != entry.term:
             self.not_leader(pending.conn, pending.message)
@@ -220,20 +241,22 @@
         if log.last - log.base > self.COMPACT_AT and self.voter.commit == index:
             self.voter.compact(index, self.state.dump())
 
-    def timed(self, before: set[str]) -> None:
+    def note_permits(self, before: set[str]) -> None:
         """Notes when permits begin and end, and tells new holders at once: they ask by themselves too."""
         permits = self.state.permits
         for name in before - permits.keys():
-            if name in self.since:
-                self.durations = [*self.durations, self.now - self.since.pop(name)][-16:]
+            if name in self.drain_seen_at:
+                self.drain_durations = [*self.drain_durations, self.now - self.drain_seen_at.pop(name)][-16:]
         for name in sorted(permits.keys() - before):
-            self.since[name] = self.now
+            self.drain_seen_at[name] = self.now
             if self.leads and name in self.members.news:
                 self.post(self.members.news[name].who.address, "permitted", permits[name].epoch)
         for each in self.state.queue:
-            self.since.setdefault(each.name, self.now)
-        for name in [name for name in self.since if name not in permits and name not in self.state.waits]:
-            del self.since[name]
+            self.drain_seen_at.setdefault(each.name, self.now)
+        for name in [
+            name for name in self.drain_seen_at if name not in permits and name not in self.state.waits
+        ]:
+            del self.drain_seen_at[name]
 
     # Requests
 
@@ -248,18 +271,18 @@
             self.not_leader(conn, message)
         elif not self.state.fleet:
             self.refuse(conn, message, NO_MAJORITY, "the fleet has not begun yet")
-        elif verb in READS:
-            self.keys += 1
-            self.reads[self.keys] = (conn, message, verb, args)
-            self.of_voter("read", self.keys)
+        elif verb in READ_VERBS:
+            self.last_read += 1
+            self.pending_reads[self.last_read] = (conn, message, verb, args)
+            self.step_voter("read", self.last_read)
         elif verb == "mine":
-            self.mine_asked(conn, message, args)
+            self.answer_heartbeat(conn, message, args)
         elif verb == "agent":
-            self.agent_asked(conn, message, args)
-        elif verb in ENTRIES and verb not in OWN:
+            self.answer_agent(conn, message, args)
+        elif verb in ENTRIES and verb not in LEADER_ENTRIES:
             self.propose(conn, message, (verb, *args))
         else:
-            known = sorted({*ENTRIES, *READS, "local", "mine", "agent"} - set(OWN))
+            known = sorted({*ENTRIES, *READ_VERBS, "local", "mine", "agent"} - set(LEADER_ENTRIES))
             self.refuse(conn, message, UNKNOWN, f"{verb}: unknown; known: {', '.join(known)}")
 
     def propose(self, conn: int, message: int, entry: tuple[Any, ...]) -> None:
@@ -270,28 +293,30 @@
         except BadEntry as error:
             self.refuse(conn, message, REFUSED, str(error))
             return
-        if why := self.unfit(entry):
+        if why := self.unsafe(entry):
             self.refuse(conn, message, REFUSED, why)
             return
         if entry[0] == "halt":  # by this process at once, whenever it is agreed
             self.mark(*entry[1:])
         index = self.voter.log.last + 1
-        self.pending[index] = Pending(self.voter.term, conn, message, self.now + self.AGREE_MS)
-        self.of_voter("propose", entry)
+        self.pending[index] = Pending(self.voter.term, conn, message, self.now + self.PROPOSAL_TIMEOUT_MS)
+        self.step_voter("propose", entry)
         if self.voter.log.last < index and index in self.pending:  # it hands over just now
             del self.pending[index]
             self.refuse(conn, message, NO_MAJORITY, "the leader hands over: ask again", "")
 
-    def unfit(self, entry: tuple[Any, ...]) -> str:
+    def unsafe(self, entry: tuple[Any, ...]) -> str:
         if entry[0] == "join":
             name, life = entry[1][0], entry[1][1]
             held = self.state.members.get(name)
-            heard = self.heard_mine_at.get(name)
-            lately = heard is not None and self.now - heard[1] < self.TAKEN_MS + self.again_ms()
+            heard = self.heartbeat_seen.get(name)
+            lately = (
+                heard is not None and self.now - heard[1] < self.NAME_HELD_MS + self.heartbeat_interval_ms()
+            )
             if held is not None and held.life != life and held.standing == SERVING and lately:
                 return f"{name}: the name is taken by a process that is alive ({held.life})"
         if (needs := release_.NEEDS.get(entry[0], 1)) > self.state.releases.level and entry[0] != "level":
-            old = [name for name in self.names if self.levels.get(name, (0.0, 1))[1] < needs]
+            old = [name for name in self.names if self.voter_levels.get(name, (0.0, 1))[1] < needs]
             return (
                 f"{entry[0]} is of level {needs}, and the fleet is at level {self.state.releases.level}: all"
                 f" voters have to understand it first; not heard so of {', '.join(old) or 'nobody: wait'}"
@@ -303,15 +328,15 @@
             return "" if permit is not None and permit.begun else self.halted()
         return ""
 
-    def mine_asked(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
+    def answer_heartbeat(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
         match args:
             case [str(name), str(life), bool(overloaded)]:
                 held = self.state.members.get(name)
                 known = held is not None and held.life == life
                 permit = self.state.permits.get(name)
                 if held is not None and known:
-                    self.heard_mine_at[name] = (life, self.now)
-                    self.words[name] = (self.now, overloaded)
+                    self.heartbeat_seen[name] = (life, self.now)
+                    self.heartbeats[name] = (self.now, overloaded)
                 own = permit is not None and permit.life == life
                 self.reply(conn, message, {
                     "known": known, "standing": held.standing if held is not None else "",
@@ -319,12 +344,12 @@
                     "waits": self.waiting_for(name) if name in self.state.waits else "",
                         "begun": permit is not None and own and permit.begun,
                     "halted": self.state.halted(),
-                    "again_ms": self.again_ms(), "counts": bool(self.state.releases.nodes),
+                    "again_ms": self.heartbeat_interval_ms(), "counts": bool(self.state.releases.nodes),
                 })  # fmt: skip
             case _:
                 self.refuse(conn, message, REFUSED, "mine: a name, a life and whether overloaded are wanted")
 
-    def agent_asked(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
+    def answer_agent(self, conn: int, message: int, args: tuple[Any, ...]) -> None:
         """What an agent says of its node, and what it is told: a hint; each step is an entry."""
         try:
             _, (one, agent, runs, holds, down, trouble) = state_.read(("word", *args))
@@ -346,18 +371,18 @@
             "permit": permit.epoch if permit is not None else 0,
             "begun": permit is not None and permit.begun,
             "due": due, "hold": [each for each in wants if each], "halted": state.halted(),
-            "again_ms": self.again_ms(),
+            "again_ms": self.heartbeat_interval_ms(),
         })  # fmt: skip
 
     def closed(self, conn: int) -> None:
         for index, pending in list(self.pending.items()):
             if pending.conn == conn:
                 self.pending[index] = pending._replace(conn=-1)
-        self.reads = {key: read for key, read in self.reads.items() if read[0] != conn}
+        self.pending_reads = {key: read for key, read in self.pending_reads.items() if read[0] != conn}
 
     # What a leader sees to
 
-    def duty(self) -> None:
+    def lead(self) -> None:
         for index, pending in list(self.pending.items()):
             if self.now >= pending.until:
                 del self.pending[index]
@@ -367,40 +392,48 @@
                     NO_MAJORITY,
                     "no majority of the voters has agreed in time: it may come to pass still",
                 )
-        if self.now >= self.seen_at:
-            self.seen_at = self.now + self.SEEN_MS
-            dead = self.dead()
+        if self.now >= self.opinion_at:
+            self.opinion_at = self.now + self.OPINION_MS
+            dead = self.dead_members()
             if self.leads:
-                self.sees[self.me.name] = (self.now, frozenset(dead))
-                self.levels[self.me.name] = (self.now, release_.LEVEL)
+                self.dead_seen_by[self.me.name] = (self.now, frozenset(dead))
+                self.voter_levels[self.me.name] = (self.now, release_.LEVEL)
             elif address := self.names.get(name_of(self.voter.leader)):
                 self.post(address, "sees", *dead, release_.LEVEL)
         if not self.leads or not self.voter.settled():
             return
         if not self.state.fleet:
-            budgets, hands = self.begins_with
+            budgets, manual_members = self.initial_state
             self.propose_own(
-                "begin", self.fleet, tuple(sorted(self.names)), budgets, tuple(map(state_.told, hands))
+                "begin",
+                self.fleet,
+                tuple(sorted(self.names)),
+                budgets,
+                tuple(map(state_.told, manual_members)),
             )
             return
-        self.halts_handed_on()
-        self.judge()
+        self.agree_on_halts()
+        self.judge_members()
         self.raise_level()
         for entry in self.watch.look(self.now, self.state):
             self.propose_own(*entry)
-        seats = seated(self.voter, self.wanting, self.seat_heard)
+        seats = seated(self.voter, self.joining_replicas, self.replica_heard)
         if seats is not None:
             self.log(f"seats: {', '.join(seats.voters)}; learning: {', '.join(seats.learners) or 'none'}")
-            self.of_voter("change", seats)
-            self.wanting = {name: seat for name, seat in self.wanting.items() if seat not in seats.voters}
+            self.step_voter("change", seats)
+            self.joining_replicas = {
+                name: replica
+                for name, replica in self.joining_replicas.items()
+                if replica not in seats.voters
+            }
 
-    def seat_heard(self, seat: str) -> bool:
-        return self.now - self.voter.answered_at.get(seat, float("-inf")) < self.TAKEN_MS
+    def replica_heard(self, replica: str) -> bool:
+        return self.now - self.voter.answered_at.get(replica, float("-inf")) < self.NAME_HELD_MS
 
     def propose_own(self, *entry: Any) -> None:
         self.propose(-1, 0, entry)
 
-    def dead(self) -> list[str]:
+    def dead_members(self) -> list[str]:
         """Of those that the fleet counts: whom this voter thinks dead, or has not heard of for so long that
         it should have."""
         found = []
@@ -408,14 +441,14 @@
             if not held.life or name == self.me.name:
                 continue
             if name in self.members.news:
-                self.unheard.pop(name, None)
+                self.no_news_since.pop(name, None)
                 if self.members.opinion(name) is Opinion.DEAD:
                     found.append(name)
-            elif self.now - self.unheard.setdefault(name, self.now) > self.UNHEARD_MS:
+            elif self.now - self.no_news_since.setdefault(name, self.now) > self.NO_NEWS_MS:
                 found.append(name)
         return sorted(found)
 
-    def halts_handed_on(self) -> None:
+    def agree_on_halts(self) -> None:
         """A halt that was said to any process is agreed once the leader hears of it; one that is over is
         taken out of what is handed on."""
         _, key, by, why = self.marker()
@@ -429,26 +462,26 @@
     def raise_level(self) -> None:
         """Entries that the oldest voter cannot read are not proposed before all voters can; nor while a
         release may still have to go back."""
-        since = self.now - self.SEEN_LASTS_MS
-        fresh = [level for when, level in self.levels.values() if when >= since]
+        since = self.now - self.OPINION_LASTS_MS
+        fresh = [level for when, level in self.voter_levels.values() if when >= since]
         if len(fresh) < len(self.names) or self.state.releases.active():
             return
         if min(fresh) > self.state.releases.level:
             self.propose_own("level", min(fresh))
 
-    def judge(self) -> None:
+    def judge_members(self) -> None:
         """Out against its will is who a majority of the voters thinks dead, or who says so itself. It takes
-        as much to be well again, and its own word: a new leader that has heard of nobody yet knows of no
+        as much to be well again, and its own heartbeat: a new leader that has heard of nobody yet knows of no
         change."""
-        since = self.now - self.SEEN_LASTS_MS
-        fresh = [dead for when, dead in self.sees.values() if when >= since]
+        since = self.now - self.OPINION_LASTS_MS
+        fresh = [dead for when, dead in self.dead_seen_by.values() if when >= since]
         if 2 * len(fresh) <= len(self.names):
             return
-        spoke_since = since - self.again_ms()
+        spoke_since = since - self.heartbeat_interval_ms()
         for name, held in list(self.state.members.items()):
             if not held.life or held.standing != SERVING:
                 continue
-            spoke, overloaded = self.words.get(name, (float("-inf"), False))
+            spoke, overloaded = self.heartbeats.get(name, (float("-inf"), False))
             why = held.against
             if 2 * sum(name in dead for dead in fresh) > len(self.names):
                 why = SILENT
@@ -457,18 +490,18 @@
             if why != held.against:
                 self.propose_own("against", name, held.life, why)
 
-    def again_ms(self) -> float:
-        return max(self.MINE_MS, self.MINE_A_MEMBER_MS * len(self.state.members))
+    def heartbeat_interval_ms(self) -> float:
+        return max(self.HEARTBEAT_MS, self.HEARTBEAT_A_MEMBER_MS * len(self.state.members))
 
     # Answers
 
-    def unread(self, key: int) -> None:
-        read = self.reads.pop(key, None)
+    def read_failed(self, key: int) -> None:
+        read = self.pending_reads.pop(key, None)
         if read is not None:
             self.not_leader(read[0], read[1])
 
-    def readable(self, key: int) -> None:
-        read = self.reads.pop(key, None)
+    def answer_read(self, key: int) -> None:
+        read = self.pending_reads.pop(key, None)
         if read is None:
             return
         conn, message, verb, args = read
@@ -482,18 +515,18 @@
                 self.reply(conn, message, {"log": rows[-ROWS_MOST:]})
             case ["releases"]:
                 found = self.state.releases
-                rows = [self.tell_release(each) for each in list(found.releases.values())[-ROWS_MOST:]]
+                rows = [self.release_row(each) for each in list(found.releases.values())[-ROWS_MOST:]]
                 told = {"level": found.level, "stands": found.stands, "releases": rows}
                 self.reply(conn, message, told)
             case ["one_release", str(name)] if name in self.state.releases.releases:
                 release = self.state.releases.releases[name]
-                self.reply(conn, message, self.tell_release(release) | {"rows": self.release_rows(release)})
+                self.reply(conn, message, self.release_row(release) | {"rows": self.release_nodes(release)})
             case ["one_release", str(name)]:
                 self.refuse(conn, message, REFUSED, f"no release {name}")
             case ["waves", [*shares], bool(mixed), str(order)]:
                 self.reply(conn, message, {"waves": self.waves(tuple(map(float, shares)), mixed, order)})
             case ["why", str(name)] if name in self.state.members:
-                self.reply(conn, message, self.tell_why(name))
+                self.reply(conn, message, self.why_row(name))
             case ["why", str(name)]:
                 self.refuse(conn, message, REFUSED, f"no member {name}")
             case _:
@@ -505,7 +538,7 @@
         members = [each for each in self.state.members.values() if each.name in nodes]
         return waves_of(members, shares=shares, mixed=mixed, order=order)
 
-    def tell_release(self, release: Release) -> dict[str, Any]:
+    def release_row(self, release: Release) -> dict[str, Any]:
         trial = self.watch.trials.get(release.name)
         missing = self.state.releases.missing(release) if release.active and release.slot != BUDGETS else []
         return {
@@ -520,7 +553,7 @@
             "has": sum(self.state.releases.has(release, one) for one in release.nodes),
         }  # fmt: skip
 
-    def release_rows(self, release: Release) -> list[dict[str, Any]]:
+    def release_nodes(self, release: Release) -> list[dict[str, Any]]:
         """What stands where: for when it is halted half way."""
         rows = []
         for at, wave in enumerate(release.waves, 1):
@@ -556,7 +589,7 @@
                     "by": each.by,
                     "reason": each.reason,
                     "why": state.waits.get(each.name, ""),
-                    "ms": self.lasted(each.name),
+                    "ms": self.drain_lasted_ms(each.name),
                 }
                 for each in state.queue[:ROWS_MOST]
             ],
@@ -589,14 +622,14 @@
             "permit": permit.epoch if permit is not None else 0,
             "kind": permit.kind if permit is not None else "",
             "reason": permit.reason if permit is not None else "",
-            "ms": self.lasted(member.name),
+            "ms": self.drain_lasted_ms(member.name),
         }
 
-    def lasted(self, name: str) -> float:
+    def drain_lasted_ms(self, name: str) -> float:
         """How long it waits or holds a permit, as far as this process has seen."""
-        return round(self.now - self.since[name]) if name in self.since else 0.0
+        return round(self.now - self.drain_seen_at[name]) if name in self.drain_seen_at else 0.0
 
-    def tell_why(self, name: str) -> dict[str, Any]:
+    def why_row(self, name: str) -> dict[str, Any]:
         """Why it waits and about how long, or how else it stands."""
         state, member = self.state, self.state.members[name]
         tallies = state.tallies()
@@ -607,28 +640,30 @@
             told["budgets"].append({"budget": tally.place(), "members": tally.many, "out": outs[:ROWS_MOST],
                                     "over": tally.over()})  # fmt: skip
         if name in state.waits:
-            told |= {"ahead": self.ahead(name), "a_drain_takes_ms": self.takes_ms()}
+            told |= {"ahead": self.queued_before(name), "a_drain_takes_ms": self.median_drain_ms()}
         return told
 
-    def ahead(self, name: str) -> int:
+    def queued_before(self, name: str) -> int:
         """How many asked before it and wait still."""
         return [each.name for each in self.state.queue].index(name)
 
-    def takes_ms(self) -> int:
+    def median_drain_ms(self) -> int:
         """The median of the last permits, as long as this process has seen any end."""
-        return round(sorted(self.durations)[len(self.durations) // 2]) if self.durations else 0
+        return (
+            round(sorted(self.drain_durations)[len(self.drain_durations) // 2]) if self.drain_durations else 0
+        )
 
     def waiting_for(self, name: str) -> str:
         """For its holder: why, and about how long."""
-        took = f", of about {self.takes_ms() / 1000.0:.0f} s each" if self.durations else ""
-        return f"{self.state.waits[name]}; {self.ahead(name)} before it{took}"
+        took = f", of about {self.median_drain_ms() / 1000.0:.0f} s each" if self.drain_durations else ""
+        return f"{self.state.waits[name]}; {self.queued_before(name)} before it{took}"
 
     # Leaving
 
     def left(self) -> None:
         """Leadership goes to another before this process ends, so that nobody waits for an election."""
-        if not self.over:
-            self.leave_at = self.now + self.LEAVE_MS
+        if not self.ending:
+            self.leave_at = self.now + self.HAND_OVER_MS
             if self.leads:
-                self.of_voter("hand_over", "")
+                self.step_voter("hand_over", "")
         super().left()
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -11,8 +11,8 @@
 
 from pumicenotch.fleet import effects
 from pumicenotch.fleet.budgets import Budget, Member
-from pumicenotch.fleet.mate import Mate
-from pumicenotch.fleet.seat import Seat
+from pumicenotch.fleet.member_node import MemberNode
+from pumicenotch.fleet.voter_node import VoterNode
 from pumicenotch.members.messages import Who
 
 DRAIN_MS, RESTART_MS = 2000.0, 1000.0  # from the begin of a drain to its end, and to the next life's service
@@ -30,7 +30,7 @@
 class Process:
     def __init__(self, spec: Spec, address: str) -> None:
         self.spec, self.address = spec, address
-        self.core: Mate | None = None  # None: it is down
+        self.core: MemberNode | None = None  # None: it is down
         self.life = 0
         self.stopped = False  # as by SIGSTOP: what comes waits
         self.late: list[Callable[[], None]] = []
@@ -57,7 +57,7 @@
         self.answers: dict[int, tuple[Any, Any]] = {}  # of operators' requests
         self.voters: dict[str, str] = {}
         self.budgets: tuple[Budget, ...] = ()
-        self.hands: tuple[Member, ...] = ()
+        self.manual_members: tuple[Member, ...] = ()
         self.away: dict[str, float] = {}  # by permit, since when
         self.log: list[tuple[float, str, str]] = []
         self.on_leave: Callable[[str], None] = lambda name: None
@@ -87,9 +87,11 @@
             "seeds": list(self.voters), "now": self.now, "seed": self.chance.getrandbits(32),
         }  # fmt: skip
         if spec.voter:
-            process.core = Seat(names=self.voters, budgets=self.budgets, hands=self.hands, **told)
+            process.core = VoterNode(
+                names=self.voters, budgets=self.budgets, manual_members=self.manual_members, **told
+            )
         else:
-            process.core = Mate(voters=self.voters.values(), **told)
+            process.core = MemberNode(voters=self.voters.values(), **told)
         self.away.pop(name, None)
         self.put(name, "start")
         if not spec.voter:
@@ -261,7 +263,7 @@
     def leader(self) -> str:
         """The one of the latest term that a majority follows; "" while there is none."""
         found = [(process.core.voter.term, name) for name, process in self.processes.items()
-                 if isinstance(process.core, Seat) and process.core.leads and not process.stopped
+                 if isinstance(process.core, VoterNode) and process.core.leads and not process.stopped
                  and process.core.voter.in_touch() and process.core.state.fleet]  # fmt: skip
         return max(found)[1] if found else ""
 
@@ -287,7 +289,7 @@
         leader = self.leader()
         assert leader, "nobody leads"
         core = self.processes[leader].core
-        assert isinstance(core, Seat)
+        assert isinstance(core, VoterNode)
         return core.state
 
 
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -59,8 +59,8 @@
     "mute-voter": """\
     pass
 if "pumicenotch.net.fleet" in sys.orig_argv:
-    from pumicenotch.net.mates import Mates
-    Mates.tell = lambda self, address, message: None
+    from pumicenotch.net.peers import PeerHub
+    PeerHub.send = lambda self, address, message: None
 """,
     "level-3": """\
     pass
--- a/pumicenotch/lab/releasing.py
+++ b/pumicenotch/lab/releasing.py
@@ -13,7 +13,7 @@
 from pumicenotch.lab.fleets import Day, Process
 
 HOLD_MS, SWAP_MS = 50.0, 5.0
-COUNT_MS = 500.0  # between a server's words on its tasks
+COUNT_MS = 500.0  # between a server's counts of its tasks
 CALL_MS = 15.0
 KINDS = ("read", "put", "search")
 
@@ -148,7 +148,7 @@
     # Load
 
     def tasks(self) -> None:
-        """Each server's counts since its start, told to its mate."""
+        """Each server's counts since its start, told to its node."""
         self.at(self.now + COUNT_MS, self.tasks)
         for node in self.agents.values():
             process = self.processes[node]
--- a/pumicenotch/net/agent.py
+++ b/pumicenotch/net/agent.py
@@ -23,7 +23,7 @@
 from pumicenotch.fleet.agent import Agent
 from pumicenotch.members.messages import Who
 from pumicenotch.net import logs
-from pumicenotch.net.mates import Alarm, Mates
+from pumicenotch.net.peers import PeerHub, ResettableTimer
 
 LOOK_S = 0.05  # between looks at its server's process: a fraction of what a start takes
 FRAME_MOST = 128 * 1024
@@ -40,11 +40,11 @@
     return "" if fields[0] in "ZX" else fields[19]
 
 
-class Beside(Mates):
+class AgentHub(PeerHub):
     """Carries an agent: what it asks goes to voters, what it does to the disk and the process."""
 
     def __init__(
-        self, told: config.AgentFile, core: Agent, disk: config.Disk, clock: Alarm, group: TaskGroup
+        self, told: config.AgentFile, core: Agent, disk: config.Disk, clock: ResettableTimer, group: TaskGroup
     ) -> None:
         core.me = Who("", "", core.life, 0, "", "")  # type: ignore[attr-defined]
         super().__init__(cast(Any, core), clock, group, lambda why: None, FRAME_MOST, LINKS_MOST)
@@ -169,18 +169,18 @@
 
 
 async def run(told: config.AgentFile, disk: config.Disk) -> None:
-    alarm = Alarm()
+    timer = ResettableTimer()
     there = bool(disk.pid) and ticks(disk.pid) == disk.began
     core = Agent(
         fleet=told.fleet, node=told.member, life=secrets.token_hex(6), voters=told.voters, runs=disk.runs,
         holds=versions.held(Path(told.home) / "versions"), child=there, start_ms=told.start_ms,
-        drain_ms=told.drain_ms, now=alarm.now(), seed=told.seed, trouble=disk.trouble,
+        drain_ms=told.drain_ms, now=timer.now(), seed=told.seed, trouble=disk.trouble,
     )  # fmt: skip
     async with anyio.create_task_group() as group:
-        beside = Beside(told, core, disk, alarm, group)
-        group.start_soon(beside.look_on)
-        beside.put("start")
-        group.start_soon(alarm.run, lambda: beside.put("time"))
+        hub = AgentHub(told, core, disk, timer, group)
+        group.start_soon(hub.look_on)
+        hub.put("start")
+        group.start_soon(timer.run, lambda: hub.put("time"))
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             async for _ in received:
                 break  # its server goes on: the next agent takes it over
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -13,13 +13,13 @@
 from loguru import logger
 
 from pumicenotch import start
-from pumicenotch.fleet.mate import Mate
-from pumicenotch.fleet.seat import Seat
-from pumicenotch.fleet.side import Side
+from pumicenotch.fleet.member_node import MemberNode
+from pumicenotch.fleet.settings import FleetSettings
+from pumicenotch.fleet.voter_node import VoterNode
 from pumicenotch.members.messages import Who
 from pumicenotch.net import logs
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.mates import Alarm, Mates, begin, listening
+from pumicenotch.net.peers import PeerHub, ResettableTimer, open_listener, run_hub
 from pumicenotch.server.seen import Seen
 
 LOOK_S = 0.25  # between looks at how the server does
@@ -32,12 +32,12 @@
 FRAME_MOST = 128 * 1024  # to a server: a page of news has some 10 KB
 
 
-def who(side: Side) -> tuple[Who, dict[str, Any]]:
-    """This process as others know it, with a life of its own, and what every mate is made from."""
+def who(settings: FleetSettings) -> tuple[Who, dict[str, Any]]:
+    """This process as others know it, with a life of its own, and what every node is made from."""
     life = secrets.token_hex(6)
-    me = Who(side.name, side.address, life, int(time.time() * 1000), side.zone, side.region)
-    seeds = side.seeds or side.voters
-    return me, {"fleet": side.fleet, "me": me, "member": side.member(life), "seeds": seeds}
+    me = Who(settings.name, settings.address, life, int(time.time() * 1000), settings.zone, settings.region)
+    seeds = settings.seeds or settings.voters
+    return me, {"fleet": settings.fleet, "me": me, "member": settings.member(life), "seeds": seeds}
 
 
 def links(sockets: int) -> int:
@@ -45,26 +45,28 @@
     return max(16, int(LINKS_PART * sockets))
 
 
-async def member(hub: Hub, group: TaskGroup, side: Side, seed: int, sockets: int) -> Mates | None:
+async def member(
+    hub: Hub, group: TaskGroup, settings: FleetSettings, seed: int, sockets: int
+) -> PeerHub | None:
     """A server's. A listener that cannot be had is logged, and the server goes on without its fleet."""
-    alarm = Alarm()
-    _, told = who(side)
-    mate = Mate(voters=side.voters, now=alarm.now(), seed=seed, **told)
-    mates = Mates(mate, alarm, group, lambda why: hub.put("leave"), FRAME_MOST, links(sockets))
+    timer = ResettableTimer()
+    _, told = who(settings)
+    node = MemberNode(voters=settings.voters, now=timer.now(), seed=seed, **told)
+    peers = PeerHub(node, timer, group, lambda why: hub.put("leave"), FRAME_MOST, links(sockets))
     try:
-        listener = await listening(start.address(side.listen))
+        listener = await open_listener(start.address(settings.listen))
     except OSError as error:
         logger.error(
-            "fleet: cannot listen on {}: {}; this server serves without its fleet", side.listen, error
+            "fleet: cannot listen on {}: {}; this server serves without its fleet", settings.listen, error
         )
         return None
     hub.core.seen = Seen()
-    begin(mates, listener)
-    group.start_soon(watch, hub, mates)
-    return mates
+    run_hub(peers, listener)
+    group.start_soon(watch, hub, peers)
+    return peers
 
 
-async def watch(hub: Hub, mates: Mates) -> None:
+async def watch(hub: Hub, peers: PeerHub) -> None:
     """Tells the fleet what the server does: that it is bound, that it leaves, that it is past use."""
     core, before = hub.core, [(0, 0)]
     while True:
@@ -76,10 +78,10 @@
         ]
         tasks, turned = (last - first for first, last in zip(before[0], before[-1], strict=True))
         if core.leaving:
-            mates.put("leave", "its platform asks" if not mates.mate.began else "by permit")
+            peers.put("leave", "its platform asks" if not peers.node.began else "by permit")
         if core.seen is not None:
-            mates.put("counted", core.seen.rows(), memory_mb())
-        mates.put("serve", core.control is not None, tasks >= TASKS_LEAST and turned > PAST_USE * tasks)
+            peers.put("counted", core.seen.rows(), memory_mb())
+        peers.put("serve", core.control is not None, tasks >= TASKS_LEAST and turned > PAST_USE * tasks)
 
 
 def memory_mb() -> float:
@@ -91,28 +93,33 @@
         return 0.0
 
 
-async def voter(side: Side, seed: int) -> None:
+async def voter(settings: FleetSettings, seed: int) -> None:
     """A voter's whole process, until it is asked to end or its drain is agreed."""
-    alarm = Alarm()
-    _, told = who(side)
-    seat = Seat(
-        names=dict(side.names), budgets=side.budgets, hands=side.hands, now=alarm.now(), seed=seed, **told
+    timer = ResettableTimer()
+    _, told = who(settings)
+    node = VoterNode(
+        names=dict(settings.names),
+        budgets=settings.budgets,
+        manual_members=settings.manual_members,
+        now=timer.now(),
+        seed=seed,
+        **told,
     )
-    listener = await listening(start.address(side.listen))
+    listener = await open_listener(start.address(settings.listen))
     async with anyio.create_task_group() as group:
-        mates = Mates(seat, alarm, group, lambda why: mates.put("left"))
-        begin(mates, listener)
-        group.start_soon(signals, mates)
-        await mates.exit.wait()
-        await mates.flush(FLUSH_S)
-        logger.info("counters: {}", " ".join(f"{name}={many}" for name, many in sorted(seat.counts.items())))
+        peers = PeerHub(node, timer, group, lambda why: peers.put("left"))
+        run_hub(peers, listener)
+        group.start_soon(signals, peers)
+        await peers.exit.wait()
+        await peers.flush(FLUSH_S)
+        logger.info("counters: {}", " ".join(f"{name}={many}" for name, many in sorted(node.counts.items())))
         group.cancel_scope.cancel()
 
 
-async def signals(mates: Mates) -> None:
+async def signals(peers: PeerHub) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
-            mates.put("left")
+            peers.put("left")
 
 
 def main() -> None:
@@ -122,12 +129,12 @@
     from pumicenotch.config.hcl import BadFile
 
     try:
-        side, seed = voter_of(sys.argv[1])
+        settings, seed = voter_of(sys.argv[1])
     except BadFile as error:
         print(error, file=sys.stderr)
         sys.exit(2)
     try:
-        anyio.run(voter, side, seed, backend_options={"use_uvloop": True})
+        anyio.run(voter, settings, seed, backend_options={"use_uvloop": True})
     except (OSError, ValueError) as error:
         sys.exit(f"pumicenotch voter: {error}")
 
--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -14,8 +14,8 @@
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.fleet.budgets import Member
 from pumicenotch.fleet.effects import Ask
-from pumicenotch.fleet.mate import Mate
-from pumicenotch.fleet.side import side_of
+from pumicenotch.fleet.member_node import MemberNode
+from pumicenotch.fleet.settings import settings_of
 from pumicenotch.members.messages import Who
 
 SERVER = """fleet "accra" {
@@ -48,9 +48,9 @@
 
 def test_a_servers_block_comes_whole_through_the_compiled_plan(tmp_path: Path) -> None:
     ours = ours_of(put(tmp_path, SERVER))
-    side = ours.fleet
-    assert side is not None and side.member("x")[:7] == ("n3", "x", "a", "", "", (), ("ledger",))
-    assert compiled.load(compiled.dump(ours), "plan").fleet == side
+    settings = ours.fleet
+    assert settings is not None and settings.member("x")[:7] == ("n3", "x", "a", "", "", (), ("ledger",))
+    assert compiled.load(compiled.dump(ours), "plan").fleet == settings
     assert "n3 of accra" in compiled.describe(ours, [])["fleet"]
     without = json.loads(compiled.dump(compiled.Ours()))
     del without["fleet"]  # as an older program compiled it
@@ -58,15 +58,15 @@
     wrong: list[Any] = [{"fleet": 1}, [], {"fleet": "a", "name": "b", "listen": 3, "voters": []}]
     for each in wrong:
         with pytest.raises(ValueError, match="fleet"):
-            side_of(each)
+            settings_of(each)
 
 
 def test_a_voters_file_says_all(tmp_path: Path) -> None:
-    side, seed = voter_of(put(tmp_path, VOTER + "seed = 4\n"))
-    assert seed == 4 and [name for name, _ in side.names] == ["v1", "v2", "v3"]
-    assert [budget.most_out for budget in side.budgets] == [1]
-    assert [hand.serves for hand in side.hands] == [("ledger",)]
-    assert side.member("x").voter
+    settings, seed = voter_of(put(tmp_path, VOTER + "seed = 4\n"))
+    assert seed == 4 and [name for name, _ in settings.names] == ["v1", "v2", "v3"]
+    assert [budget.most_out for budget in settings.budgets] == [1]
+    assert [hand.serves for hand in settings.manual_members] == [("ledger",)]
+    assert settings.member("x").voter
 
 
 @pytest.mark.parametrize(
@@ -101,7 +101,7 @@
     """Not at the next word that is due anyway: among 300 members that was 1.5 s later, and drains took 1.35
     times the shortest."""
     me = Who("n0", "n0:1", "1", 1, "a", "")
-    mate = Mate(
+    mate = MemberNode(
         fleet="f",
         me=me,
         member=Member("n0", "1"),
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pumicenotch.fleet.budgets import Budget
-from pumicenotch.fleet.seat import Seat
+from pumicenotch.fleet.voter_node import VoterNode
 from pumicenotch.lab import fleets
 from pumicenotch.lab.fleets import Day, usual
 
@@ -202,7 +202,7 @@
             leader = day.leader()
             core = day.processes[leader].core if leader else None
             return (
-                isinstance(core, Seat)
+                isinstance(core, VoterNode)
                 and len(core.voter.log.seats.voters) == 5
                 and all(
                     f"{each}/{day.processes[each].life:04d}" in core.voter.log.seats.voters
@@ -311,7 +311,7 @@
     def seated(name: str) -> bool:
         core = day.processes[day.leader()].core if day.leader() else None
         seat = f"{name}/{day.processes[name].life:04d}"
-        return isinstance(core, Seat) and seat in core.voter.log.seats.voters
+        return isinstance(core, VoterNode) and seat in core.voter.log.seats.voters
 
     replaced = {"v1"}
     while replaced < {"v1", "v2", "v3"} or day.leader() != "v1":
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -261,7 +261,7 @@
     held = day.state().releases.releases["r1"]
     assert held.was == "going back" and "start refused" in held.why
     leader = day.processes[day.leader()].core
-    rows = {row["name"]: row for row in leader.release_rows(held)}  # type: ignore[union-attr]
+    rows = {row["name"]: row for row in leader.release_nodes(held)}  # type: ignore[union-attr]
     assert {row["runs"] for row in rows.values() if row["trouble"].startswith("start refused")} == {OLD}
 
 
@@ -561,12 +561,12 @@
     made.step(0.0, "start")
     made.step(1.0, "ended", 0)
     for now in (2.0, 3.0, 4.0):
-        assert made.ask is not None
-        if made.ask[1] == "move":
+        assert made.request is not None
+        if made.request[1] == "move":
             break
-        made.step(now, "answered", made.ask[0], None, answer)
-    assert made.ask is not None and made.ask[1] == "move"
-    return made, made.ask[0], made.ask[2]
+        made.step(now, "answered", made.request[0], None, answer)
+    assert made.request is not None and made.request[1] == "move"
+    return made, made.request[0], made.request[2]
 
 
 def test_a_permission_that_its_agent_slept_through_is_none() -> None:
