Let another package add a subject to the voters' log: fleet/book.Book

Change: Protocol Book (name, level, verbs with their readers, admit, apply, dump, load); State(books) reads and applies their entries from their level on, dumps carry their bytes after a line of JSON (form 3; without books or below their level a dump is as before, to the byte); a state with a book that a voter lacks is refused by UnknownBook, and that voter ends with a remedy, as does one below the fleet's level: it would hold another state than the others. VoterNode takes a factory `books`, announces the highest level it reads, and gives the error code of a refusal as its third field. Hooks for a carrier: VoterNode.leadership() and the effect MemberChanged. Not run yet on this change: test_release, tests/fleet.

--- a/pumicenotch/fleet/effects.py
+++ b/pumicenotch/fleet/effects.py
@@ -3,6 +3,8 @@
 
 from typing import Any, NamedTuple
 
+from pumicenotch.members.messages import News
+
 
 class Post(NamedTuple):
     """Told once, without an answer; lost with its connection."""
@@ -36,6 +38,12 @@
     why: str
 
 
+class MemberChanged(NamedTuple):
+    """Membership has another opinion of that process than before."""
+
+    news: News
+
+
 class Log(NamedTuple):
     text: str
 
@@ -88,4 +96,7 @@
     slots: tuple[str, ...]
 
 
-Effect = Hold | Swap | Start | End | Reread | Anew | Proven | Post | Ask | Reply | Leave | Log | Wake | Exit
+Effect = (
+    Hold | Swap | Start | End | Reread | Anew | Proven
+    | Post | Ask | Reply | Leave | MemberChanged | Log | Wake | Exit
+)  # fmt: skip
--- a/pumicenotch/fleet/member_node.py
+++ b/pumicenotch/fleet/member_node.py
@@ -7,7 +7,7 @@
 from typing import Any, ClassVar
 
 from pumicenotch.fleet.budgets import SERVING, Member
-from pumicenotch.fleet.effects import Leave, Post, Reply
+from pumicenotch.fleet.effects import Leave, MemberChanged, Post, Reply
 from pumicenotch.fleet.entries import NAMES_MOST, TEXT_MOST
 from pumicenotch.fleet.state import told
 from pumicenotch.fleet.voter_client import UNKNOWN, VoterClient
@@ -81,6 +81,7 @@
                     self.log(f"another process goes by the name {other.name}: {other.address} ({other.life})")
 
     def changed(self, news: messages.News) -> None:
+        self.effects.append(MemberChanged(news))
         if news.opinion is not Opinion.ALIVE:
             self.log(f"{news.who.name} is thought {news.opinion.name.lower()} by {news.by}")
 
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -7,10 +7,11 @@
 a reason."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet import release as release_
+from pumicenotch.fleet.book import Book, UnknownBook
 from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Budget, Member, Tallies, Tally
 from pumicenotch.fleet.entries import (
     BadEntry,
@@ -36,7 +37,8 @@
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
 SILENT = "silent"  # why a member is out against its will that a majority hears nothing of
 PERMITTED = ("drain", release_.KIND)  # permits that keep to the budgets
-FORMS = (1, 2)  # of a dump: the second has releases
+FORMS = (1, 2, 3)  # of a dump: the second has releases, the third books
+BOOKS_FORM = 3
 
 
 class Permit(NamedTuple):
@@ -62,7 +64,10 @@
 
 
 class State:
-    def __init__(self) -> None:
+    def __init__(self, books: Sequence[Book] = ()) -> None:
+        """`books` are further subjects of the log. Raises ValueError where two claim one verb."""
+        self.books = {book.name: book for book in sorted(books, key=lambda book: book.name)}
+        self.book_by_verb = books_by_verb(books)
         self.index = 0  # of the entry applied last
         self.fleet = ""
         self.voters: tuple[str, ...] = ()
@@ -85,9 +90,11 @@
         """The one way in: `entry` is (verb, ...), as `ENTRIES` reads it."""
         self.index = index
         try:
-            verb, args = read(entry)
-        except BadEntry as error:
-            return Said(False, str(error))
+            verb, args = self.read(entry)
+        except ValueError as error:
+            return Said(False, str(error), error_code(error))
+        if verb in self.book_by_verb:
+            return self.apply_to_book(self.book_by_verb[verb], verb, args)
         if verb in REQUESTS and args[0] in self.ids:  # once more, by whatever way: nothing changes
             return Said(*self.ids[args[0]])
         if verb not in COUNTS_STAY:
@@ -100,6 +107,30 @@
             self.settle()
         return said
 
+    def read(self, entry: Any) -> tuple[str, tuple[Any, ...]]:
+        """What an entry does, and with what. Raises ValueError."""
+        if isinstance(entry, list | tuple) and entry and entry[0] in self.book_by_verb:
+            readers = self.book_by_verb[entry[0]].verbs[entry[0]]
+            return entry[0], read_fields(entry, readers)
+        return read(entry)
+
+    def level_of(self, verb: str) -> int:
+        """That all voters have to understand before an entry of this verb is proposed."""
+        book = self.book_by_verb.get(verb)
+        return book.level if book is not None else release_.NEEDS.get(verb, 1)
+
+    def admit(self, entry: Any) -> None:
+        """Called by a leader before it proposes a book's entry. Raises ValueError."""
+        if entry[0] in self.book_by_verb:
+            self.book_by_verb[entry[0]].admit(*self.read(entry))
+
+    def apply_to_book(self, book: Book, verb: str, args: tuple[Any, ...]) -> Said:
+        """Nothing of the members changes by it, so nothing is to be settled."""
+        if self.releases.level < book.level:  # voters that cannot read it skip it too
+            return Said(False, f"{verb} is of level {book.level}: the fleet is at {self.releases.level}")
+        outcome = book.apply(self.index, verb, args)
+        return Said(outcome.good, outcome.text, outcome.value)
+
     def begin(self, fleet: str, voters: tuple[str, ...], budgets: tuple[Budget, ...], hands: Any) -> Said:
         """The first entry. `hands` are replicas of services below, drained and returned by an operator's
         hand."""
@@ -449,6 +480,16 @@
 
     def dump(self) -> bytes:
         """The same bytes for the same state."""
+        told = self.dump_fields()
+        books = [book for book in self.books.values() if self.releases.level >= book.level]
+        if not books:
+            return compact_json(told)
+        sections = [book.dump() for book in books]
+        told["form"] = BOOKS_FORM
+        told["books"] = [(book.name, len(data)) for book, data in zip(books, sections, strict=True)]
+        return b"\n".join((compact_json(told), b"".join(sections)))
+
+    def dump_fields(self) -> dict[str, Any]:
         told: dict[str, Any] = {
             "form": 2 if self.releases.level > 1 else 1,
             "index": self.index, "fleet": self.fleet, "voters": self.voters,
@@ -458,16 +499,37 @@
         }  # fmt: skip
         if self.releases.level > 1:
             told["releases"] = self.releases.dump()
-        return json.dumps(told, separators=(",", ":")).encode()
+        return told
+
+
+def error_code(error: Exception) -> str | None:
+    """Of an error that has a type of its own for operators."""
+    code = getattr(error, "code", None)
+    return code if isinstance(code, str) else None
+
+
+def compact_json(told: Any) -> bytes:
+    return json.dumps(told, separators=(",", ":")).encode()
+
 
+def books_by_verb(books: Iterable[Book]) -> dict[str, Book]:
+    found: dict[str, Book] = {}
+    for book in books:
+        for verb in book.verbs:
+            if verb in ENTRIES or verb in found:
+                raise ValueError(f"book {book.name}: the verb {verb} has an owner already")
+            found[verb] = book
+    return found
 
-def load(data: bytes) -> State:
-    """What `dump` gave. Raises BadEntry on anything else."""
+
+def load(data: bytes, books: Sequence[Book] = ()) -> State:
+    """What `dump` gave. Raises BadEntry on anything else, UnknownBook where `books` lacks one of it."""
+    header, _, sections = data.partition(b"\n")
     try:
-        told = json.loads(data)
+        told = json.loads(header)
         if told["form"] not in FORMS:
             raise BadEntry(f"a state of form {told['form']!r}: {FORMS} are known: a newer program is wanted")
-        made = State()
+        made = State(books)
         made.index, made.fleet = told["index"], told["fleet"]
         made.voters = tuple(told["voters"])
         for each in told["members"]:
@@ -483,14 +545,29 @@
         made.history = [(index, what) for index, what in told["history"]]
         if "releases" in told:
             made.releases.load(told["releases"])
+        load_books(made, told.get("books", ()), sections)
+    except (BadEntry, UnknownBook):
+        raise
     except (KeyError, TypeError, ValueError, IndexError) as error:
-        if isinstance(error, BadEntry):
-            raise
         raise BadEntry(f"no state of a fleet: {type(error).__name__} {error}"[:200]) from None
     made.settle()
     return made
 
 
+def load_books(state: State, lengths: Iterable[tuple[str, int]], sections: bytes) -> None:
+    """Each book from its section: the sections follow each other in the order of `lengths`."""
+    found = list(lengths)
+    for book, _ in found:
+        if book not in state.books:
+            raise UnknownBook(book)
+    if sum(length for _, length in found) != len(sections):
+        raise ValueError("its books are not whole")
+    start = 0
+    for book, length in found:
+        state.books[book].load(sections[start : start + length])
+        start += length
+
+
 def listed(some: Iterable[str]) -> str:
     """The first few by name."""
     found = list(some)
@@ -523,9 +600,14 @@
     if not isinstance(entry, list | tuple) or not entry or entry[0] not in ENTRIES:
         raise BadEntry(f"unknown: {entry!r:.60}; known: {', '.join(ENTRIES)}")
     verb, readers = ENTRIES[entry[0]]
+    return verb, read_fields(entry, readers)
+
+
+def read_fields(entry: Sequence[Any], readers: tuple[Reader, ...]) -> tuple[Any, ...]:
+    """What follows an entry's verb, by its readers. Raises BadEntry, or what a book's reader raises."""
     if len(entry) != len(readers) + 1:
         raise BadEntry(f"{entry[0]}: {len(readers)} values are wanted, not {len(entry) - 1}")
     try:
-        return verb, tuple(reader(value) for reader, value in zip(readers, entry[1:], strict=True))
+        return tuple(reader(value) for reader, value in zip(readers, entry[1:], strict=True))
     except TypeError as error:
         raise BadEntry(f"{entry[0]}: {error}") from None
--- a/pumicenotch/fleet/voter_node.py
+++ b/pumicenotch/fleet/voter_node.py
@@ -1,7 +1,7 @@
 """A voter's process: a member that has a replica of the agreed log too. Whoever leads proposes what is asked
 for, judges by all voters' observations who is out against its will, and tells holders of their permits."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
 from pumicenotch.agree import messages as agree
@@ -10,6 +10,7 @@
 from pumicenotch.agree.voter import LEADER, Voter
 from pumicenotch.fleet import release as release_
 from pumicenotch.fleet import state as state_
+from pumicenotch.fleet.book import Book
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
 from pumicenotch.fleet.effects import Exit
 from pumicenotch.fleet.entries import BadEntry, Said
@@ -43,6 +44,14 @@
     until: float
 
 
+class Leadership(NamedTuple):
+    """Who leads, as this voter knows it."""
+
+    address: str  # "": nobody
+    is_leader: bool
+    in_touch: bool  # with a majority as its leader, or with its leader
+
+
 class VoterNode(MemberNode):
     LEADER_CHECK_MS = 250.0  # between looks at what a leader has to propose: a part of what a person notices
     OPINION_MS = 1000.0  # between a voter's messages to the leader on whom it thinks dead
@@ -61,17 +70,20 @@
         names: dict[str, str],
         budgets: Iterable[Budget] = (),
         manual_members: Iterable[Member] = (),
+        books: Callable[[], Sequence[Book]] = tuple,
         **rest: Any,
     ) -> None:
         """`names` are all voters' addresses by name, this one's too; budgets and members by hand are those
-        that a new fleet begins with."""
+        that a new fleet begins with. `books` makes the further subjects of the log, once for each state."""
         super().__init__(voters=names.values(), **rest)
         self.names = names
         self.replica = f"{self.me.name}/{self.me.life}"
         self.founding = Founding(self.replica, names)
         self.voter = self.new_voter(Seats())
         self.initial_state = (tuple(budgets), tuple(manual_members))
-        self.state = State()
+        self.books = books
+        self.state = State(books())
+        self.unreadable = False  # the fleet's state, by this program: it ends
         self.pending: dict[int, Pending] = {}
         self.pending_reads: dict[int, tuple[int, int, str, Any]] = {}  # key -> conn, message, verb, args
         self.last_read = 0
@@ -97,6 +109,16 @@
     def leads(self) -> bool:
         return self.voter.role == LEADER
 
+    @property
+    def level(self) -> int:
+        """The highest level of entries that this process reads."""
+        return max([release_.LEVEL, *(book.level for book in self.state.books.values())])
+
+    def leadership(self) -> Leadership:
+        address = self.names.get(name_of(self.voter.leader), "")
+        in_touch = self.voter.in_touch() if self.leads else bool(address) and self.voter.hears_leader()
+        return Leadership(address, self.leads, in_touch)
+
     def due(self) -> float:
         return min(super().due(), self.voter.due, self.check_at, self.leave_at)
 
@@ -176,7 +198,7 @@
 
     def step_voter(self, name: str, *details: Any) -> None:
         todo = self.voter.step(self.now, name, *details)
-        while todo:
+        while todo and not self.unreadable:
             effect = todo.pop(0)
             match effect:
                 case Store(serial):  # in memory: a process that ends comes back as another replica
@@ -187,8 +209,7 @@
                 case Commit(index, entry):
                     self.commit(index, entry)
                 case Restore(index, data):
-                    self.state = state_.load(data)
-                    self.log(f"takes the fleet's state as of {index}")
+                    self.restore(index, data)
                 case Readable(key, _):
                     self.answer_read(key)
                 case Unreadable(key):
@@ -196,6 +217,29 @@
                 case Led(leader, term):
                     self.leader_changed(leader, term)
 
+    def restore(self, index: int, data: bytes) -> None:
+        try:
+            self.state = state_.load(data, self.books())
+        except ValueError as error:
+            self.give_up(str(error))
+            return
+        self.log(f"takes the fleet's state as of {index}")
+        self.check_level()
+
+    def check_level(self) -> None:
+        if self.state.releases.level > self.level:
+            self.give_up(
+                f"the fleet is at level {self.state.releases.level}, and this voter reads entries up to"
+                f" level {self.level}: give its file the blocks that the other voters' files have, or"
+                " start it with a newer program"
+            )
+
+    def give_up(self, why: str) -> None:
+        """A voter that cannot read what is agreed would hold another state than the others."""
+        self.unreadable = True
+        self.log(f"this voter ends: {why}")
+        self.effects.append(Exit())
+
     def leader_changed(self, leader: str, term: int) -> None:
         self.log(f"{leader or 'nobody'} leads in term {term}")
         if leader == self.replica:
@@ -225,6 +269,7 @@
             before = set(self.state.permits)
             said = self.state.apply(index, entry.data)
             self.note_permits(before)
+            self.check_level()
         pending = self.pending.pop(index, None)
         if pending is not None and pending.term != entry.term:
             self.not_leader(pending.conn, pending.message)
@@ -236,7 +281,7 @@
                     {"text": said.text, "value": said.value, "index": index, "agreed": True},
                 )
             else:
-                self.refuse(pending.conn, pending.message, REFUSED, said.text)
+                self.refuse(pending.conn, pending.message, REFUSED, said.text, said.value)
         log = self.voter.log
         if log.last - log.base > self.COMPACT_AT and self.voter.commit == index:
             self.voter.compact(index, self.state.dump())
@@ -279,22 +324,25 @@
             self.answer_heartbeat(conn, message, args)
         elif verb == "agent":
             self.answer_agent(conn, message, args)
-        elif verb in ENTRIES and verb not in LEADER_ENTRIES:
+        elif verb in self.state.book_by_verb or (verb in ENTRIES and verb not in LEADER_ENTRIES):
             self.propose(conn, message, (verb, *args))
         else:
-            known = sorted({*ENTRIES, *READ_VERBS, "local", "mine", "agent"} - set(LEADER_ENTRIES))
+            known = sorted(
+                {*ENTRIES, *self.state.book_by_verb, *READ_VERBS, "local", "mine", "agent"}
+                - set(LEADER_ENTRIES)
+            )
             self.refuse(conn, message, UNKNOWN, f"{verb}: unknown; known: {', '.join(known)}")
 
     def propose(self, conn: int, message: int, entry: tuple[Any, ...]) -> None:
         """What cannot be read is refused before it is agreed, and what is not safe by what only the leader
         knows."""
         try:
-            state_.read(entry)
-        except BadEntry as error:
-            self.refuse(conn, message, REFUSED, str(error))
-            return
-        if why := self.unsafe(entry):
-            self.refuse(conn, message, REFUSED, why)
+            self.state.read(entry)
+            if why := self.unsafe(entry):
+                raise BadEntry(why)
+            self.state.admit(entry)
+        except ValueError as error:
+            self.refuse(conn, message, REFUSED, str(error), state_.error_code(error))
             return
         if entry[0] == "halt":  # by this process at once, whenever it is agreed
             self.mark(*entry[1:])
@@ -315,7 +363,7 @@
             )
             if held is not None and held.life != life and held.standing == SERVING and lately:
                 return f"{name}: the name is taken by a process that is alive ({held.life})"
-        if (needs := release_.NEEDS.get(entry[0], 1)) > self.state.releases.level and entry[0] != "level":
+        if (needs := self.state.level_of(entry[0])) > self.state.releases.level and entry[0] != "level":
             old = [name for name in self.names if self.voter_levels.get(name, (0.0, 1))[1] < needs]
             return (
                 f"{entry[0]} is of level {needs}, and the fleet is at level {self.state.releases.level}: all"
@@ -397,9 +445,9 @@
             dead = self.dead_members()
             if self.leads:
                 self.dead_seen_by[self.me.name] = (self.now, frozenset(dead))
-                self.voter_levels[self.me.name] = (self.now, release_.LEVEL)
+                self.voter_levels[self.me.name] = (self.now, self.level)
             elif address := self.names.get(name_of(self.voter.leader)):
-                self.post(address, "sees", *dead, release_.LEVEL)
+                self.post(address, "sees", *dead, self.level)
         if not self.leads or not self.voter.settled():
             return
         if not self.state.fleet:
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -4,12 +4,14 @@
 
 import heapq
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 from typing import Any, NamedTuple
 
 import msgpack
 
 from pumicenotch.fleet import effects
+from pumicenotch.fleet.book import Book
 from pumicenotch.fleet.budgets import Budget, Member
 from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.voter_node import VoterNode
@@ -58,6 +60,7 @@
         self.voters: dict[str, str] = {}
         self.budgets: tuple[Budget, ...] = ()
         self.manual_members: tuple[Member, ...] = ()
+        self.books: Callable[[str], Sequence[Book]] = lambda name: ()  # of that voter
         self.away: dict[str, float] = {}  # by permit, since when
         self.log: list[tuple[float, str, str]] = []
         self.on_leave: Callable[[str], None] = lambda name: None
@@ -88,7 +91,11 @@
         }  # fmt: skip
         if spec.voter:
             process.core = VoterNode(
-                names=self.voters, budgets=self.budgets, manual_members=self.manual_members, **told
+                names=self.voters,
+                budgets=self.budgets,
+                manual_members=self.manual_members,
+                books=partial(self.books, name),
+                **told,
             )
         else:
             process.core = MemberNode(voters=self.voters.values(), **told)
