--- a/pumicenotch/lab/clients.py
+++ b/pumicenotch/lab/clients.py
@@ -2,24 +2,14 @@
 
 import random
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
+from pumicenotch.lab.attempt import Attempt
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.world import Arrival, World, habits
 
 
-class Try:
-    """One attempt at a task, as it goes over the wire."""
-
-    __slots__ = ("again", "number", "rid", "sent", "server", "settled", "task", "wire")
-
-    def __init__(self, rid: str, task: Arrival, server: int, number: int, again: bool, sent: float) -> None:
-        self.rid, self.task, self.server, self.number = rid, task, server, number
-        self.again, self.sent, self.settled = again, sent, False
-        self.wire: Any = None  # where the carrier has it
-
-
-def fields(world: World, sent: Try, t0_ms: float) -> dict[str, str]:
+def fields(world: World, sent: Attempt, t0_ms: float) -> dict[str, str]:
     """What a gateway tells of a try that reaches the machine at that time (Unix ms)."""
     task = sent.task
     told = {
@@ -42,9 +32,9 @@
 class Wire(Protocol):
     """What a carrier does for the clients. Times in ms from the run's begin."""
 
-    def send(self, now: float, attempt: Try) -> None: ...
+    def send(self, now: float, attempt: Attempt) -> None: ...
 
-    def cancel(self, now: float, attempt: Try) -> None: ...
+    def cancel(self, now: float, attempt: Attempt) -> None: ...
 
     def at(self, when: float, do: Callable[[float], None]) -> None: ...
 
@@ -80,7 +70,7 @@
         if server is None:
             server = self.choose(now, gateway, before)
         marked = number > 1 and self.habits[task.gateway].marks
-        sent = Try(f"{self.rids(64):016x}", task, server, number, marked, now)
+        sent = Attempt(f"{self.rids(64):016x}", task, server, number, marked, now)
         self.ledger.written(now, sent)
         limit = task.at + self.world.stage[task.stage].limit_ms
         self.wire.at(limit, lambda late: self.give_up(late, sent))
@@ -94,14 +84,14 @@
                 break
         return gateway.turn
 
-    def give_up(self, now: float, sent: Try) -> None:
+    def give_up(self, now: float, sent: Attempt) -> None:
         if not sent.settled:
             sent.settled = True
             self.ledger.cancelled(now, sent)
             self.wire.cancel(now, sent)
             self.over(now, sent, "late")
 
-    def answered(self, now: float, sent: Try, kind: str, body: bytes = b"", stay_away_ms: float = 0.0,
+    def answered(self, now: float, sent: Attempt, kind: str, body: bytes = b"", stay_away_ms: float = 0.0,
                  last: bool = False) -> None:  # fmt: skip
         """The wire brought an answer: `served`, `rejected`, `failed`; or `lost` with the connection, or
         `refused` before one was made."""
@@ -126,6 +116,6 @@
         else:
             self.over(now, sent, kind)
 
-    def over(self, now: float, sent: Try, kind: str) -> None:
+    def over(self, now: float, sent: Attempt, kind: str) -> None:
         self.open -= 1
         self.ledger.ended(now, sent.task, kind, sent.number)
--- a/pumicenotch/lab/ledger.py
+++ b/pumicenotch/lab/ledger.py
@@ -1,14 +1,11 @@
 """An independent judge of the four rules: it knows only what crossed the wire, and no server's counters."""
 
 from collections import Counter
-from typing import TYPE_CHECKING
 
+from pumicenotch.lab.attempt import Attempt
 from pumicenotch.lab.cores import result
 from pumicenotch.lab.world import Arrival, World
 
-if TYPE_CHECKING:
-    from pumicenotch.lab.clients import Try
-
 SLACK_MS = 130.0  # the settings' 80 ms and the 50 ms that sockets may take
 
 
@@ -27,9 +24,9 @@
         self.world, self.grace_ms = world, grace_ms
         self.asked: list[Arrival] = []
         self.ends: list[End] = []
-        self.tries: dict[str, Try] = {}
+        self.tries: dict[str, Attempt] = {}
         self.answers: Counter[str] = Counter()
-        self.open: dict[str, Try] = {}
+        self.open: dict[str, Attempt] = {}
         # server and token of a fingerprinted run -> when it began
         self.ran: dict[tuple[int, str], float] = {}
         self.spawned: set[str] = set()
@@ -43,16 +40,16 @@
     def wanted(self, task: Arrival) -> None:
         self.asked.append(task)
 
-    def written(self, now: float, sent: "Try") -> None:
+    def written(self, now: float, sent: Attempt) -> None:
         self.sent += 1
         self.repeats += sent.number > 1
         self.tries[sent.rid] = self.open[sent.rid] = sent
 
-    def cancelled(self, now: float, sent: "Try") -> None:
+    def cancelled(self, now: float, sent: Attempt) -> None:
         self.overdue(now, sent)
         self.open.pop(sent.rid, None)
 
-    def overdue(self, now: float, sent: "Try") -> None:
+    def overdue(self, now: float, sent: Attempt) -> None:
         """Its time limit counts from when it reached the machine; a client may give up long before."""
         limit = sent.sent + self.world.stage[sent.task.stage].limit_ms + SLACK_MS
         if now > limit:
@@ -60,7 +57,7 @@
                 "lost", now, f"{sent.rid} was answered {now - limit:.0f} ms past its limit, or not at all"
             )
 
-    def answered(self, now: float, sent: "Try", kind: str, body: bytes) -> None:
+    def answered(self, now: float, sent: Attempt, kind: str, body: bytes) -> None:
         if kind == "refused":  # it was never written
             self.open.pop(sent.rid, None)
             return
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -22,7 +22,8 @@
 from pumicenotch.cells.place import bounded
 from pumicenotch.config.files import put
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.clients import Clients, Try, fields
+from pumicenotch.lab.attempt import Attempt
+from pumicenotch.lab.clients import Clients, fields
 from pumicenotch.lab.cores import Cores, Work
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.peers import DatabasePeer, GatewayPeer, PoolPeer, RegistryPeer
@@ -197,7 +198,7 @@
     def at(self, when: float, do: Callable[[float], None]) -> None:
         self.loop.call_at((when + self.began) / 1000.0, lambda: do(self.now()))
 
-    def send(self, now: float, attempt: Try) -> None:
+    def send(self, now: float, attempt: Attempt) -> None:
         node = self.fronts[attempt.server]
         mine = node.conns.setdefault(attempt.task.gateway, [])
         for conn in mine:
@@ -211,7 +212,7 @@
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
 
-    async def dial(self, node: Node, attempt: Try) -> None:
+    async def dial(self, node: Node, attempt: Attempt) -> None:
         try:
             make = partial(GatewayPeer, self.answer, partial(self.lost, node))
             _, conn = await self.loop.create_connection(make, *node.address)
@@ -221,7 +222,7 @@
         node.conns.setdefault(attempt.task.gateway, []).append(conn)
         self.write(conn, attempt)
 
-    def write(self, conn: GatewayPeer, sent: Try) -> None:
+    def write(self, conn: GatewayPeer, sent: Attempt) -> None:
         if sent.settled:
             return
         stage = self.world.stage[sent.task.stage].name
@@ -246,7 +247,7 @@
             self.clients.answered(self.now(), sent, "lost")
         conn.open.clear()
 
-    def cancel(self, now: float, attempt: Try) -> None:
+    def cancel(self, now: float, attempt: Attempt) -> None:
         if attempt.wire is not None:
             conn, message = attempt.wire
             if conn.open.get(message) is attempt:
--- a/pumicenotch/lab/simulate.py
+++ b/pumicenotch/lab/simulate.py
@@ -11,7 +11,8 @@
 from pumicenotch.config.file import plan_of
 from pumicenotch.control import Control
 from pumicenotch.lab import world as world_
-from pumicenotch.lab.clients import Clients, Try, fields
+from pumicenotch.lab.attempt import Attempt
+from pumicenotch.lab.clients import Clients, fields
 from pumicenotch.lab.cores import Cores, Work
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.world import World, arrivals
@@ -39,8 +40,8 @@
         self.core, self.work = core, work
         self.woken = self.working = 0  # numbers of the latest wake-up, and of the pool's latest look
         # gateway -> its connections, what is open
-        self.conns: dict[int, list[tuple[int, dict[int, Try]]]] = {}
-        self.by_conn: dict[int, dict[int, Try]] = {}
+        self.conns: dict[int, list[tuple[int, dict[int, Attempt]]]] = {}
+        self.by_conn: dict[int, dict[int, Attempt]] = {}
         self.linked = True
         self.over = False
         self.frozen_until = 0.0
@@ -99,11 +100,11 @@
 
     # The clients' wire
 
-    def send(self, now: float, attempt: Try) -> None:
+    def send(self, now: float, attempt: Attempt) -> None:
         node = self.nodes[attempt.server]
         self.at(max(now + WIRE_MS, node.frozen_until), self.arrive, node, attempt)
 
-    def arrive(self, now: float, node: Node, sent: Try) -> None:
+    def arrive(self, now: float, node: Node, sent: Attempt) -> None:
         if node.over:
             self.at(now + WIRE_MS, self.clients.answered, sent, "lost")
             return
@@ -120,7 +121,7 @@
         told = fields(self.world, sent, sent.sent + WIRE_MS)
         self.put(node, "task", conn, message, 0.0, stage, told, sent.task.body)
 
-    def cancel(self, now: float, attempt: Try) -> None:
+    def cancel(self, now: float, attempt: Attempt) -> None:
         node = self.nodes[attempt.server]
         for conn, open_ in node.by_conn.items():
             for message, sent in list(open_.items()):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -12,7 +12,7 @@
 import pytest
 
 from pumicenotch.lab import experiment as lab_
-from pumicenotch.lab.clients import Try
+from pumicenotch.lab.attempt import Attempt
 from pumicenotch.lab.cores import Cores, Work, result
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.measure import figures
@@ -35,8 +35,8 @@
         self.task.body, self.task.token = b"body", "t"
         self.served = result("put", b"body")
 
-    def sent(self, rid: str, now: float = 0.0, server: int = 0) -> Try:
-        made = Try(rid, self.task, server, 1, False, now)
+    def sent(self, rid: str, now: float = 0.0, server: int = 0) -> Attempt:
+        made = Attempt(rid, self.task, server, 1, False, now)
         self.ledger.written(now, made)
         return made
 
