--- a/benchmarks/capacity/agent.py
+++ b/benchmarks/capacity/agent.py
@@ -11,7 +11,7 @@
 from pumicenotch.fleet import effects
 from pumicenotch.fleet.agent import Agent
 from pumicenotch.fleet.budgets import SERVING
-from pumicenotch.fleet.seat import Seat
+from pumicenotch.fleet.voter_node import VoterNode
 
 ROLE = "agent"
 SPAN_MS = 120_000.0
@@ -28,7 +28,7 @@
             voters=[f"10.0.0.{at}:7100" for at in range(VOTERS)],
             runs=dict(RUNS), holds=HOLDS, child=True, start_ms=10_000.0, drain_ms=5000.0, now=0.0, seed=seed,
         )  # fmt: skip
-        self.again_ms = max(Seat.MINE_MS, Seat.MINE_A_MEMBER_MS * (servers + VOTERS))
+        self.again_ms = max(VoterNode.HEARTBEAT_MS, VoterNode.HEARTBEAT_A_MEMBER_MS * (servers + VOTERS))
         self.meter, self.now, self.due = StepMeter(), 0.0, 0.0
         self.bytes = {"sent": 0, "received": 0}
         self.messages = {"sent": 0, "received": 0}
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -18,7 +18,7 @@
 from pumicenotch.members.messages import NEWS_MOST, Ack, News, Opinion, Ping, Standing, Who, Whole
 
 PERIOD_MS = 1000.0  # of probes: each member is probed once a period in the mean
-MINE_MS = 500.0  # between a member's questions, where the leader names no longer time
+HEARTBEAT_MS = 500.0  # between a member's questions, where the leader names no longer time
 PAGES_MS = 15_000.0  # between a member's exchanges of everything
 PAGES_TO_SEEDS = 2.0 / 3.0  # of them while nobody is dead: two turns in three go to a seed
 LIFE = "0123456789ab"  # as long as the real ones; so are names and addresses
@@ -59,7 +59,7 @@
                 self.answered(now, error, result)
         if now >= self.due:
             found += self.questions()
-            self.due = now + max(MINE_MS, self.again_ms)
+            self.due = now + max(HEARTBEAT_MS, self.again_ms)
         return [*found, effects.Wake(self.due)]
 
     def heard(self, sender: tuple[str, str, str], params: Any) -> list[effects.Effect]:
@@ -90,7 +90,7 @@
         if error is None and self.asks:
             self.asks.pop(0)
             self.agreed += 1
-            self.due = now if self.asks else now + max(MINE_MS, self.again_ms)
+            self.due = now if self.asks else now + max(HEARTBEAT_MS, self.again_ms)
         elif error is None and isinstance(result, dict):
             self.again_ms = float(result.get("again_ms", self.again_ms))
             self.due = max(self.due, now + self.again_ms)
@@ -140,7 +140,7 @@
             nodes = [[each.name, LIFE, RUNS, HOLDS, "", "", ["", "", 0], 0] for each in self.members]
             told["form"], told["releases"] = 2, {"level": 2, "stands": [], "nodes": nodes, "releases": []}
             core.state = state_.load(json.dumps(told).encode())
-            core.heard_mine_at |= {each.name: (LIFE, self.day.now) for each in self.members}
+            core.heartbeat_seen |= {each.name: (LIFE, self.day.now) for each in self.members}
 
     def install_members(self) -> None:
         """Everybody is known to the real processes, and nothing is news any more."""
@@ -157,7 +157,7 @@
             assert len(members.news) >= len(self.news), name
 
     def start_hollow(self) -> None:
-        again_ms = max(MINE_MS, 5.0 * self.servers)
+        again_ms = max(HEARTBEAT_MS, 5.0 * self.servers)
         pages = [messages.plain(page) for page in self.pages(False)]
         for at, name in enumerate(self.names):
             process = self.day.processes[name] = Process(Spec(name, self.zone(at), False, {}), name)
@@ -208,7 +208,7 @@
         many = len(self.day.processes)
         to_voter = PAGES_MS / (many * PAGES_TO_SEEDS / len(self.day.voters))
         to_server = PAGES_MS / (1.0 - PAGES_TO_SEEDS)
-        self.every(MINE_MS, lambda: self.day.put(self.server, "counted", COUNTS, MEMORY_MB))
+        self.every(HEARTBEAT_MS, lambda: self.day.put(self.server, "counted", COUNTS, MEMORY_MB))
         for name in self.watched:
             self.probes(name)
             self.exchanges(name, to_voter if name in self.day.voters else to_server)
