--- a/benchmarks/capacity/records.py
+++ b/benchmarks/capacity/records.py
@@ -18,6 +18,7 @@
     "longest_step": "ms",
     "start": "ms",
     "agree": "ms",
+    "in_force": "ms",
     "detected_by_first": "ms",
     "detected_by_all": "ms",
     "settled": "ms",
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -6,6 +6,7 @@
     configuration,
     connections,
     decisions,
+    distribution,
     members,
     resident,
     router,
@@ -21,6 +22,7 @@
     *bad_hours.SLOPES,
     *agent.SLOPES,
     *router.SLOPES,
+    *distribution.SLOPES,
 )
 ROLES: tuple[str, ...] = tuple(sorted({role for slope in SLOPES for role in slope.roles}))
 GROUPS: tuple[str, ...] = tuple(sorted({role.split(".")[0] for role in ROLES}))
