--- /dev/null
+++ b/pumicenotch/distribution/events.py
@@ -0,0 +1,69 @@
+"""What happens to a node or to a voter's source: the inputs of `step`."""
+
+from typing import NamedTuple
+
+from pumicenotch.distribution.messages import Message
+from pumicenotch.distribution.subscription import Subscription
+
+
+class Sender(NamedTuple):
+    """Whose message it is. `life` is of its process, drawn at its start."""
+
+    name: str
+    life: str
+    address: str
+
+
+class Peer(NamedTuple):
+    """An instance as this one's membership knows it. Voters are no peers: they are named at the start."""
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    life: str
+    alive: bool = True
+
+
+class Started(NamedTuple):
+    """The process begins, or begins to use the distribution."""
+
+
+class Ticked(NamedTuple):
+    """The time of a `WakeAt` has come."""
+
+
+class Received(NamedTuple):
+    sender: Sender
+    message: Message
+
+
+class PeerChanged(NamedTuple):
+    """Another instance has come, gone or changed."""
+
+    peer: Peer
+
+
+class SubscriptionChanged(NamedTuple):
+    """This instance needs other scopes from now on."""
+
+    subscription: Subscription
+
+
+class Published(NamedTuple):
+    """The voter's book is at another version: by an entry of the log, or by a loaded snapshot."""
+
+    version: int
+
+
+class LeaderChanged(NamedTuple):
+    """Who leads the voters, as this voter knows it. `in_touch` says whether it hears the leader, or, being
+    the leader itself, a majority."""
+
+    address: str
+    is_leader: bool
+    in_touch: bool
+
+
+NodeEvent = Started | Ticked | Received | PeerChanged | SubscriptionChanged
+VoterEvent = Started | Ticked | Received | Published | LeaderChanged
--- /dev/null
+++ b/pumicenotch/distribution/settings.py
@@ -0,0 +1,43 @@
+"""The times and bounds of sources and replicas, in one place."""
+
+from typing import NamedTuple
+
+
+class Settings(NamedTuple):
+    # Relays and sources
+    relays: int = 3  # of a zone
+    relay_linger_ms: float = 30_000.0  # a relay that falls out of the first ones goes on for so long
+    children_most: int = 256
+    candidate_avoid_ms: float = 5_000.0  # after silence or a refusal, and again by chance up to as much
+    source_silent_ms: float = 5_000.0  # without a message: another source is sought
+    child_silent_ms: float = 16_000.0  # without an acknowledgement: the child is forgotten
+
+    # Announcements and acknowledgements
+    announce_ms: float = 2_000.0  # at the latest
+    announce_least_ms: float = 500.0  # at the soonest, of another version
+    acknowledge_ms: float = 5_000.0  # at the latest
+    aggregate_ms: float = 1_000.0  # at the soonest, from who serves others
+
+    # Deltas and transfers
+    push_bytes_most: int = 16 * 1024  # a larger delta is announced, and pulled in pages
+    push_window: int = 32  # versions pushed to a child and not acknowledged
+    retry_ms: float = 400.0  # of a request without an answer, and again by chance up to half as much
+    retry_most_ms: float = 4_000.0
+    missed_ms: float = 250.0  # a version that was announced and not pushed is pulled after that
+    fetches_most: int = 4  # requests in flight
+    transfers_most: int = 32  # that a source keeps at once
+    transfer_idle_ms: float = 10_000.0
+
+    # Admission: bytes that a source sends in answer to pulls and transfers
+    bytes_per_second: float = 4_000_000.0
+    bytes_burst: float = 1_000_000.0
+    busy_ms: float = 500.0  # the shortest time to come back, and again by chance up to as much
+
+    # Work in one step
+    slice_changes: int = 100
+    slice_bytes: int = 32 * 1024
+    queue_bytes_most: int = 256 * 1024  # of received pages that wait to be applied
+    audit_ms: float = 5_000.0  # between two scopes whose digest is made anew
+
+
+DEFAULTS = Settings()
--- /dev/null
+++ b/pumicenotch/distribution/subscription.py
@@ -0,0 +1,115 @@
+"""Which scopes an instance needs. Its state, its traffic and its work follow this, not the fleet's total."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from pumicenotch.distribution.errors import InvalidSubscription
+from pumicenotch.distribution.records import KEY_PART, ScopeId
+
+SCOPES_MOST = 1024  # named in one subscription: beyond that, a whole table is asked for
+TABLES_MOST = 16
+ALL = None  # in place of a table's scopes: every scope that it has or will have
+
+PLACE = "subscription"
+
+
+class Subscription:
+    """For each table a set of scopes, or ALL. Immutable and hashable."""
+
+    __slots__ = ("_tables",)
+
+    def __init__(self, tables: Mapping[str, Iterable[str] | None]) -> None:
+        self._tables: dict[str, frozenset[str] | None] = {
+            table: ALL if scopes is None else frozenset(scopes)
+            for table, scopes in sorted(tables.items())
+            if scopes is None or scopes
+        }
+
+    @property
+    def tables(self) -> Mapping[str, frozenset[str] | None]:
+        return self._tables
+
+    def contains(self, table: str, scope: str) -> bool:
+        if table not in self._tables:
+            return False
+        scopes = self._tables[table]
+        return scopes is None or scope in scopes
+
+    def covers(self, other: "Subscription") -> bool:
+        """Whether every scope of the other is one of this, now and later."""
+        return all(self._covers_table(table, scopes) for table, scopes in other._tables.items())
+
+    def _covers_table(self, table: str, scopes: frozenset[str] | None) -> bool:
+        if table not in self._tables:
+            return False
+        held = self._tables[table]
+        return held is None or (scopes is not None and scopes <= held)
+
+    def union(self, other: "Subscription") -> "Subscription":
+        """Both; a table of which that names too many scopes is taken whole."""
+        merged: dict[str, frozenset[str] | None] = dict(self._tables)
+        for table, scopes in other._tables.items():
+            held = merged.get(table, frozenset())
+            merged[table] = ALL if held is None or scopes is None else held | scopes
+        while sum(len(scopes) for scopes in merged.values() if scopes is not None) > SCOPES_MOST:
+            largest = max((len(scopes), table) for table, scopes in merged.items() if scopes is not None)[1]
+            merged[largest] = ALL
+        return Subscription(merged)
+
+    def scopes(self) -> list[ScopeId]:
+        """The scopes that it names; those of tables taken whole are not among them."""
+        return [
+            ScopeId(table, scope)
+            for table, scopes in self._tables.items()
+            if scopes is not None
+            for scope in sorted(scopes)
+        ]
+
+    def plain(self) -> list[list[Any]]:
+        return [[table, None if scopes is None else sorted(scopes)] for table, scopes in self._tables.items()]
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Subscription) and self._tables == other._tables
+
+    def __hash__(self) -> int:
+        return hash(tuple(self._tables.items()))
+
+    def __repr__(self) -> str:
+        return f"Subscription({self._tables!r})"
+
+
+NOTHING = Subscription({})
+
+
+def subscription_of(told: Any) -> Subscription:
+    """From what `plain` gives. Raises InvalidSubscription."""
+    if not isinstance(told, list | tuple) or len(told) > TABLES_MOST:
+        raise InvalidSubscription(PLACE, "no list of tables", f"name up to {TABLES_MOST} tables")
+    tables: dict[str, Iterable[str] | None] = {}
+    count = 0
+    for pair in told:
+        if not isinstance(pair, list | tuple) or len(pair) != 2 or not _is_key_part(pair[0]):
+            raise InvalidSubscription(
+                PLACE, f"{pair!r:.80} is no table with its scopes", "give a pair of them"
+            )
+        table, scopes = pair
+        if scopes is not None:
+            _check_scopes(table, scopes)
+            count += len(scopes)
+        tables[table] = scopes
+    if count > SCOPES_MOST:
+        raise InvalidSubscription(
+            PLACE, f"{count} scopes are named", f"name up to {SCOPES_MOST}, or take a table whole"
+        )
+    return Subscription(tables)
+
+
+def _check_scopes(table: str, scopes: Any) -> None:
+    if not isinstance(scopes, list | tuple | set | frozenset) or not all(map(_is_key_part, scopes)):
+        raise InvalidSubscription(
+            PLACE, f"the scopes of {table} are no list of names", "use the characters A-Z a-z 0-9 . _ -"
+        )
+
+
+def _is_key_part(told: Any) -> bool:
+    return isinstance(told, str) and KEY_PART.match(told) is not None
--- /dev/null
+++ b/pumicenotch/distribution/tables.py
@@ -0,0 +1,111 @@
+"""The tables that can be published and what their records hold."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from pumicenotch.distribution.errors import InvalidRecord, OversizedRecord, UnknownTable, UnreadableForm
+from pumicenotch.distribution.records import VALUE_BYTES_MOST, Change, split_key
+
+
+class Field(NamedTuple):
+    """A field of a record's value. Fields beyond those of the table are allowed and kept."""
+
+    name: str
+    kinds: tuple[type, ...]
+    required: bool = True
+
+
+class Table(NamedTuple):
+    """A named table; `form` is the newest form of its records that this program reads."""
+
+    name: str
+    fields: tuple[Field, ...]
+    form: int = 1
+
+
+NUMBER = (int, float)
+TEXT = (str,)
+TABLES: Mapping[str, Table] = {
+    table.name: table
+    for table in (
+        Table("routes", (Field("upstream", TEXT), Field("timeout_ms", NUMBER, required=False))),
+        Table("tenants", (Field("weight", NUMBER), Field("class", TEXT, required=False))),
+        Table("homes", (Field("cell", TEXT),)),
+        Table("policies", (Field("rate", NUMBER), Field("burst", NUMBER, required=False))),
+    )
+}
+
+
+def canonical(value: Mapping[str, Any]) -> str:
+    """The one text of a record's value: keys in order, no spaces, ASCII."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=True, allow_nan=False)
+
+
+def table_of(tables: Mapping[str, Table], name: str) -> Table:
+    """Raises UnknownTable."""
+    table = tables.get(name)
+    if table is None:
+        raise UnknownTable(
+            f"table {name!r:.40}", "there is none of this name", f"use one of {', '.join(tables)}"
+        )
+    return table
+
+
+def check_change(tables: Mapping[str, Table], change: Change) -> None:
+    """What a publisher's change must be. Raises the error that fits."""
+    table = table_of(tables, change.table)
+    place = f"record {change.table}:{change.key!s:.140}"
+    split_key(place, change.key)
+    if change.value is None:
+        return
+    value = read_value(table, change.key, change.value)
+    if change.value != _canonical_or_none(value):
+        raise InvalidRecord(place, "the value is not canonical JSON", "sort its keys and leave out spaces")
+
+
+def read_value(table: Table, key: str, text: str) -> Mapping[str, Any]:
+    """The value of a record, of a form that this program reads. Raises InvalidRecord, OversizedRecord and
+    UnreadableForm."""
+    place = f"record {table.name}:{key}"
+    if len(text) > VALUE_BYTES_MOST:
+        raise OversizedRecord(
+            place, f"the value has {len(text)} bytes", f"keep it within {VALUE_BYTES_MOST}, or divide it"
+        )
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        raise InvalidRecord(place, "the value is not JSON", "publish a JSON object") from None
+    if not isinstance(value, dict):
+        raise InvalidRecord(place, "the value is no object", "publish a JSON object")
+    _check_form(table, place, value.get("form", 1))
+    for field in table.fields:
+        _check_field(place, field, value)
+    return value
+
+
+def _check_form(table: Table, place: str, form: Any) -> None:
+    if type(form) is not int or form < 1:
+        raise InvalidRecord(place, f"form {form!r:.40} is no whole number from 1", "leave it out, or use 1")
+    if form > table.form:
+        raise UnreadableForm(
+            place, f"its form is {form}, this program reads forms up to {table.form}",
+            "upgrade this instance, or publish the record in an older form",
+        )  # fmt: skip
+
+
+def _check_field(place: str, field: Field, value: Mapping[str, Any]) -> None:
+    if field.name not in value:
+        if field.required:
+            raise InvalidRecord(place, f"the field {field.name} is missing", "publish it with the record")
+        return
+    if type(value[field.name]) not in field.kinds:
+        wanted = " or ".join(kind.__name__ for kind in field.kinds)
+        raise InvalidRecord(place, f"the field {field.name} is no {wanted}", f"publish a {wanted}")
+
+
+def _canonical_or_none(value: Mapping[str, Any]) -> str | None:
+    try:
+        return canonical(value)
+    except (ValueError, RecursionError):
+        return None
