--- /dev/null
+++ b/pumicenotch/distribution/view.py
@@ -0,0 +1,206 @@
+"""What is in force, as immutable views that share what did not change, and the builder that makes the next
+view in bounded slices, for a switch at one instant."""
+
+from bisect import bisect_right
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
+
+from pumicenotch.distribution.errors import OversizedScope
+from pumicenotch.distribution.records import (
+    DIGEST_MODULUS,
+    SCOPE_RECORDS_MOST,
+    TABLE_SCOPES_MOST,
+    Change,
+    ScopeId,
+    record_digest,
+)
+from pumicenotch.distribution.subscription import Subscription
+
+COPIED_RECORDS_A_CHANGE = 32  # copying so many records of a scope counts as one change in a slice
+
+
+class Scope:
+    """The records of one scope by name, with their digest. Never changed once it is in a view."""
+
+    __slots__ = ("_names", "digest", "dumped", "records")
+
+    def __init__(self, records: dict[str, str], digest: int) -> None:
+        self.records = records
+        self.digest = digest
+        self.dumped: bytes | None = None  # kept by the book, so that a dump costs what has changed
+        self._names: list[str] | None = None
+
+    def names_after(self, after: str) -> list[str]:
+        """The names that come after that one, in order."""
+        if self._names is None:
+            self._names = sorted(self.records)
+        return self._names[bisect_right(self._names, after) :] if after else self._names
+
+    def recomputed(self, scope_id: ScopeId) -> int:
+        """The digest made anew of the records."""
+        table, scope = scope_id
+        return (
+            sum(record_digest(table, f"{scope}/{name}", value) for name, value in self.records.items())
+            % DIGEST_MODULUS
+        )
+
+
+class TableView:
+    """The scopes of one table, in the order of their names."""
+
+    __slots__ = ("_names", "scopes")
+
+    def __init__(self, scopes: dict[str, Scope]) -> None:
+        self.scopes = scopes
+        self._names: list[str] | None = None
+
+    def names_after(self, after: str) -> Iterator[str]:
+        if self._names is None:
+            self._names = list(self.scopes)
+        for at in range(bisect_right(self._names, after), len(self._names)):
+            yield self._names[at]
+
+
+NO_RECORDS: Mapping[str, str] = MappingProxyType({})
+NO_TABLE = TableView({})
+
+
+class View:
+    """The configuration at one version, as far as it is held. Immutable."""
+
+    __slots__ = ("_tables", "version")
+
+    def __init__(self, version: int = 0, tables: Mapping[str, TableView] | None = None) -> None:
+        self.version = version
+        self._tables: Mapping[str, TableView] = tables or {}
+
+    @property
+    def tables(self) -> Mapping[str, TableView]:
+        return self._tables
+
+    def lookup(self, table: str, key: str) -> str | None:
+        """The value of a record, a JSON text; None where there is none."""
+        scope, _, name = key.partition("/")
+        return self.scope(table, scope).get(name)
+
+    def scope(self, table: str, scope: str) -> Mapping[str, str]:
+        held = self.held(ScopeId(table, scope))
+        return NO_RECORDS if held is None else MappingProxyType(held.records)
+
+    def digest(self, table: str, scope: str) -> int:
+        """0 where there are no records."""
+        held = self.held(ScopeId(table, scope))
+        return 0 if held is None else held.digest
+
+    def held(self, scope_id: ScopeId) -> Scope | None:
+        return self._tables.get(scope_id.table, NO_TABLE).scopes.get(scope_id.scope)
+
+    def scope_ids(self) -> Iterator[ScopeId]:
+        for table in sorted(self._tables):
+            for scope in self._tables[table].scopes:
+                yield ScopeId(table, scope)
+
+    def subscribed_after(self, subscription: Subscription, after: ScopeId) -> Iterator[ScopeId]:
+        """The scopes of a subscription that come after that one, by table and name."""
+        for table, wanted in subscription.tables.items():
+            if table < after.table:
+                continue
+            first = after.scope if table == after.table else ""
+            held = self._tables.get(table, NO_TABLE)
+            names = held.names_after(first) if wanted is None else sorted(wanted)
+            for scope in names:
+                if scope > first and scope in held.scopes:
+                    yield ScopeId(table, scope)
+
+    def record_count(self) -> int:
+        return sum(len(scope.records) for table in self._tables.values() for scope in table.scopes.values())
+
+
+class Builder:
+    """Stages changes onto copies of scopes. The view that it began from stays as it is."""
+
+    def __init__(self, view: View) -> None:
+        self.base = view
+        self._drafts: dict[ScopeId, Scope] = {}
+        self._shared: set[ScopeId] = set()  # drafts that are somebody's whole scope: copied before a change
+        self._new_scopes: dict[str, int] = {}
+
+    def put(self, change: Change) -> int:
+        """Stages one change, and says what it cost in changes. Raises OversizedScope."""
+        scope_name, _, name = change.key.partition("/")
+        scope_id = ScopeId(change.table, scope_name)
+        draft, cost = self._draft(scope_id)
+        former = draft.records.pop(name, None)
+        if former is not None:
+            draft.digest -= record_digest(change.table, change.key, former)
+        if change.value is not None:
+            draft.records[name] = change.value
+            draft.digest += record_digest(change.table, change.key, change.value)
+            self._check_size(scope_id, draft)
+        draft.digest %= DIGEST_MODULUS
+        return cost
+
+    def replace(self, scope_id: ScopeId, scope: Scope) -> None:
+        """The whole scope, as it came from a source."""
+        self._drafts[scope_id] = scope
+        self._shared.add(scope_id)
+
+    def drop(self, scope_id: ScopeId) -> None:
+        if self.base.held(scope_id) is not None or scope_id in self._drafts:
+            self.replace(scope_id, Scope({}, 0))
+
+    def digest(self, scope_id: ScopeId) -> int:
+        """As it would be after what is staged."""
+        draft = self._drafts.get(scope_id) or self.base.held(scope_id)
+        return 0 if draft is None else draft.digest
+
+    def finish(self, version: int) -> View:
+        """The next view, at once: the work was done while it was staged."""
+        tables = dict(self.base.tables)
+        for table in {scope_id.table for scope_id in self._drafts}:
+            scopes = dict(tables.get(table, NO_TABLE).scopes)
+            tables[table] = TableView(self._with_drafts(table, scopes))
+        return View(version, tables)
+
+    def _with_drafts(self, table: str, scopes: dict[str, Scope]) -> dict[str, Scope]:
+        added = False
+        for (draft_table, scope), draft in self._drafts.items():
+            if draft_table != table:
+                continue
+            if draft.records:
+                added = added or scope not in scopes
+                scopes[scope] = draft
+            else:
+                scopes.pop(scope, None)
+        return {scope: scopes[scope] for scope in sorted(scopes)} if added else scopes
+
+    def _draft(self, scope_id: ScopeId) -> tuple[Scope, int]:
+        draft = self._drafts.get(scope_id)
+        if draft is not None and scope_id not in self._shared:
+            return draft, 1
+        held = draft or self.base.held(scope_id)
+        if held is None:
+            self._count_new_scope(scope_id.table)
+            held = Scope({}, 0)
+        draft = Scope(dict(held.records), held.digest)
+        self._drafts[scope_id] = draft
+        self._shared.discard(scope_id)
+        return draft, 1 + len(draft.records) // COPIED_RECORDS_A_CHANGE
+
+    def _count_new_scope(self, table: str) -> None:
+        count = self._new_scopes.get(table, 0) + 1
+        if count + len(self.base.tables.get(table, NO_TABLE).scopes) > TABLE_SCOPES_MOST:
+            raise OversizedScope(
+                f"table {table}", f"it would have more than {TABLE_SCOPES_MOST} scopes",
+                "delete scopes in a publication before, or use fewer and larger ones",
+            )  # fmt: skip
+        self._new_scopes[table] = count
+
+    @staticmethod
+    def _check_size(scope_id: ScopeId, draft: Scope) -> None:
+        if len(draft.records) > SCOPE_RECORDS_MOST:
+            raise OversizedScope(
+                f"scope {scope_id.table}:{scope_id.scope}",
+                f"it would hold more than {SCOPE_RECORDS_MOST} records",
+                "delete records first, or divide it into scopes",
+            )  # fmt: skip
