--- /dev/null
+++ b/pumicenotch/distribution/audit.py
@@ -0,0 +1,45 @@
+"""Now and then the digest of one scope is made anew from its records, in slices: memory that has changed by
+itself is found before it is served for long."""
+
+from collections.abc import Iterator
+
+from pumicenotch.distribution.records import DIGEST_MODULUS, ScopeId, record_digest
+from pumicenotch.distribution.view import Scope, View
+
+
+class Audit:
+    """Of one scope as it is in a view."""
+
+    def __init__(self, scope_id: ScopeId, scope: Scope) -> None:
+        self.scope_id = scope_id
+        self.scope = scope
+        self._records: Iterator[tuple[str, str]] = iter(list(scope.records.items()))
+        self._digest = 0
+        self.done = False
+
+    def work(self, budget: int) -> None:
+        table, scope = self.scope_id
+        for _ in range(budget):
+            found = next(self._records, None)
+            if found is None:
+                self.done = True
+                return
+            name, value = found
+            self._digest = (self._digest + record_digest(table, f"{scope}/{name}", value)) % DIGEST_MODULUS
+
+    @property
+    def good(self) -> bool:
+        return self._digest == self.scope.digest
+
+
+def next_audit(view: View, after: ScopeId) -> Audit | None:
+    """Of the scope that comes after that one, or of the first."""
+    following = first = None
+    for scope_id in view.scope_ids():
+        first = first or scope_id
+        if scope_id > after:
+            following = scope_id
+            break
+    chosen = following or first
+    scope = None if chosen is None else view.held(chosen)
+    return None if chosen is None or scope is None else Audit(chosen, scope)
--- a/pumicenotch/distribution/codec.py
+++ b/pumicenotch/distribution/codec.py
@@ -171,24 +171,29 @@
     return _list(told, m.WANTS_MOST, _want)
 
 
+def _names(told: Any) -> tuple[str, ...]:
+    return _list(told, m.ROSTER_MOST, _text)
+
+
 def _candidates(told: Any) -> tuple[str, ...]:
     return _list(told, m.CANDIDATES_MOST, _text)
 
 
 FIELDS: dict[str, tuple[Reader, ...]] = {
-    "subscribe": (_number, _text, _number, _truth, subscription_of),
+    "subscribe": (_number, _number, _number, _truth, subscription_of),
     "unsubscribe": (),
     "acknowledge": (_number, _truth, _report),
-    "pull": (_number, _number, _cursor),
-    "compare": (_number, _number, _scope_id),
+    "pull": (_number, _number, _number, _cursor),
+    "compare": (_number, _number, _number, _scope_id),
     "fetch": (_number, _number, _wants),
     "check": (_number, _text, _text, _digest),
     "accepted": (_number, _number, _number),
     "refused": (_number, _text, _number, _candidates),
     "announce": (_number, _number),
-    "delta": (_number, _number, _number, _number, _cursor, _cursor, _truth, _changes, _digests),
+    "delta": (_number, _number, _number, _number, _number, _cursor, _cursor, _truth, _changes, _digests),
     "scopes": (_number, _number, _number, _number, _digests, _truth),
     "records": (_number, _number, _parts),
     "mismatch": (_number, _text, _text),
     "progress": (_report,),
+    "roster": (_text, _names),
 }
--- a/pumicenotch/distribution/messages.py
+++ b/pumicenotch/distribution/messages.py
@@ -13,6 +13,7 @@
 PAGE_SCOPES_MOST = 512
 WANTS_MOST = 64  # scopes named in one Fetch
 CANDIDATES_MOST = 8
+ROSTER_MOST = 1024
 
 # Why a source refuses
 NOT_A_RELAY = "not-a-relay"  # it has no voters as sources, or can't read what is in force
@@ -32,6 +33,7 @@
 
 
 START = Cursor()
+FIRST_SCOPE = ScopeId("", "")  # comes before all scopes
 
 
 class ScopeDigest(NamedTuple):
@@ -61,8 +63,10 @@
 
 
 class Subscribe(NamedTuple):
+    """`generation` numbers the child's subscriptions: what is filtered by another one it can't use."""
+
     request: int
-    zone: str
+    generation: int
     version: int  # in force at the child
     primary: bool  # whether pushes are wanted, or announcements alone
     subscription: Subscription
@@ -84,6 +88,7 @@
     """The changes after version `have`; of the next version alone, from `start` on."""
 
     request: int
+    generation: int
     have: int
     start: Cursor = START
 
@@ -93,8 +98,9 @@
     version at the source."""
 
     request: int
+    generation: int
     transfer: int
-    after: ScopeId = ScopeId("", "")
+    after: ScopeId = FIRST_SCOPE
 
 
 class Fetch(NamedTuple):
@@ -145,6 +151,7 @@
     `version`. Pushed with request 0."""
 
     request: int
+    generation: int
     previous: int
     version: int
     age_ms: int
@@ -188,9 +195,17 @@
     report: Report
 
 
+class Roster(NamedTuple):
+    """Whom a relay or a voter serves as their primary source, by name: from a relay to its voter, and from
+    there to the leader, when it changes and now and then."""
+
+    owner: str
+    names: tuple[str, ...]
+
+
 Message = (
     Subscribe | Unsubscribe | Acknowledge | Pull | Compare | Fetch | Check
-    | Accepted | Refused | Announce | Delta | Scopes | Records | Mismatch | Progress
+    | Accepted | Refused | Announce | Delta | Scopes | Records | Mismatch | Progress | Roster
 )  # fmt: skip
 KINDS: dict[str, type[Any]] = {
     "subscribe": Subscribe,
@@ -208,5 +223,6 @@
     "records": Records,
     "mismatch": Mismatch,
     "progress": Progress,
+    "roster": Roster,
 }
 NAMES: dict[type[Any], str] = {kind: name for name, kind in KINDS.items()}
--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -1,16 +1,40 @@
 """An instance's part in the distribution: its replica, and a source for others where it is a relay."""
 
+import itertools
 import random
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from pumicenotch.distribution.effects import Effect
-from pumicenotch.distribution.errors import DistributionError
-from pumicenotch.distribution.events import NodeEvent, Peer
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.acknowledging import Acknowledger
+from pumicenotch.distribution.changelog import LogEntry
+from pumicenotch.distribution.effects import Effect, WakeAt
+from pumicenotch.distribution.errors import DistributionError, SourceRefused
+from pumicenotch.distribution.events import (
+    NodeEvent,
+    Peer,
+    PeerChanged,
+    Received,
+    Sender,
+    Started,
+    SubscriptionChanged,
+    Ticked,
+)
+from pumicenotch.distribution.outbox import Outbox
+from pumicenotch.distribution.placement import Placement
+from pumicenotch.distribution.replica import Replica
+from pumicenotch.distribution.reports import BEHIND, Report, merged, own_report
 from pumicenotch.distribution.settings import DEFAULTS, Settings
+from pumicenotch.distribution.source import Source
 from pumicenotch.distribution.subscription import Subscription
 from pumicenotch.distribution.tables import TABLES, Table
+from pumicenotch.distribution.upstreams import Upstreams
+from pumicenotch.distribution.view import View
+
+NEVER = float("inf")
+AGE_UNKNOWN_MS = (1 << 31) - 1  # as it is told to children
+FROM_CHILDREN = (m.Subscribe, m.Unsubscribe, m.Acknowledge, m.Pull, m.Compare, m.Fetch, m.Check)
 
 
 class Node:
@@ -27,21 +51,248 @@
         tables: Mapping[str, Table] = TABLES,
     ) -> None:
         self.me = me
-        self.voters = tuple(voters)
         self.counts: Counter[str] = Counter()
+        self._settings = settings
+        self._own = subscription  # what this instance needs for itself
+        self._now = 0.0
+        self._out = Outbox()
+        numbers = itertools.count(1)
+        self._upstreams = Upstreams(settings, chance, self._out, self.counts, numbers)
+        self._replica = Replica(
+            subscription, chance, settings, tables, self._out, self.counts, self._upstreams, numbers,
+            self._switched,
+        )  # fmt: skip
+        self._source = Source(settings, chance, self._out, self.counts, self._told_age_ms)
+        self._placement = Placement(me, voters, settings, self._upstreams, self._source, self._out)
+        self._acknowledger = Acknowledger(me.name, settings, self._out)
+        self._started_at = NEVER
+        self._widen_at = NEVER
+        self._narrow_at = settings.narrow_ms
+        self._current_at = -NEVER
+        self._error_code = ""
 
-    def step(self, now_ms: float, event: NodeEvent) -> list[Effect]:
-        raise NotImplementedError
+    # What there is to see
+
+    @property
+    def view(self) -> View:
+        """What is in force."""
+        return self._replica.copy.view
+
+    @property
+    def relay(self) -> bool:
+        """Whether it serves others of its zone."""
+        return self._placement.relay
 
     @property
     def error(self) -> DistributionError | None:
         """What keeps this copy behind, if anything does."""
-        raise NotImplementedError
+        if self._replica.copy.error is not None:
+            return self._replica.copy.error
+        if self._started_at + self._settings.source_silent_ms > self._now or self._has_source():
+            return None
+        return SourceRefused(
+            f"instance {self.me.name}", "no relay and no voter serves it at the moment",
+            "see that it reaches voters and relays of its zone; it serves on with what it has",
+        )  # fmt: skip
 
     def age_ms(self, now_ms: float) -> float:
         """How long ago this copy was known to be current; infinite before it ever was."""
-        raise NotImplementedError
+        return max(0.0, now_ms - self._current_at)
 
     def status(self, now_ms: float) -> dict[str, Any]:
         """For operators: version, age, sources, role, error with remedy."""
-        raise NotImplementedError
+        age, error = self.age_ms(now_ms), self.error
+        return {
+            "version": self.view.version,
+            "newest": self._replica.copy.newest,
+            "age_ms": None if age == NEVER else round(age),
+            "relay": self.relay,
+            "sources": [link.address for link in self._upstreams.links if link.accepted],
+            "children": len(self._source.children),
+            "subscription": self._replica.subscription.plain(),
+            "error": None if error is None else {"code": error.code, "text": str(error)},
+            "counts": dict(self.counts),
+        }
+
+    def _has_source(self) -> bool:
+        return any(link.accepted for link in self._upstreams.links)
+
+    def _told_age_ms(self, now_ms: float) -> int:
+        return int(min(AGE_UNKNOWN_MS, self.age_ms(now_ms)))
+
+    # The one way in
+
+    def step(self, now_ms: float, event: NodeEvent) -> list[Effect]:
+        """Takes one event, and gives the effects that are wanted."""
+        now = self._now = max(self._now, now_ms)
+        match event:
+            case Received(sender, message):
+                self._received(now, sender, message)
+            case PeerChanged(peer):
+                self._placement.peer_changed(now, peer)
+            case SubscriptionChanged(subscription):
+                self._own = subscription
+                self._resubscribe(now, subscription.union(self._source.wanted()))
+            case Started():
+                self._started_at = now
+                self._narrow_at = now + self._settings.narrow_ms
+                self._placement.started(now)
+            case Ticked():
+                pass
+        self._go_on(now)
+        return [*self._out.take(), WakeAt(self._due(now))]
+
+    def _go_on(self, now: float) -> None:
+        """What is due, a slice of each."""
+        if now >= self._placement.due(now):
+            self._choose(now)
+        self._replica.tick(now)
+        self._follow_upstreams(now)
+        self._update_subscription(now)
+        if now >= self._source.due(now):
+            self._source.tick(now)
+        self._acknowledge(now)
+
+    def _choose(self, now: float) -> None:
+        replica = self._replica
+        self._placement.choose(now, replica.copy.error is None)
+        self._upstreams.tick(
+            now, replica.generation, self.view.version, replica.copy.newest, replica.subscription
+        )
+        self._follow_upstreams(now)
+
+    def _follow_upstreams(self, now: float) -> None:
+        """Does what follows from sources that are lost, or primary now."""
+        lost, self._upstreams.lost = self._upstreams.lost, []
+        for address in lost:
+            self._replica.source_lost(address)
+            self._placement.choose_soon(now)
+        if self._upstreams.promoted:
+            self._upstreams.promoted = False
+            self._acknowledger.at_once(now)
+
+    def _due(self, now: float) -> float:
+        parts = (self._placement.due(now), self._replica.due(now), self._source.due(now))
+        return min(*parts, self._widen_at, self._narrow_at, self._acknowledger.due())
+
+    # Messages
+
+    def _received(self, now: float, sender: Sender, message: m.Message) -> None:
+        if isinstance(message, FROM_CHILDREN):
+            self._source.received(now, sender, message)
+            self._after_child(now, message)
+        elif self._upstreams.link(sender.address) is None:
+            if isinstance(message, m.Announce | m.Delta):
+                self._out.send(sender.address, m.Unsubscribe())
+        else:
+            self._from_source(now, sender.address, message)
+            self._find_age()
+
+    def _after_child(self, now: float, message: m.Message) -> None:
+        if isinstance(message, m.Acknowledge | m.Subscribe | m.Unsubscribe):
+            self._acknowledger.changed(now, serves=True)
+        if isinstance(message, m.Subscribe) and not self._replica.subscription.covers(message.subscription):
+            self._widen_at = min(self._widen_at, now + self._settings.widen_ms)
+
+    def _from_source(self, now: float, address: str, message: m.Message) -> None:
+        replica, upstreams = self._replica, self._upstreams
+        match message:
+            case m.Accepted(_, version, age_ms):
+                upstreams.heard(now, address, version, age_ms)
+                if upstreams.accepted(address, message):
+                    self._acknowledger.at_once(now)
+                    replica.heard(now, version)
+            case m.Announce(version, age_ms):
+                upstreams.heard(now, address, version, age_ms)
+                replica.heard(now, version)
+            case m.Delta():
+                upstreams.heard(now, address, message.version, message.age_ms)
+                replica.delta(now, address, message)
+            case m.Scopes():
+                upstreams.heard(now, address, message.version, message.age_ms)
+                replica.scopes(now, address, message)
+            case m.Records():
+                upstreams.heard(now, address, None, 0)
+                replica.records(now, address, message)
+            case m.Mismatch():
+                replica.mismatch(message)
+            case m.Refused():
+                self._refused(now, address, message)
+
+    def _refused(self, now: float, address: str, message: m.Refused) -> None:
+        link = self._upstreams.link(address)
+        assert link is not None
+        link.heard_at = now
+        if message.reason == m.NOT_A_RELAY:
+            self._placement.hints = message.candidates
+            self._upstreams.failed(now, address)
+        elif message.reason == m.BUSY and message.request == link.request:
+            self._upstreams.failed(now, address, message.retry_after_ms)
+        elif message.reason == m.UNKNOWN_CHILD:
+            self._upstreams.forgotten(now, address)
+        self._replica.refused(now, address, message)
+        self._placement.choose_soon(now)
+
+    # The subscription: what this instance needs, and what its children need
+
+    def _update_subscription(self, now: float) -> None:
+        if now >= self._widen_at:
+            self._widen_at = NEVER
+            needed = self._own.union(self._source.wanted())
+            if not self._replica.subscription.covers(needed):
+                self._resubscribe(now, self._replica.subscription.union(needed))
+        if now >= self._narrow_at:
+            self._narrow_at = now + self._settings.narrow_ms
+            self._resubscribe(now, self._own.union(self._source.wanted()))
+
+    def _resubscribe(self, now: float, subscription: Subscription) -> None:
+        if subscription == self._replica.subscription:
+            return
+        self._replica.subscribe(now, subscription)
+        self._source.view, self._source.held = self.view, self._replica.copy.coverage
+        self._upstreams.subscribe_anew(now)
+        self._placement.choose_soon(now)
+
+    # What is in force
+
+    def _switched(self, entry: LogEntry | None) -> None:
+        """The replica has another view in force."""
+        source, view = self._source, self.view
+        if entry is None or not self.relay:
+            source.log.reset(view.version)
+        else:
+            source.log.append(entry)
+        source.view, source.held = view, self._replica.copy.coverage
+        source.published(self._now)
+        self._find_age()
+        self._acknowledger.changed(self._now, serves=bool(source.children))
+
+    def _find_age(self) -> None:
+        for link in self._upstreams.links:
+            if link.version <= self.view.version:
+                self._current_at = max(self._current_at, link.as_of)
+
+    # Acknowledgements
+
+    def report(self) -> Report:
+        """Of this copy and those that it serves."""
+        copy = self._replica.copy
+        code = "" if copy.error is None else copy.error.code
+        if not code and not copy.coverage.covers(self._own):
+            code = BEHIND
+        own = own_report(self.me.name, copy.view.version, copy.newest, code)
+        return merged([own, self._source.report()])
+
+    def _acknowledge(self, now: float) -> None:
+        error = self._replica.copy.error
+        code = "" if error is None else error.code
+        if code != self._error_code:
+            self._error_code = code
+            self._acknowledger.changed(now, serves=bool(self._source.children))
+            self._placement.choose_soon(now)  # whether it accepts children
+        if now < self._acknowledger.due():
+            return
+        links = self._upstreams.links
+        self._acknowledger.send(now, links, self.view.version, self.report())
+        served = [child.name for child in self._source.children.values() if child.primary]
+        self._acknowledger.tell_roster(now, links, served)
--- /dev/null
+++ b/pumicenotch/distribution/placement.py
@@ -0,0 +1,97 @@
+"""An instance's place among the others: whether it is a relay of its zone, and which sources it has. Relays
+have voters as sources and nobody else has children, so there are no loops."""
+
+from collections.abc import Sequence
+
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.events import Peer
+from pumicenotch.distribution.outbox import Outbox
+from pumicenotch.distribution.rendezvous import ranked
+from pumicenotch.distribution.settings import Settings
+from pumicenotch.distribution.source import Source
+from pumicenotch.distribution.upstreams import Upstreams
+from pumicenotch.distribution.zone import Zone
+
+NEVER = float("inf")
+
+
+class Placement:
+    """`due` says when `choose` is to be called."""
+
+    def __init__(
+        self, me: Peer, voters: Sequence[str], settings: Settings, upstreams: Upstreams, source: Source,
+        out: Outbox,
+    ) -> None:  # fmt: skip
+        self.relay = False
+        self.hints: tuple[str, ...] = ()  # relays that others have named
+        self._me = me
+        self._voters = tuple(ranked(me.name, voters, lambda address: address))
+        self._settings, self._upstreams, self._source, self._out = settings, upstreams, source, out
+        self._zone = Zone(me, settings.relays)
+        self._started_at = NEVER
+        self._choose_at = NEVER
+        self._step_down_at = NEVER  # of a relay that is no longer among the first ones
+
+    def started(self, now_ms: float) -> None:
+        self._started_at = now_ms
+        self._choose_at = now_ms
+
+    def peer_changed(self, now_ms: float, peer: Peer) -> None:
+        """Another instance has come, gone or changed."""
+        if peer.address in self._voters or not self._zone.changed(peer):
+            return
+        if peer.alive:
+            self._upstreams.forgive(peer.address)
+        self._choose_at = now_ms
+
+    def choose_soon(self, now_ms: float) -> None:
+        self._choose_at = now_ms
+
+    def due(self, now_ms: float) -> float:
+        if self._started_at == NEVER:
+            return NEVER
+        if not self._is_settled(now_ms):
+            return self._started_at + self._settings.settle_ms
+        return min(self._choose_at, self._upstreams.due(), self._step_down_at)
+
+    def _is_settled(self, now_ms: float) -> bool:
+        """Whether enough is known of the zone to choose sources."""
+        waited = now_ms >= self._started_at + self._settings.settle_ms
+        return waited or self._zone.size > self._settings.relays
+
+    def choose(self, now_ms: float, readable: bool) -> None:
+        """Takes the role and the sources that are due. Whoever can't read what is in force accepts nobody."""
+        self._choose_at = NEVER
+        self._take_role(now_ms)
+        self._source.accepting = self.relay and self._zone.makes_me_relay() and readable
+        self._source.candidates = tuple(self._zone.relays()[: m.CANDIDATES_MOST])
+        preferred: Sequence[str] = self._voters
+        fallback: Sequence[str] = ()
+        if not self.relay:
+            hints = [address for address in self.hints if address != self._me.address]
+            preferred, fallback = self._zone.relays(), [*hints, *self._voters]
+        alive = {*self._voters, *self._zone.addresses(), *self.hints}
+        self._upstreams.choose(now_ms, preferred, fallback, alive)
+
+    def _take_role(self, now_ms: float) -> None:
+        wanted = self._zone.makes_me_relay()
+        if wanted:
+            self._step_down_at = NEVER
+            if not self.relay:
+                self._change_role(relay=True)
+        elif self.relay and not self._source.children:
+            self._change_role(relay=False)
+        elif self.relay and self._step_down_at == NEVER:
+            self._step_down_at = now_ms + self._settings.relay_linger_ms
+        elif self.relay and now_ms >= self._step_down_at:
+            self._change_role(relay=False)
+
+    def _change_role(self, relay: bool) -> None:
+        self.relay = relay
+        self._step_down_at = NEVER
+        role = "a relay" if relay else "no relay any more"
+        self._out.log(f"this instance is {role} of zone {self._me.zone}")
+        if not relay:
+            self._source.dismiss(m.NOT_A_RELAY)
+        self._source.log.reset(self._source.view.version)
+        self._upstreams.leave_all()
--- a/pumicenotch/distribution/reports.py
+++ b/pumicenotch/distribution/reports.py
@@ -34,8 +34,7 @@
     newest = max(version, newest)
     if version == newest and not code:
         return Report(1, version, newest, 1)
-    trouble = Trouble(name, version, code or BEHIND)
-    return Report(1, version, newest, int(version == newest), (trouble,))
+    return Report(1, version, newest, 0, (Trouble(name, version, code or BEHIND),))
 
 
 def merged(reports: Iterable[Report]) -> Report:
--- a/pumicenotch/distribution/subscription.py
+++ b/pumicenotch/distribution/subscription.py
@@ -56,6 +56,16 @@
             merged[largest] = ALL
         return Subscription(merged)
 
+    def intersection(self, other: "Subscription") -> "Subscription":
+        """What both contain."""
+        shared: dict[str, frozenset[str] | None] = {}
+        for table, scopes in self._tables.items():
+            if table in other._tables:
+                others = other._tables[table]
+                both = others if scopes is None else scopes if others is None else scopes & others
+                shared[table] = both
+        return Subscription(shared)
+
     def scopes(self) -> list[ScopeId]:
         """The scopes that it names; those of tables taken whole are not among them."""
         return [
@@ -78,7 +88,20 @@
         return f"Subscription({self._tables!r})"
 
 
+class _Everything(Subscription):
+    """Of a voter: whatever tables there are or will be."""
+
+    __slots__ = ()
+
+    def contains(self, table: str, scope: str) -> bool:
+        return True
+
+    def covers(self, other: Subscription) -> bool:
+        return True
+
+
 NOTHING = Subscription({})
+EVERYTHING = _Everything({})
 
 
 def subscription_of(told: Any) -> Subscription:
--- /dev/null
+++ b/pumicenotch/distribution/transfers.py
@@ -0,0 +1,71 @@
+"""The source's side of a transfer by scopes: a view is kept while a child compares digests with it and
+fetches the scopes that differ. Pages are made of a place alone, so that a repeated request has the same
+answer."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pumicenotch.distribution.messages import (
+    PAGE_BYTES_MOST,
+    PAGE_CHANGES_MOST,
+    PAGE_SCOPES_MOST,
+    ScopeDigest,
+    ScopePart,
+    Want,
+)
+from pumicenotch.distribution.records import RECORD_OVERHEAD_BYTES, ScopeId
+from pumicenotch.distribution.subscription import Subscription
+from pumicenotch.distribution.view import View
+
+
+@dataclass(slots=True)
+class KeptTransfer:
+    """`number` is the child's; `view` is the one that it compares with from the first page to the last."""
+
+    number: int
+    generation: int
+    view: View
+    subscription: Subscription
+    used_at: float
+
+
+def digest_page(kept: KeptTransfer, after: ScopeId) -> tuple[tuple[ScopeDigest, ...], bool]:
+    """The next subscribed scopes with their digests, and whether these are the last."""
+    found: list[ScopeDigest] = []
+    for scope_id in kept.view.subscribed_after(kept.subscription, after):
+        if len(found) == PAGE_SCOPES_MOST:
+            return tuple(found), False
+        found.append(ScopeDigest(*scope_id, kept.view.digest(*scope_id)))
+    return tuple(found), True
+
+
+def record_page(kept: KeptTransfer, wants: Sequence[Want]) -> tuple[tuple[ScopePart, ...], int]:
+    """Records of the wanted scopes as far as a page holds, and their size."""
+    parts: list[ScopePart] = []
+    size = count = 0
+    for want in wants:
+        if not kept.subscription.contains(want.table, want.scope):
+            continue
+        part, part_size = _scope_part(kept.view, want, PAGE_BYTES_MOST - size, PAGE_CHANGES_MOST - count)
+        if parts and not part.records and not part.done:
+            break
+        parts.append(part)
+        size, count = size + part_size, count + len(part.records)
+        if not part.done:
+            break
+    return tuple(parts), size
+
+
+def _scope_part(view: View, want: Want, bytes_most: int, records_most: int) -> tuple[ScopePart, int]:
+    held = view.held(ScopeId(want.table, want.scope))
+    records: list[tuple[str, str]] = []
+    size = len(want.table) + len(want.scope) + RECORD_OVERHEAD_BYTES
+    if held is None:
+        return ScopePart(want.table, want.scope, (), True), size
+    for name in held.names_after(want.after):
+        value = held.records[name]
+        size += len(name) + len(value) + RECORD_OVERHEAD_BYTES
+        if size > bytes_most or len(records) >= records_most:
+            return ScopePart(want.table, want.scope, tuple(records), False), size
+        records.append((name, value))
+    return ScopePart(want.table, want.scope, tuple(records), True), size
--- a/pumicenotch/distribution/voter_source.py
+++ b/pumicenotch/distribution/voter_source.py
@@ -3,12 +3,34 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
-from pumicenotch.distribution.effects import Effect
-from pumicenotch.distribution.events import Peer, VoterEvent
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.effects import Effect, WakeAt
+from pumicenotch.distribution.events import (
+    LeaderChanged,
+    Peer,
+    Published,
+    Received,
+    Sender,
+    Started,
+    VoterEvent,
+)
+from pumicenotch.distribution.outbox import Outbox
 from pumicenotch.distribution.publications import Publications
+from pumicenotch.distribution.reports import Report, merged
 from pumicenotch.distribution.settings import DEFAULTS, Settings
+from pumicenotch.distribution.source import Source
+from pumicenotch.distribution.subscription import EVERYTHING
+
+NEVER = float("inf")
+AGE_UNKNOWN_MS = (1 << 31) - 1
+MISSING_MOST = 64  # named in a status
+
+
+class _VoterReport(NamedTuple):
+    report: Report
+    heard_at: float
 
 
 class VoterSource:
@@ -20,10 +42,147 @@
         self.me = me
         self.publications = publications
         self.counts: Counter[str] = Counter()
+        self._settings = settings
+        self._now = 0.0
+        self._out = Outbox()
+        self._source = Source(settings, chance, self._out, self.counts, self._age_ms)
+        self._source.held = EVERYTHING
+        self._source.accepting = True
+        self._take_book()
+        self._leader = ""
+        self._is_leader = False
+        self._in_touch = False
+        self._touched_at = -NEVER  # when it was last in touch with the leader
+        self._progress_at = NEVER
+        self._progress_sent_at = -NEVER
+        self._roster_at = NEVER
+        self._reports: dict[str, _VoterReport] = {}  # at the leader: of the other voters
+        self._rosters: dict[str, frozenset[str]] = {}  # by owner: a relay or a voter
 
     def step(self, now_ms: float, event: VoterEvent) -> list[Effect]:
-        raise NotImplementedError
+        """Takes one event, and gives the effects that are wanted."""
+        now = self._now = max(self._now, now_ms)
+        match event:
+            case Published():
+                self._take_book()
+                self._source.published(now)
+            case Received(sender, message):
+                self._received(now, sender, message)
+            case LeaderChanged():
+                self._leader_changed(now, event)
+            case Started():
+                self._progress_at = self._roster_at = now
+        if now >= self._source.due(now):
+            self._source.tick(now)
+        if now >= self._progress_at:
+            self._tell_progress(now)
+        if now >= self._roster_at:
+            self._tell_roster(now)
+        due = min(self._source.due(now), self._progress_at, self._roster_at)
+        return [*self._out.take(), WakeAt(due)]
+
+    def _take_book(self) -> None:
+        self._source.view = self.publications.view
+        self._source.log = self.publications.log
+
+    def _age_ms(self, now_ms: float) -> int:
+        """How old what this voter knows is: nothing is newer while it is in touch with the leader."""
+        return 0 if self._in_touch else int(min(AGE_UNKNOWN_MS, now_ms - self._touched_at))
+
+    def _leader_changed(self, now: float, event: LeaderChanged) -> None:
+        if self._in_touch:
+            self._touched_at = now
+        changed = event.address != self._leader
+        self._leader, self._is_leader, self._in_touch = event
+        if changed:
+            self._progress_at = self._roster_at = now
+            self._introduce()
+        if not self._is_leader:
+            self._reports.clear()
+
+    def _introduce(self) -> None:
+        """Tells a new leader whom the relays serve that this voter serves."""
+        if not self._leader or self._is_leader:
+            return
+        for owner in sorted(self._own_children() & self._rosters.keys()):
+            self._out.send(self._leader, m.Roster(owner, tuple(sorted(self._rosters[owner]))))
+
+    # Messages
+
+    def _received(self, now: float, sender: Sender, message: m.Message) -> None:
+        match message:
+            case m.Progress(report):
+                self._reports[sender.name] = _VoterReport(report, now)
+            case m.Roster(owner, names):
+                self._take_roster(sender, owner, names)
+            case _:
+                self._source.received(now, sender, message)
+                if isinstance(message, m.Acknowledge | m.Subscribe | m.Unsubscribe):
+                    least = self._progress_sent_at + self._settings.aggregate_ms
+                    self._progress_at = min(self._progress_at, max(now, least))
+
+    def _take_roster(self, sender: Sender, owner: str, names: tuple[str, ...]) -> None:
+        self._rosters.pop(owner, None)
+        while len(self._rosters) >= m.ROSTER_MOST:
+            del self._rosters[next(iter(self._rosters))]  # not heard of for the longest time
+        self._rosters[owner] = frozenset(names)
+        own_child = sender.name == owner and owner in self._source.children
+        if own_child and self._leader and not self._is_leader:
+            self._out.send(self._leader, m.Roster(owner, names))
+
+    # To the leader
+
+    def _tell_progress(self, now: float) -> None:
+        self._progress_sent_at = now
+        self._progress_at = now + self._settings.acknowledge_ms
+        if self._leader and not self._is_leader:
+            self._out.send(self._leader, m.Progress(self._source.report()))
+
+    def _tell_roster(self, now: float) -> None:
+        """Whom this voter serves itself."""
+        self._roster_at = now + self._settings.acknowledge_ms
+        if not self._leader or self._is_leader:
+            return
+        names = self._own_children()
+        self._out.send(self._leader, m.Roster(self.me.name, tuple(sorted(names))))
+
+    def _own_children(self) -> set[str]:
+        return {child.name for child in self._source.children.values() if child.primary}
+
+    # At the leader
+
+    def report(self, now_ms: float) -> Report:
+        """Of all copies that the voters hear of."""
+        since = now_ms - self._settings.progress_silent_ms
+        others = [told.report for told in self._reports.values() if told.heard_at >= since]
+        return merged([self._source.report(), *others])
+
+    def _accounted(self, now_ms: float) -> set[str]:
+        """The names of all copies that report to some voter."""
+        since = now_ms - self._settings.progress_silent_ms
+        direct = self._own_children()
+        for name, told in self._reports.items():
+            if told.heard_at >= since:
+                direct |= self._rosters.get(name, frozenset())
+        served = [self._rosters.get(name, frozenset()) for name in direct]
+        return direct.union(*served)
 
     def status(self, now_ms: float, members: Iterable[str] = ()) -> dict[str, Any]:
         """For operators, at the leader: how many have the newest version in force, and who has not."""
-        raise NotImplementedError
+        report, version = self.report(now_ms), self.publications.version
+        missing = sorted(set(members) - self._accounted(now_ms))
+        return {
+            "version": version,
+            "copies": report.copies,
+            "in_force": report.current if report.newest == version else 0,
+            "lowest": report.lowest if report.copies else None,
+            "behind": [trouble._asdict() for trouble in report.troubles],
+            "behind_unnamed": report.unnamed,
+            "missing": missing[:MISSING_MOST],
+            "missing_count": len(missing),
+            "leader": self._is_leader,
+            "children": len(self._source.children),
+            "log": {"base": self.publications.log.base, "bytes": self.publications.log.size},
+            "history": [entry._asdict() for entry in self.publications.history[-10:]],
+            "counts": dict(self.counts),
+        }
--- /dev/null
+++ b/pumicenotch/distribution/zone.py
@@ -0,0 +1,46 @@
+"""The instances of one zone, and which of them are its relays. Each instance decides it for itself, by what
+its membership thinks; those who agree on who is alive agree on the relays."""
+
+from pumicenotch.distribution.events import Peer
+from pumicenotch.distribution.rendezvous import ranked
+
+
+class Zone:
+    """Of this instance; peers of other zones are left out."""
+
+    def __init__(self, me: Peer, relay_count: int) -> None:
+        self.me = me
+        self._relay_count = relay_count
+        self._peers: dict[str, Peer] = {}
+        self._relays: list[Peer] = [me]
+
+    def changed(self, peer: Peer) -> bool:
+        """Whether it is of this zone."""
+        if peer.name == self.me.name:
+            return False
+        if peer.zone != self.me.zone or not peer.alive:
+            if self._peers.pop(peer.name, None) is None:
+                return False
+        else:
+            self._peers[peer.name] = peer
+        everyone = [self.me, *self._peers.values()]
+        order = ranked(self.me.zone, everyone, lambda each: each.name)
+        self._relays = order[: self._relay_count]
+        return True
+
+    @property
+    def size(self) -> int:
+        """With this instance."""
+        return 1 + len(self._peers)
+
+    def addresses(self) -> set[str]:
+        """Of the others that are alive."""
+        return {peer.address for peer in self._peers.values()}
+
+    def relays(self) -> list[str]:
+        """Addresses of the others that are relays, in the order in which this instance prefers them."""
+        others = [peer for peer in self._relays if peer.name != self.me.name]
+        return [peer.address for peer in ranked(self.me.name, others, lambda each: each.name)]
+
+    def makes_me_relay(self) -> bool:
+        return any(peer.name == self.me.name for peer in self._relays)
