--- a/pumicenotch/distribution/changelog.py
+++ b/pumicenotch/distribution/changelog.py
@@ -18,42 +18,48 @@
 BYTES_MOST = 8 * 1024 * 1024
 ENTRIES_A_PAGE = 256  # looked at for one page
 DIGEST_OVERHEAD_BYTES = 24
+FEW_CHANGES = 16  # in one entry: not worth counting by scope
+
+
+class ChangeSet:
+    """Changes by scope, with their sizes, so that nobody has to go through all of them at once."""
+
+    __slots__ = ("count", "scopes", "size", "sizes")
+
+    def __init__(self, changes: Iterable[Change] = ()) -> None:
+        self.scopes: dict[ScopeId, list[Change]] = {}
+        self.sizes: dict[ScopeId, int] = {}
+        self.size = 0
+        self.count = 0
+        for change in changes:
+            self.add(scope_of(change), change)
+
+    def add(self, scope_id: ScopeId, change: Change) -> None:
+        size = change.size
+        self.scopes.setdefault(scope_id, []).append(change)
+        self.sizes[scope_id] = self.sizes.get(scope_id, DIGEST_OVERHEAD_BYTES) + size
+        self.size += size
+        self.count += 1
 
 
 class LogEntry:
     """What led from version `previous` to `version`, by scope, with the scopes' digests after it."""
 
-    __slots__ = ("count", "digests", "dumped", "previous", "scopes", "size", "version")
+    __slots__ = ("count", "digests", "dumped", "previous", "scopes", "size", "sizes", "version")
 
     def __init__(
-        self,
-        previous: int,
-        version: int,
-        scopes: Mapping[ScopeId, list[Change]],
-        digests: Mapping[ScopeId, int],
-        size: int,
+        self, previous: int, version: int, changes: ChangeSet, digests: Mapping[ScopeId, int]
     ) -> None:
         self.previous = previous
         self.version = version
-        self.scopes = {scope_id: scopes[scope_id] for scope_id in sorted(scopes)}
+        self.scopes = {scope_id: changes.scopes[scope_id] for scope_id in sorted(changes.scopes)}
+        self.sizes = changes.sizes
         self.digests = digests
-        self.size = size
-        self.count = sum(map(len, scopes.values()))
+        self.size = changes.size
+        self.count = changes.count
         self.dumped: bytes | None = None
 
 
-def entry_of(
-    previous: int, version: int, changes: Iterable[Change], digests: Mapping[ScopeId, int]
-) -> LogEntry:
-    """An entry of changes in any order, at most one a record."""
-    scopes: dict[ScopeId, list[Change]] = {}
-    size = 0
-    for change in changes:
-        scopes.setdefault(scope_of(change), []).append(change)
-        size += change.size
-    return LogEntry(previous, version, scopes, digests, size)
-
-
 class Page(NamedTuple):
     """A part of what leads from one version to another; `done` when it is the last."""
 
@@ -110,41 +116,47 @@
             return at
         return None
 
-    def page(self, have: int, start: Cursor, subscription: Subscription) -> Page | None:
+    def page(
+        self, have: int, start: Cursor, subscription: Subscription, bytes_most: int = PAGE_BYTES_MOST
+    ) -> Page | None:
         """What comes after version `have`, as far as a page holds; None if the log does not lead on from
         there."""
         at = self.position(have)
         if at is None:
             return None
-        first = self.entries[at]
-        if start != START or self._filtered_size(first, subscription) > PAGE_BYTES_MOST:
-            return entry_page(first, start, subscription)
-        return self._merged_page(at, subscription)
+        whole = self.whole_page(have, subscription, bytes_most) if start == START else None
+        return whole or entry_page(self.entries[at], start, subscription, bytes_most)
+
+    def whole_page(self, have: int, subscription: Subscription, bytes_most: int) -> Page | None:
+        """One or more whole versions after that one in so many bytes; None if not even one fits."""
+        at = self.position(have)
+        if at is None or self._filtered_size(self.entries[at], subscription) > bytes_most:
+            return None
+        return self._merged_page(at, subscription, bytes_most)
 
     @staticmethod
     def _filtered_size(entry: LogEntry, subscription: Subscription) -> int:
         """In bytes, or beyond any page where there are too many changes."""
-        if entry.size <= PAGE_BYTES_MOST and entry.count <= PAGE_CHANGES_MOST:
+        if entry.count <= FEW_CHANGES:
             return entry.size
         count = size = 0
         for scope_id, changes in entry.scopes.items():
             if subscription.contains(*scope_id):
                 count += len(changes)
-                size += sum(change.size for change in changes) + DIGEST_OVERHEAD_BYTES
+                size += entry.sizes[scope_id]
                 if size > PAGE_BYTES_MOST or count > PAGE_CHANGES_MOST:
                     return PAGE_BYTES_MOST + 1
         return size
 
-    def _merged_page(self, at: int, subscription: Subscription) -> Page:
+    def _merged_page(self, at: int, subscription: Subscription, bytes_most: int) -> Page:
         """Several versions in one, of each record the last change."""
         found: dict[tuple[str, str], Change] = {}
         digests: dict[ScopeId, int] = {}
         size, version, previous = 0, self.entries[at].version, self.entries[at].previous
         for entry in self.entries[at : at + ENTRIES_A_PAGE]:
             taken = self._filtered_size(entry, subscription)
-            if found and (size + taken > PAGE_BYTES_MOST or len(found) + entry.count > PAGE_CHANGES_MOST):
-                break
-            if taken > PAGE_BYTES_MOST:
+            fits = size + taken <= bytes_most and len(found) + entry.count <= PAGE_CHANGES_MOST
+            if entry.previous != previous and not fits:
                 break
             size, version = size + taken, entry.version
             for scope_id, changes in entry.scopes.items():
@@ -155,7 +167,7 @@
         return Page(previous, version, START, START, True, tuple(found.values()), told)
 
 
-def entry_page(entry: LogEntry, start: Cursor, subscription: Subscription) -> Page:
+def entry_page(entry: LogEntry, start: Cursor, subscription: Subscription, bytes_most: int) -> Page:
     """A page of one entry from that place on. The place is the same at every source that has the entry."""
     changes: list[Change] = []
     digests: list[ScopeDigest] = []
@@ -166,7 +178,7 @@
         offset = start.offset if scope_id == (start.table, start.scope) else 0
         for at in range(offset, len(found)):
             size += found[at].size
-            if changes and (size > PAGE_BYTES_MOST or len(changes) >= PAGE_CHANGES_MOST):
+            if changes and (size > bytes_most or len(changes) >= PAGE_CHANGES_MOST):
                 done = False
                 break
             changes.append(found[at])
--- a/pumicenotch/distribution/codec.py
+++ b/pumicenotch/distribution/codec.py
@@ -88,8 +88,6 @@
 
 
 def _digest(told: Any) -> int:
-    if type(told) is int and 0 <= told < 1 << (8 * DIGEST_BYTES):
-        return told
     if not isinstance(told, bytes) or len(told) != DIGEST_BYTES:
         raise _malformed(f"a digest is no {DIGEST_BYTES} bytes")
     return int.from_bytes(told, "big")
@@ -186,7 +184,7 @@
     "pull": (_number, _number, _number, _cursor),
     "compare": (_number, _number, _number, _scope_id),
     "fetch": (_number, _number, _wants),
-    "check": (_number, _text, _text, _digest),
+    "check": (_number, _scope_digest),
     "accepted": (_number, _number, _number),
     "refused": (_number, _text, _number, _candidates),
     "announce": (_number, _number),
--- a/pumicenotch/distribution/dumping.py
+++ b/pumicenotch/distribution/dumping.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
-from pumicenotch.distribution.changelog import ChangeLog, LogEntry, entry_of
+from pumicenotch.distribution.changelog import ChangeLog, ChangeSet, LogEntry
 from pumicenotch.distribution.errors import DistributionError, InvalidPublication
 from pumicenotch.distribution.records import Change, ScopeId
 from pumicenotch.distribution.uploads import Upload
@@ -95,9 +95,9 @@
 
 
 def _entry(previous: int, version: int, rows: list[Any], digests: list[Any]) -> LogEntry:
-    changes = [Change(*row) for row in rows]
+    changes = ChangeSet(Change(*row) for row in rows)
     told = {ScopeId(table, scope): int(digest, 16) for table, scope, digest in digests}
-    return entry_of(previous, version, changes, told)
+    return LogEntry(previous, version, changes, told)
 
 
 def _upload(view: View, parts: int, rows: list[Any]) -> Upload:
--- a/pumicenotch/distribution/messages.py
+++ b/pumicenotch/distribution/messages.py
@@ -9,8 +9,8 @@
 
 METHOD = "configuration"  # of the notices that carry these messages
 PAGE_BYTES_MOST = 32 * 1024  # of records in one message
-PAGE_CHANGES_MOST = 1024
-PAGE_SCOPES_MOST = 512
+PAGE_CHANGES_MOST = 512
+PAGE_SCOPES_MOST = 256
 WANTS_MOST = 64  # scopes named in one Fetch
 CANDIDATES_MOST = 8
 ROSTER_MOST = 1024
@@ -115,9 +115,7 @@
     """Is this the digest of that scope at that version?"""
 
     version: int
-    table: str
-    scope: str
-    digest: int
+    scope: ScopeDigest
 
 
 # From a source to its child
--- a/pumicenotch/distribution/replica.py
+++ b/pumicenotch/distribution/replica.py
@@ -221,7 +221,8 @@
         if not audit.good:
             self.copy.suspect([audit.scope_id])
         elif address is not None:
-            self._out.send(address, m.Check(view.version, *audit.scope_id, audit.scope.digest))
+            digest = m.ScopeDigest(*audit.scope_id, audit.scope.digest)
+            self._out.send(address, m.Check(view.version, digest))
 
     def _audit_next(self, now_ms: float) -> None:
         if now_ms < self._audit_at:
--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from pumicenotch.distribution.messages import PAGE_BYTES_MOST, PAGE_SCOPES_MOST
+
 
 class Settings(NamedTuple):
     # Relays and sources
@@ -30,6 +32,8 @@
 
     # Deltas and transfers
     push_bytes_most: int = 16 * 1024  # a larger delta is announced, and pulled in pages
+    page_bytes: int = PAGE_BYTES_MOST  # of records in the answer to one request
+    page_scopes: int = PAGE_SCOPES_MOST  # digests in the answer to one comparison
     push_window: int = 64  # versions pushed to a child and not acknowledged
     retry_ms: float = 400.0  # of a request without an answer, and again by chance up to half as much
     retry_most_ms: float = 2_000.0
--- a/pumicenotch/distribution/source.py
+++ b/pumicenotch/distribution/source.py
@@ -55,10 +55,13 @@
         return now_ms if self._to_push else self._look_at
 
     def tick(self, now_ms: float) -> None:
+        budget = self._settings.slice_bytes
         for name in list(self._to_push)[: self._settings.slice_children]:
             del self._to_push[name]
             if name in self.children:
-                self._push(now_ms, self.children[name])
+                budget -= self._push(now_ms, self.children[name])
+            if budget <= 0:
+                break
         if now_ms >= self._look_at and not self._to_push:
             self._look(now_ms)
 
@@ -121,6 +124,7 @@
         if former is not None and former.life == child.life:
             child.report = former.report
         self.children[child.name] = child
+        self._transfers.pop(child.name, None)
         child.announced = self.view.version
         accepted = m.Accepted(message.request, self.view.version, self._age_ms(now_ms))
         self._out.send(child.address, accepted)
@@ -130,6 +134,9 @@
 
     def _acknowledge(self, now_ms: float, child: Child, message: m.Acknowledge) -> None:
         child.acknowledged(message.version)
+        kept = self._transfers.get(child.name)
+        if kept is not None and message.version >= kept.view.version and not message.report.troubles:
+            del self._transfers[child.name]  # it has what it came for
         child.primary = message.primary
         child.report = message.report
         if child.primary and child.pushed < self.view.version:
@@ -138,7 +145,7 @@
     def _pull(self, now_ms: float, child: Child, message: m.Pull) -> None:
         if not self._serves(now_ms, child, message.request, message.generation):
             return
-        page = self.log.page(message.have, message.start, child.subscription)
+        page = self.log.page(message.have, message.start, child.subscription, self._settings.page_bytes)
         if message.have >= self.view.version:
             page = Page(message.have, message.have, m.START, m.START, True, (), ())  # nothing newer
         if page is None:
@@ -165,7 +172,7 @@
             self._transfers[child.name] = kept
             child.pushed = self.view.version
         kept.used_at = now_ms
-        digests, done = digest_page(kept, message.after)
+        digests, done = digest_page(kept, message.after, self._settings.page_scopes)
         self._bucket.spend(SCOPE_DIGEST_BYTES * len(digests))
         scopes = m.Scopes(
             message.request, kept.number, kept.view.version, self._age_ms(now_ms), digests, done
@@ -180,14 +187,15 @@
         kept.used_at = now_ms
         if not self._admits(now_ms, child, message.request):
             return
-        parts, size = record_page(kept, message.wants)
+        parts, size = record_page(kept, message.wants, self._settings.page_bytes)
         self._bucket.spend(size)
         self._out.send(child.address, m.Records(message.request, kept.number, parts))
 
     def _check(self, child: Child, message: m.Check) -> None:
-        known = self.held.contains(message.table, message.scope) and message.version == self.view.version
-        if known and message.digest != self.view.digest(message.table, message.scope):
-            self._out.send(child.address, m.Mismatch(message.version, message.table, message.scope))
+        table, scope, digest = message.scope
+        known = message.version == self.view.version and self.held.contains(table, scope)
+        if known and digest != self.view.digest(table, scope):
+            self._out.send(child.address, m.Mismatch(message.version, table, scope))
 
     def _serves(self, now_ms: float, child: Child, request: int, generation: int) -> bool:
         if generation != child.generation:
@@ -215,19 +223,21 @@
 
     # What it tells by itself
 
-    def _push(self, now_ms: float, child: Child) -> None:
-        """The next changes, as far as they are small and the child acknowledges."""
-        settings = self._settings
+    def _push(self, now_ms: float, child: Child) -> int:
+        """The next changes, as far as they are small and the child acknowledges; and their size."""
+        settings, pushed = self._settings, 0
         while child.pushed < self.view.version and child.pushed - child.version < settings.push_window:
             if not self.held.covers(child.subscription):
-                return
-            page = self.log.page(child.pushed, m.START, child.subscription)
-            if page is None or not page.done or page_bytes(page) > settings.push_bytes_most:
-                return  # it is announced, and pulled
+                break
+            page = self.log.whole_page(child.pushed, child.subscription, settings.push_bytes_most)
+            if page is None:
+                break  # it is announced, and pulled
+            pushed += page_bytes(page)
             self._out.send(child.address, child.delta(0, self._age_ms(now_ms), page))
             self._counts["pushed"] += 1
             child.pushed = child.announced = page.version
             child.announced_at = now_ms
+        return pushed
 
     def _look(self, now_ms: float) -> None:
         """Announces where it is time, and forgets those who have fallen silent."""
--- a/pumicenotch/distribution/staging.py
+++ b/pumicenotch/distribution/staging.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from pumicenotch.distribution.changelog import LogEntry, entry_of
+from pumicenotch.distribution.changelog import ChangeSet, LogEntry
 from pumicenotch.distribution.messages import START, Cursor, Delta
 from pumicenotch.distribution.records import Change, ScopeId, scope_of
 from pumicenotch.distribution.subscription import Subscription
@@ -24,7 +24,7 @@
         self._tables = tables
         self._builder = Builder(view)
         self._waiting: deque[Change] = deque()
-        self._changes: list[Change] = []
+        self._changes = ChangeSet()  # what has been staged
         self._digests: dict[ScopeId, int] = {}
 
     def follows(self, delta: Delta) -> bool:
@@ -57,24 +57,24 @@
         while self._waiting and budget > 0:
             change = self._waiting.popleft()
             budget -= 1
-            if self._coverage.contains(*scope_of(change)):
-                budget -= self._stage(change)
+            scope_id = scope_of(change)
+            if self._coverage.contains(*scope_id):
+                budget -= self._stage(scope_id, change)
         return budget
 
-    def _stage(self, change: Change) -> int:
+    def _stage(self, scope_id: ScopeId, change: Change) -> int:
         if change.value is not None:
             read_value(table_of(self._tables, change.table), change.key, change.value)
-        self._changes.append(change)
+        self._changes.add(scope_id, change)
         return self._builder.put(change)
 
     def mismatches(self) -> list[ScopeId]:
         """Scopes whose digest is another than the source told."""
-        told = set(self._digests)
-        untold = {scope_of(change) for change in self._changes} - told
-        wrong = [scope_id for scope_id in told if self._builder.digest(scope_id) != self._digests[scope_id]]
-        return sorted([*wrong, *untold])
+        told = self._digests
+        wrong = [scope_id for scope_id in told if self._builder.digest(scope_id) != told[scope_id]]
+        return sorted([*wrong, *(self._changes.scopes.keys() - told.keys())])
 
     def finish(self) -> tuple[View, LogEntry]:
         """The next view, and the entry that a relay keeps for its children."""
         view = self._builder.finish(self.version)
-        return view, entry_of(self.previous, self.version, self._changes, self._digests)
+        return view, LogEntry(self.previous, self.version, self._changes, self._digests)
--- a/pumicenotch/distribution/subscription.py
+++ b/pumicenotch/distribution/subscription.py
@@ -1,5 +1,6 @@
 """Which scopes an instance needs. Its state, its traffic and its work follow this, not the fleet's total."""
 
+from bisect import bisect_right
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -16,7 +17,7 @@
 class Subscription:
     """For each table a set of scopes, or ALL. Immutable and hashable."""
 
-    __slots__ = ("_tables",)
+    __slots__ = ("_ordered", "_tables")
 
     def __init__(self, tables: Mapping[str, Iterable[str] | None]) -> None:
         self._tables: dict[str, frozenset[str] | None] = {
@@ -24,6 +25,7 @@
             for table, scopes in sorted(tables.items())
             if scopes is None or scopes
         }
+        self._ordered: dict[str, list[str]] = {}
 
     @property
     def tables(self) -> Mapping[str, frozenset[str] | None]:
@@ -45,6 +47,13 @@
         held = self._tables[table]
         return held is None or (scopes is not None and scopes <= held)
 
+    def named_after(self, table: str, after: str) -> list[str]:
+        """The scopes that it names of that table and that come after that one, in order."""
+        ordered = self._ordered.get(table)
+        if ordered is None:
+            ordered = self._ordered[table] = sorted(self._tables.get(table) or ())
+        return ordered[bisect_right(ordered, after) :]
+
     def union(self, other: "Subscription") -> "Subscription":
         """Both; a table of which that names too many scopes is taken whole."""
         merged: dict[str, frozenset[str] | None] = dict(self._tables)
--- a/pumicenotch/distribution/transfers.py
+++ b/pumicenotch/distribution/transfers.py
@@ -6,9 +6,7 @@
 from dataclasses import dataclass
 
 from pumicenotch.distribution.messages import (
-    PAGE_BYTES_MOST,
     PAGE_CHANGES_MOST,
-    PAGE_SCOPES_MOST,
     ScopeDigest,
     ScopePart,
     Want,
@@ -29,24 +27,25 @@
     used_at: float
 
 
-def digest_page(kept: KeptTransfer, after: ScopeId) -> tuple[tuple[ScopeDigest, ...], bool]:
+def digest_page(kept: KeptTransfer, after: ScopeId, most: int) -> tuple[tuple[ScopeDigest, ...], bool]:
     """The next subscribed scopes with their digests, and whether these are the last."""
     found: list[ScopeDigest] = []
     for scope_id in kept.view.subscribed_after(kept.subscription, after):
-        if len(found) == PAGE_SCOPES_MOST:
+        if len(found) == most:
             return tuple(found), False
         found.append(ScopeDigest(*scope_id, kept.view.digest(*scope_id)))
     return tuple(found), True
 
 
-def record_page(kept: KeptTransfer, wants: Sequence[Want]) -> tuple[tuple[ScopePart, ...], int]:
+def record_page(kept: KeptTransfer, wants: Sequence[Want], most: int) -> tuple[tuple[ScopePart, ...], int]:
     """Records of the wanted scopes as far as a page holds, and their size."""
     parts: list[ScopePart] = []
     size = count = 0
     for want in wants:
         if not kept.subscription.contains(want.table, want.scope):
             continue
-        part, part_size = _scope_part(kept.view, want, PAGE_BYTES_MOST - size, PAGE_CHANGES_MOST - count)
+        room = PAGE_CHANGES_MOST - count
+        part, part_size = _scope_part(kept.view, want, most - size, room, first=not parts)
         if parts and not part.records and not part.done:
             break
         parts.append(part)
@@ -56,7 +55,10 @@
     return tuple(parts), size
 
 
-def _scope_part(view: View, want: Want, bytes_most: int, records_most: int) -> tuple[ScopePart, int]:
+def _scope_part(
+    view: View, want: Want, bytes_most: int, records_most: int, first: bool
+) -> tuple[ScopePart, int]:
+    """The first part of a page has one record at least, however large."""
     held = view.held(ScopeId(want.table, want.scope))
     records: list[tuple[str, str]] = []
     size = len(want.table) + len(want.scope) + RECORD_OVERHEAD_BYTES
@@ -65,7 +67,7 @@
     for name in held.names_after(want.after):
         value = held.records[name]
         size += len(name) + len(value) + RECORD_OVERHEAD_BYTES
-        if size > bytes_most or len(records) >= records_most:
+        if (size > bytes_most or len(records) >= records_most) and (records or not first):
             return ScopePart(want.table, want.scope, tuple(records), False), size
         records.append((name, value))
     return ScopePart(want.table, want.scope, tuple(records), True), size
--- a/pumicenotch/distribution/uploads.py
+++ b/pumicenotch/distribution/uploads.py
@@ -3,12 +3,11 @@
 from collections.abc import Sequence
 from typing import Any
 
-from pumicenotch.distribution.changelog import LogEntry
+from pumicenotch.distribution.changelog import ChangeSet, LogEntry
 from pumicenotch.distribution.errors import InvalidPublication, OversizedPublication
 from pumicenotch.distribution.records import (
     DIGEST_MODULUS,
     Change,
-    ScopeId,
     record_digest,
     scope_of,
 )
@@ -34,8 +33,7 @@
     def __init__(self, view: View) -> None:
         self.previous = view.version
         self.parts = 0
-        self.size = 0
-        self.scopes: dict[ScopeId, list[Change]] = {}
+        self._changes = ChangeSet()
         self._builder = Builder(view)
         self._keys: set[tuple[str, str]] = set()
         self._digest = 0
@@ -44,10 +42,6 @@
     def digest(self) -> str:
         return f"{self._digest % DIGEST_MODULUS:032x}"
 
-    @property
-    def count(self) -> int:
-        return len(self._keys)
-
     def add(self, changes: Sequence[Change]) -> None:
         """The next part. Raises OversizedPublication, OversizedScope and InvalidPublication; the upload is
         of no use after that."""
@@ -58,11 +52,10 @@
                 )
             self._keys.add((change.table, change.key))
             self._builder.put(change)
-            self.scopes.setdefault(scope_of(change), []).append(change)
-            self.size += change.size
+            self._changes.add(scope_of(change), change)
             self._digest += record_digest(change.table, change.key, change.value or "")
         self.parts += 1
-        if len(self._keys) > CHANGES_MOST or self.size > BYTES_MOST:
+        if self._changes.count > CHANGES_MOST or self._changes.size > BYTES_MOST:
             raise OversizedPublication(
                 "publication", f"more than {CHANGES_MOST} changes or {BYTES_MOST} bytes", ADVICE
             )
@@ -70,11 +63,11 @@
     def finish(self) -> tuple[View, LogEntry]:
         """The view with all of it in force, and what the log of changes keeps."""
         view = self._builder.finish(self.previous + 1)
-        digests = {scope_id: self._builder.digest(scope_id) for scope_id in self.scopes}
-        return view, LogEntry(self.previous, view.version, self.scopes, digests, self.size)
+        digests = {scope_id: self._builder.digest(scope_id) for scope_id in self._changes.scopes}
+        return view, LogEntry(self.previous, view.version, self._changes, digests)
 
     def changes(self) -> list[Change]:
-        return [change for changes in self.scopes.values() for change in changes]
+        return [change for changes in self._changes.scopes.values() for change in changes]
 
 
 def entries_of(
--- a/pumicenotch/distribution/view.py
+++ b/pumicenotch/distribution/view.py
@@ -107,9 +107,9 @@
                 continue
             first = after.scope if table == after.table else ""
             held = self._tables.get(table, NO_TABLE)
-            names = held.names_after(first) if wanted is None else sorted(wanted)
+            names = held.names_after(first) if wanted is None else subscription.named_after(table, first)
             for scope in names:
-                if scope > first and scope in held.scopes:
+                if scope in held.scopes:
                     yield ScopeId(table, scope)
 
     def record_count(self) -> int:
--- a/tests/distribution/network.py
+++ b/tests/distribution/network.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+import msgpack
+
 from pumicenotch.distribution import effects as fx
 from pumicenotch.distribution import events as ev
 from pumicenotch.distribution.changelog import ChangeLog
@@ -162,7 +164,7 @@
         for effect in reducer.step(self.now, event):
             match effect:
                 case fx.SendTo(address, message):
-                    self.send(name, address, plain(message))
+                    self.send(name, address, msgpack.packb(plain(message)))
                 case fx.WakeAt(at):
                     self.wake(name, at)
                 case fx.InForce(version):
@@ -174,7 +176,7 @@
         if due < float("inf"):
             self.push(due, "wake", (name, self.lives[name], due))
 
-    def send(self, sender: str, address: str, told: list[Any]) -> None:
+    def send(self, sender: str, address: str, told: bytes) -> None:
         if address in self.cut or sender in self.cut or self.chance.random() < self.weather.loss:
             return
         times = 2 if self.chance.random() < self.weather.doubled else 1
@@ -197,7 +199,10 @@
             else:
                 sender, life, address, told = what
                 if address not in self.cut and address in self.reducers:
-                    self.step(address, ev.Received(ev.Sender(sender, life, sender), message_of(told)))
+                    self.step(
+                        address,
+                        ev.Received(ev.Sender(sender, life, sender), message_of(msgpack.unpackb(told))),
+                    )
         self.now = max(self.now, until_ms)
 
     # What is in force
--- /dev/null
+++ b/tests/distribution/test_explorer.py
@@ -0,0 +1,133 @@
+"""The explorer over the real code: whole, it is never mixed, backward or lost; with any of these faults put
+in, it is, and the explorer says so."""
+
+from typing import Any
+
+import pytest
+
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.changelog import ChangeLog, Page
+from pumicenotch.distribution.copy import Copy
+from pumicenotch.distribution.fetching import Transfer
+from pumicenotch.distribution.records import ScopeId
+from pumicenotch.distribution.replica import Replica
+from pumicenotch.distribution.staging import Staging
+from pumicenotch.distribution.subscription import Subscription
+from pumicenotch.distribution.view import Builder, Scope, View
+from pumicenotch.lab.spreading import Bounds, Spreading
+
+DEEP = Bounds(publications=3, timers=14, losses=1, copies=1, cuts=1)
+SPOILT = Bounds(publications=3, timers=14, spoilt=1)
+REJOIN = Bounds(publications=3, timers=14, restarts=1, cuts=1)
+
+
+def test_every_order_of_one_publication_is_good() -> None:
+    found = Spreading(Bounds(publications=1, timers=1)).explore(100_000)
+    assert found.whole and not found.violation, found.text()
+
+
+@pytest.mark.parametrize("log_most", [1, 10])
+def test_the_first_orders_of_all_that_can_happen_are_good(log_most: int) -> None:
+    found = Spreading(DEEP._replace(restarts=1, spoilt=1), log_most=log_most).explore(1_500)
+    assert not found.violation, found.text()
+
+
+@pytest.mark.parametrize("bounds", [DEEP, SPOILT, REJOIN])
+@pytest.mark.parametrize("log_most", [1, 10])
+def test_walks_find_nothing(bounds: Bounds, log_most: int) -> None:
+    found = Spreading(bounds, log_most=log_most).wander(seed=1, walks=12, most_deep=70)
+    assert not found.violation, found.text()
+
+
+# Faults
+
+
+def complete_early(self: Staging) -> bool:
+    return not self.has_work
+
+
+def any_delta(self: Replica, now_ms: float, address: str, delta: m.Delta) -> None:
+    """An older one too."""
+    older = delta.version <= self.copy.view.version and delta.start == m.START
+    if older and self.copy.staging is None and not delta.request:
+        self.copy.stage(delta)
+    else:
+        REAL_DELTA(self, now_ms, address, delta)
+
+
+def any_switch(self: Copy, view: View, coverage: Subscription, entry: Any) -> None:
+    self.view, self.coverage = view, coverage
+
+
+def break_off_with_parts(self: Replica) -> None:
+    """What a broken-off transfer has of a scope counts as the whole scope."""
+    transfer = self._transfer
+    if transfer is not None:
+        parts = {key: Scope(part.records, transfer._listed[key]) for key, part in transfer._partial.items()}
+        self._kept = {**transfer.complete, **parts}
+        self._transfer = None
+        self._requests.cancel()
+
+
+def build_without_deletions(self: Transfer, view: View) -> View:
+    builder = Builder(view)
+    for scope_id, scope in self.complete.items():
+        builder.replace(scope_id, scope)
+    return builder.finish(self.version)
+
+
+def page_with_gap(
+    self: ChangeLog, have: int, start: m.Cursor, subscription: Subscription, bytes_most: int = 0
+) -> Page | None:
+    """From the oldest that there is, where the log does not reach back far enough."""
+    first = self.base if have < self.base else have
+    page = REAL_PAGE(self, first, start, subscription, bytes_most)
+    return None if page is None else page._replace(previous=have)
+
+
+def no_mismatches(self: Staging) -> list[ScopeId]:
+    return []
+
+
+def finish_unverified(self: Transfer, scope_id: ScopeId) -> None:
+    self.complete[scope_id] = Scope(self._partial.pop(scope_id).records, self._listed[scope_id])
+    self._missing.discard(scope_id)
+
+
+REAL_PAGE = ChangeLog.page
+REAL_DELTA = Replica.delta
+CALM = Bounds(publications=3, timers=9)
+FRESH = Bounds(publications=0, timers=6, cuts=1)
+FAULTS: dict[str, tuple[Spreading, list[tuple[type, str, Any]]]] = {
+    "switches before all pages are there": (
+        Spreading(CALM), [(Staging, "complete", property(complete_early))],
+    ),
+    "applies an older delta after a newer": (
+        Spreading(CALM._replace(copies=1), begun=2),
+        [(Replica, "delta", any_delta), (Copy, "switch", any_switch)],
+    ),
+    "takes a part for the whole when the source changes": (
+        Spreading(FRESH, begun=2, fresh=True), [(Replica, "_break_off", break_off_with_parts)],
+    ),
+    "forgets a deletion in a snapshot by digests": (
+        Spreading(CALM, log_most=1), [(Transfer, "build", build_without_deletions)],
+    ),
+    "serves a delta with a gap from a compacted log": (
+        Spreading(CALM, log_most=1), [(ChangeLog, "page", page_with_gap)],
+    ),
+    "does not verify a delta": (
+        Spreading(CALM._replace(spoilt=1)), [(Staging, "mismatches", no_mismatches)],
+    ),
+    "does not verify a fetched scope": (
+        Spreading(CALM._replace(spoilt=1), fresh=True), [(Transfer, "_finish_scope", finish_unverified)],
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    model, patches = FAULTS[fault]
+    for owner, name, replacement in patches:
+        monkeypatch.setattr(owner, name, replacement)
+    found = model.wander(seed=1, walks=300, most_deep=70)
+    assert found.violation.startswith(("mixed", "backward", "lost")), found.text()
--- /dev/null
+++ b/tests/distribution/test_messages.py
@@ -0,0 +1,131 @@
+"""Messages on the wire, subscriptions, and the small parts."""
+
+import random
+from typing import Any
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.admission import TokenBucket
+from pumicenotch.distribution.codec import FIELDS, message_of, plain
+from pumicenotch.distribution.errors import InvalidSubscription, MalformedMessage
+from pumicenotch.distribution.records import Change, ScopeId
+from pumicenotch.distribution.rendezvous import ranked
+from pumicenotch.distribution.reports import BEHIND, TROUBLES_MOST, Report, merged, own_report
+from pumicenotch.distribution.subscription import NOTHING, SCOPES_MOST, Subscription, subscription_of
+
+REPORT = own_report("i1", 3, 4, "unreadable-form")
+DIGEST = m.ScopeDigest("tenants", "c", (1 << 128) - 1)
+MESSAGES: list[m.Message] = [
+    m.Subscribe(1, 2, 3, True, Subscription({"tenants": None, "routes": ["s1", "s2"]})),
+    m.Unsubscribe(),
+    m.Acknowledge(3, True, REPORT),
+    m.Pull(1, 2, 3, m.Cursor("tenants", "c", 4)),
+    m.Compare(1, 2, 3, ScopeId("tenants", "c")),
+    m.Fetch(1, 2, (m.Want("tenants", "c", "t"),)),
+    m.Check(1, DIGEST),
+    m.Accepted(1, 2, 3),
+    m.Refused(1, m.BUSY, 500, ("h:1",)),
+    m.Announce(1, 2),
+    m.Delta(1, 2, 3, 4, 5, m.START, m.START, True, (Change("tenants", "c/t", None),), (DIGEST,)),
+    m.Scopes(1, 2, 3, 4, (DIGEST,), False),
+    m.Records(1, 2, (m.ScopePart("tenants", "c", (("t", "{}"),), True),)),
+    m.Mismatch(1, "tenants", "c"),
+    m.Progress(REPORT),
+    m.Roster("i1", ("i2", "i3")),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda each: type(each).__name__)
+def test_a_message_is_the_same_after_the_wire(message: m.Message) -> None:
+    told = msgpack.unpackb(msgpack.packb(plain(message)))
+    found = message_of(told)
+    assert found == message and type(found) is type(message)
+    with pytest.raises(MalformedMessage):
+        message_of([*told, 1])
+
+
+def test_every_kind_has_its_fields() -> None:
+    assert {type(message) for message in MESSAGES} == set(m.NAMES)
+    assert {name: len(readers) for name, readers in FIELDS.items()} == {
+        name: len(kind._fields) for name, kind in m.KINDS.items()
+    }
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5) | st.binary(max_size=20),
+    lambda inner: st.lists(inner, max_size=5),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.sampled_from(sorted(m.KINDS)), st.integers(0, 10), VALUES)
+def test_a_spoilt_message_is_malformed_and_nothing_else(kind: str, at: int, value: Any) -> None:
+    told = plain(next(message for message in MESSAGES if m.NAMES[type(message)] == kind))
+    told[min(at, len(told) - 1)] = value
+    try:
+        message_of(told)
+    except MalformedMessage as error:
+        assert error.remedy
+
+
+@pytest.mark.parametrize("told", [None, [], "pull", [7], ["nothing"], ["pull", 1], {"pull": 1}])
+def test_what_is_no_message_is_malformed(told: Any) -> None:
+    with pytest.raises(MalformedMessage):
+        message_of(told)
+
+
+def test_subscriptions() -> None:
+    one = Subscription({"tenants": ["a", "b"], "routes": None})
+    other = Subscription({"tenants": ["b", "c"]})
+    assert one.contains("routes", "any") and one.contains("tenants", "a") and not one.contains("tenants", "c")
+    assert one.union(other) == Subscription({"tenants": ["a", "b", "c"], "routes": None})
+    assert one.intersection(other) == Subscription({"tenants": ["b"]})
+    assert one.union(other).covers(one) and not one.covers(other) and one.covers(NOTHING)
+    assert subscription_of(one.plain()) == one
+    many = Subscription({"tenants": [f"c{at}" for at in range(SCOPES_MOST)]})
+    assert many.union(one).tables["tenants"] is None  # taken whole where it would name too many
+
+
+@pytest.mark.parametrize(
+    "told",
+    [7, [["t"]], [["t", [1]]], [["t", ["a b"]]], [["t", "abc"]], [["t", [f"c{at}" for at in range(1025)]]],
+     [["t", None]] * 17],
+)  # fmt: skip
+def test_a_wrong_subscription_is_refused(told: Any) -> None:
+    with pytest.raises(InvalidSubscription):
+        subscription_of(told)
+
+
+def test_reports_add_up_and_name_a_bounded_number() -> None:
+    late = [own_report(f"i{at}", 1, 2, "") for at in range(TROUBLES_MOST + 6)]
+    report = merged([own_report("ok", 2, 2, ""), *late])
+    assert (report.copies, report.lowest, report.newest, report.current) == (TROUBLES_MOST + 7, 1, 2, 1)
+    assert len(report.troubles) == TROUBLES_MOST and report.unnamed == 6
+    assert report.troubles[0].code == BEHIND
+    assert merged([Report(2, 5, 5, 2), Report(3, 4, 4, 3)]).current == 2  # current is of the newest alone
+
+
+def test_a_candidate_that_goes_moves_only_its_own_share() -> None:
+    candidates = [f"relay{at}" for at in range(5)]
+    first = {f"i{at}": ranked(f"i{at}", candidates, str)[0] for at in range(500)}
+    fewer = {name: ranked(name, candidates[1:], str)[0] for name in first}
+    assert all(fewer[name] == relay for name, relay in first.items() if relay != "relay0")
+    shares = [list(first.values()).count(relay) for relay in candidates]
+    assert min(shares) > 60
+
+
+def test_a_token_bucket_bears_a_rate() -> None:
+    bucket, sent, chance = TokenBucket(1_000.0, 500.0), 0, random.Random(1)
+    for now in range(0, 10_000, 10):
+        if bucket.open(now):
+            size = chance.randrange(200)
+            bucket.spend(size)
+            sent += size
+    assert 10_000 <= sent <= 10_000 + 500 + 200
+    bucket.spend(3_000)
+    assert bucket.wait_ms(10_000) > 2_000
