--- a/pumicenotch/distribution/audit.py
+++ b/pumicenotch/distribution/audit.py
@@ -3,7 +3,9 @@
 
 from collections.abc import Iterator
 
+from pumicenotch.distribution.messages import FIRST_SCOPE
 from pumicenotch.distribution.records import DIGEST_MODULUS, ScopeId, record_digest
+from pumicenotch.distribution.settings import Settings
 from pumicenotch.distribution.view import Scope, View
 
 
@@ -32,7 +34,35 @@
         return self._digest == self.scope.digest
 
 
-def next_audit(view: View, after: ScopeId) -> Audit | None:
+class Auditor:
+    """One scope after the other, with a pause between."""
+
+    def __init__(self, settings: Settings, first_at: float) -> None:
+        self.due = first_at
+        self.current: Audit | None = None
+        self._settings = settings
+        self._last = FIRST_SCOPE
+
+    def begin(self, now_ms: float, view: View) -> None:
+        """The next scope, if none is being looked at."""
+        self.due = now_ms + self._settings.audit_ms
+        if self.current is None:
+            self.current = _next_audit(view, self._last)
+            self._last = FIRST_SCOPE if self.current is None else self.current.scope_id
+
+    def work(self, view: View) -> Audit | None:
+        """One slice; the audit when it is done, if its scope is still the one in force."""
+        audit = self.current
+        if audit is None:
+            return None
+        audit.work(self._settings.slice_audit)
+        if not audit.done:
+            return None
+        self.current = None
+        return audit if view.held(audit.scope_id) is audit.scope else None
+
+
+def _next_audit(view: View, after: ScopeId) -> Audit | None:
     """Of the scope that comes after that one, or of the first."""
     following = first = None
     for scope_id in view.scope_ids():
--- a/pumicenotch/distribution/replica.py
+++ b/pumicenotch/distribution/replica.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from pumicenotch.distribution import messages as m
-from pumicenotch.distribution.audit import Audit, next_audit
+from pumicenotch.distribution.audit import Auditor
 from pumicenotch.distribution.changelog import LogEntry
 from pumicenotch.distribution.copy import Copy
 from pumicenotch.distribution.errors import DigestMismatch, DistributionError
@@ -52,9 +52,7 @@
         self._transfer_number = chance.getrandbits(30)
         self._kept: dict[ScopeId, Scope] = {}  # of a transfer that was broken off
         self._begin_at = 0.0  # no pull and no transfer begins before
-        self._audit: Audit | None = None
-        self._audited = m.FIRST_SCOPE
-        self._audit_at = settings.audit_ms * (1.0 + chance.random())
+        self._auditor = Auditor(settings, settings.audit_ms * (1.0 + chance.random()))
 
     # What its owner asks
 
@@ -62,7 +60,7 @@
         """When `tick` is to be called next."""
         if self._has_work():
             return now_ms
-        due = min(self._requests.due(), self._audit_at)
+        due = min(self._requests.due(), self._auditor.due)
         if self._is_idle() and self._lags():
             due = min(due, self._begin_at if self._begin_at > now_ms else now_ms + self._settings.retry_ms)
         return due
@@ -74,7 +72,8 @@
             self._counts["unanswered"] += 1
             self._sources.failed(now_ms, request.address)
         self._begin(now_ms)
-        self._audit_next(now_ms)
+        if now_ms >= self._auditor.due and self._is_idle():
+            self._auditor.begin(now_ms, self.copy.view)
 
     def heard(self, now_ms: float, version: int) -> None:
         """A source has that version in force."""
@@ -169,7 +168,7 @@
     def _has_work(self) -> bool:
         staging, transfer = self.copy.staging, self._transfer
         return (
-            self._audit is not None
+            self._auditor.current is not None
             or (staging is not None and (staging.has_work or staging.complete))
             or (transfer is not None and (transfer.has_work or transfer.done))
         )
@@ -181,8 +180,8 @@
                 self._work_transfer(now_ms, transfer)
             elif staging is not None:
                 self.copy.work()
-            elif self._audit is not None:
-                self._work_audit(now_ms, self._audit)
+            else:
+                self._work_audit(now_ms)
         except DistributionError as error:
             self._failed(now_ms, error, transfer)
 
@@ -209,13 +208,10 @@
         self.copy.compare = bool(self.copy.suspects)
         self.copy.switch(view, transfer.subscription, None)
 
-    def _work_audit(self, now_ms: float, audit: Audit) -> None:
-        audit.work(self._settings.slice_audit)
-        if not audit.done:
-            return
-        self._audit = None
+    def _work_audit(self, now_ms: float) -> None:
         view = self.copy.view
-        if view.held(audit.scope_id) is not audit.scope:
+        audit = self._auditor.work(view)
+        if audit is None:
             return
         address = self._sources.best(now_ms, view.version)
         if not audit.good:
@@ -224,14 +220,6 @@
             digest = m.ScopeDigest(*audit.scope_id, audit.scope.digest)
             self._out.send(address, m.Check(view.version, digest))
 
-    def _audit_next(self, now_ms: float) -> None:
-        if now_ms < self._audit_at:
-            return
-        self._audit_at = now_ms + self._settings.audit_ms
-        if self._is_idle() and self._audit is None:
-            self._audit = next_audit(self.copy.view, self._audited)
-            self._audited = self._audit.scope_id if self._audit is not None else m.FIRST_SCOPE
-
     # Asking
 
     def _can_stage(self) -> bool:
--- /dev/null
+++ b/tests/distribution/test_faults.py
@@ -0,0 +1,223 @@
+"""What goes wrong at one instance: it keeps what it has, says so, and is whole again once it can be."""
+
+import random
+
+import pytest
+
+from pumicenotch.distribution import errors, events
+from pumicenotch.distribution import messages as m
+from pumicenotch.distribution.effects import SendTo
+from pumicenotch.distribution.node import Node
+from pumicenotch.distribution.records import Change, ScopeId
+from pumicenotch.distribution.settings import DEFAULTS
+from pumicenotch.distribution.subscription import Subscription
+from pumicenotch.distribution.tables import TABLES, Table, canonical
+from pumicenotch.distribution.voter_source import VoterSource
+from tests.distribution.network import Network, tenant
+
+NEWER = {**TABLES, "tenants": TABLES["tenants"]._replace(form=2)}
+
+
+def older_at(which: int) -> dict[str, Table]:
+    """Of two programs: one instance has the older one."""
+    return dict(TABLES if which == 1 else NEWER)
+
+
+def leader(network: Network) -> VoterSource:
+    reducer = network.reducers["v0"]
+    assert isinstance(reducer, VoterSource)
+    return reducer
+
+
+def test_a_record_that_an_older_program_cannot_read_leaves_it_behind_and_named() -> None:
+    network = Network(1, instances=6, tables=older_at)
+    for book in network.books.values():
+        book.tables = NEWER
+    network.publish([tenant("c", "a", 1)])
+    network.run(5_000)
+    network.publish([Change("tenants", "c/new", canonical({"form": 2, "weight": 1})), tenant("c", "a", 2)])
+    network.run(15_000)
+    old = network.node("i1")
+    assert old.view.version == 1 and old.view.lookup("tenants", "c/a") == '{"weight":1}'
+    assert isinstance(old.error, errors.UnreadableForm) and "upgrade this instance" in str(old.error)
+    assert all(node.view.version == 2 for name, node in network.nodes().items() if name != "i1")
+    status = leader(network).status(network.now, network.peers)
+    assert (status["copies"], status["in_force"], status["missing"]) == (6, 5, [])
+    assert [(each["name"], each["code"]) for each in status["behind"]] == [("i1", "unreadable-form")]
+    network.publish([Change("tenants", "c/new", None)])  # the newest version can be read again
+    network.run(25_000)
+    network.assert_settled()
+    assert old.error is None
+
+
+def spoil(node: Node, key: str, value: str) -> None:
+    """Memory changes by itself."""
+    scope, _, name = key.partition("/")
+    held = node.view.held(ScopeId("tenants", scope))
+    assert held is not None
+    held.records[name] = value
+
+
+def test_a_corrupted_scope_is_found_by_an_audit_and_mended() -> None:
+    network = Network(2, instances=5, settings=DEFAULTS._replace(audit_ms=1_000.0))
+    network.publish([tenant(f"c{at % 3}", f"t{at}", at) for at in range(600)])
+    network.run(5_000)
+    spoil(network.node("i2"), "c1/t4", '{"weight":666}')
+    network.run(20_000)
+    network.assert_settled()
+    counts = network.node("i2").counts
+    assert counts["digest-mismatch"] == 1 and counts["transfers"] >= 2
+    assert network.node("i2").error is None
+
+
+def test_a_scope_that_differs_from_the_source_is_found_by_a_check_and_mended() -> None:
+    network = Network(3, instances=5, settings=DEFAULTS._replace(audit_ms=1_000.0))
+    network.publish([tenant("c", f"t{at}", at) for at in range(10)])
+    network.run(5_000)
+    node = network.node("i2")
+    spoil(node, "c/t4", '{"weight":666}')
+    held = node.view.held(ScopeId("tenants", "c"))
+    assert held is not None
+    held.digest = held.recomputed(ScopeId("tenants", "c"))  # wrong, and consistent
+    network.run(20_000)
+    network.assert_settled()
+
+
+def test_a_corrupted_scope_is_found_when_a_delta_changes_it() -> None:
+    network = Network(4, instances=5, settings=DEFAULTS._replace(audit_ms=1e9))
+    network.publish([tenant("c", f"t{at}", at) for at in range(10)])
+    network.run(5_000)
+    spoil(network.node("i2"), "c/t4", '{"weight":666}')
+    network.publish([tenant("c", "t4", 4.5)])
+    network.run(15_000)
+    network.assert_settled()
+    assert network.node("i2").counts["digest-mismatch"] == 1
+
+
+def test_cut_off_from_all_it_serves_on_with_its_age_known() -> None:
+    network = Network(5, instances=4)
+    network.publish([tenant("c", "a", 1)])
+    network.run(5_000)
+    node = network.node("i0")
+    assert node.age_ms(network.now) < 3_000 and node.error is None
+    network.cut = {"i0"}
+    network.publish([tenant("c", "a", 2)])
+    network.run(65_000)
+    assert node.view.lookup("tenants", "c/a") == '{"weight":1}'
+    assert node.age_ms(network.now) > 55_000
+    assert isinstance(node.error, errors.SourceRefused) and node.status(network.now)["error"]["code"]
+    network.cut = set()
+    network.run(70_000)
+    network.assert_settled()
+    assert node.error is None and node.age_ms(network.now) < 5_000
+
+
+def test_voters_out_of_touch_with_their_leader_tell_their_age() -> None:
+    network = Network(6, instances=4)
+    network.run(5_000)
+    for name in network.books:
+        network.step(name, events.LeaderChanged("", False, False))
+    network.run(35_000)
+    assert all(node.age_ms(network.now) > 25_000 for node in network.nodes().values())
+
+
+def test_the_leader_knows_who_is_missing_after_a_change_of_leaders_too() -> None:
+    network = Network(7, voters=3, zones=2, instances=12)
+    network.publish([tenant("c", "a", 1)])
+    network.run(8_000)
+    status = leader(network).status(network.now, [*network.peers, "ghost"])
+    assert (status["copies"], status["in_force"], status["missing"]) == (12, 12, ["ghost"])
+    network.stop("i3")
+    network.elect("v1")
+    network.run(40_000)
+    new = network.reducers["v1"]
+    assert isinstance(new, VoterSource)
+    status = new.status(network.now, network.peers)
+    assert (status["copies"], status["in_force"], status["missing"]) == (11, 11, ["i3"])
+
+
+def test_another_subscription_is_fetched_and_what_is_left_out_dropped() -> None:
+    network = Network(8, instances=5, subscription=lambda at: Subscription({"tenants": ["c1"]}))
+    network.publish([tenant(f"c{at % 3}", f"t{at}", at) for at in range(30)])
+    network.run(5_000)
+    network.assert_settled()
+    network.subscriptions["i4"] = Subscription({"tenants": ["c2"]})
+    network.step("i4", events.SubscriptionChanged(network.subscriptions["i4"]))
+    network.publish([tenant("c2", "later", 1)])
+    network.run(10_000)
+    network.assert_settled()
+    if not network.node("i4").relay:
+        assert not network.node("i4").view.scope("tenants", "c1")
+
+
+def test_a_relay_holds_what_its_children_need_and_no_more() -> None:
+    network = Network(9, instances=6, subscription=lambda at: Subscription({"tenants": [f"c{at}"]}))
+    network.publish([tenant(f"c{at}", "t", at) for at in range(20)])
+    network.run(6_000)
+    network.assert_settled()
+    for node in network.nodes().values():
+        scopes = {scope for _, scope in node.view.scope_ids()}
+        assert scopes <= {f"c{at}" for at in range(6)}
+        assert node.relay or len(scopes) == 1
+
+
+def test_a_relay_that_falls_out_goes_on_for_a_while_and_then_sends_its_children_away() -> None:
+    network = Network(10, instances=8)
+    network.run(5_000)
+    former = {name for name, node in network.nodes().items() if node.relay}
+    joined = 0
+    while former <= {
+        name for name, node in network.nodes().items() if node._placement._zone.makes_me_relay()
+    }:
+        joined += 1  # until one of those that join takes the place of one of them
+        name = f"i{8 + joined}"
+        network.peers[name] = events.Peer(name, "z0", "r", name, "")
+        network.subscriptions[name] = Subscription({"tenants": None})
+        network.start_instance(name)
+    network.run(network.now + 3_000)
+    relays = {name for name, node in network.nodes().items() if node.relay}
+    assert len(relays) == 4 and former < relays
+    network.run(network.now + 60_000)
+    assert sum(node.relay for node in network.nodes().values()) == 3
+    network.publish([tenant("c", "a", 1)])
+    network.run(network.now + 3_000)
+    network.assert_settled()
+
+
+def child_of_a_voter() -> tuple[VoterSource, events.Sender]:
+    network = Network(11, instances=0)
+    return leader(network), events.Sender("x", "1", "x")
+
+
+def answers(source: VoterSource, sender: events.Sender, message: m.Message, now: float) -> list[m.Message]:
+    effects = source.step(now, events.Received(sender, message))
+    return [effect.message for effect in effects if isinstance(effect, SendTo)]
+
+
+def test_who_has_not_subscribed_is_told_so() -> None:
+    source, sender = child_of_a_voter()
+    assert answers(source, sender, m.Pull(7, 1, 0), 1.0) == [m.Refused(7, m.UNKNOWN_CHILD, 0)]
+    assert answers(source, sender, m.Unsubscribe(), 1.0) == []
+
+
+@pytest.mark.parametrize("what", ["children_most", "transfers_most"])
+def test_too_many_at_once_are_told_to_come_back(what: str) -> None:
+    network = Network(12, instances=0, settings=DEFAULTS._replace(**{what: 2}))
+    source, refused = leader(network), 0
+    for at in range(4):
+        sender = events.Sender(f"x{at}", "1", f"x{at}")
+        told = answers(source, sender, m.Subscribe(1, 1, 0, True, Subscription({"tenants": None})), 1.0)
+        told += answers(source, sender, m.Compare(2, 1, 1), 1.0)
+        refused += sum(isinstance(each, m.Refused) and each.reason == m.BUSY for each in told)
+        busy = [each.retry_after_ms for each in told if isinstance(each, m.Refused) and each.reason == m.BUSY]
+        assert all(500 <= wait <= 1_000 for wait in busy)
+    assert refused == 2
+
+
+def test_only_a_relay_accepts_children() -> None:
+    me = events.Peer("i1", "z", "r", "i1", "1")
+    node = Node(me, ["v0"], Subscription({"tenants": None}), random.Random(1))
+    message = m.Subscribe(1, 1, 0, True, Subscription({"tenants": None}))
+    effects = node.step(0.0, events.Received(events.Sender("i2", "1", "i2"), message))
+    refusals = [each.message for each in effects if isinstance(each, SendTo)]
+    assert [each.reason for each in refusals if isinstance(each, m.Refused)] == [m.NOT_A_RELAY]
