--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -11,7 +11,7 @@
     relay_linger_ms: float = 30_000.0  # a relay that falls out of the first ones goes on for so long
     children_most: int = 256
     settle_ms: float = 1_000.0  # after the start, unless enough peers are known before
-    avoid_ms: float = 2_000.0  # a source that was silent or refused, and again by chance up to as much
+    avoid_ms: float = 1_000.0  # a source that was silent or refused, and again by chance up to as much
     source_silent_ms: float = 5_000.0  # without a message: another source is sought
     source_behind_ms: float = 3_000.0  # a source that others are ahead of for so long is left
     leave_least_ms: float = 5_000.0  # a source that others should serve now is left between these times
@@ -36,7 +36,7 @@
     page_scopes: int = PAGE_SCOPES_MOST  # digests in the answer to one comparison
     push_window: int = 64  # versions pushed to a child and not acknowledged
     retry_ms: float = 400.0  # of a request without an answer, and again by chance up to half as much
-    retry_most_ms: float = 2_000.0
+    retry_most_ms: float = 1_000.0
     tries_most: int = 3  # of one request, then another source is sought
     not_ready_ms: float = 300.0  # the time to come back that a relay tells whose scopes are on their way
     missed_ms: float = 250.0  # a version that was announced and not pushed is pulled after that
@@ -47,10 +47,10 @@
     # Admission: bytes that a source sends in answer to pulls and transfers
     bytes_per_second: float = 4_000_000.0
     bytes_burst: float = 1_000_000.0
-    busy_ms: float = 500.0  # the shortest time to come back, and again by chance up to as much
+    busy_ms: float = 300.0  # the shortest time to come back, and again by chance up to as much
 
     # Work in one step
-    slice_changes: int = 100
+    slice_changes: int = 64
     slice_bytes: int = 32 * 1024
     slice_children: int = 32  # that a delta is pushed to
     slice_audit: int = 300  # records whose digests are made anew
