--- a/benchmarks/capacity/assumptions.py
+++ b/benchmarks/capacity/assumptions.py
@@ -38,6 +38,7 @@
 ADDED = given("added to a request, 99 in 100", 3.9, "ms", "the operators' bound")
 LEADER = given("leader, processor", 1.0, "of a core", "the operators' bound: under one core")
 IN_FORCE = given("a change in force everywhere", 3000.0, "ms", "the operators' bound")
+REJOINED = given("a replica that comes back is current", 5000.0, "ms", "the operators' bound (issue 43)")
 
 UNEVEN = Assumption(
     "the busiest server against the mean", 2.0, "times",
@@ -79,7 +80,7 @@
     SERVERS, CALLERS, SERVICES, ROUTES, TENANTS, REGIONS, ZONES, REQUESTS, CHANGES, FAILURES, RESTARTS,
     CONTROL_MACHINES,
 )  # fmt: skip
-BUDGETS = (PROCESSOR, MEMORY, TRAFFIC, STEP, ADDED, LEADER, IN_FORCE)
+BUDGETS = (PROCESSOR, MEMORY, TRAFFIC, STEP, ADDED, LEADER, IN_FORCE, REJOINED)
 ASSUMED = (
     UNEVEN, CALLERS_AT_SERVER, ACTIVE, SERVERS_A_CELL, TENANTS_AT_SERVER, ROUTES_AT_SERVER, RACK, SWITCH,
     ZONE, ROUTERS, RUN, CORES, SOCKETS,
@@ -100,6 +101,7 @@
     "failures_per_day": FAILURES.value,
     "restarts_per_day": RESTARTS.value,
     "children": SERVERS.value / ZONES.value,
+    "records_per_publication": TENANTS.value,
     **dict.fromkeys(
         ("rack_lost", "switch_lost", "zone_lost", "region_cut", "zone_returning", "rolling_restarts"),
         SERVERS.value,
--- a/benchmarks/capacity/distribution.py
+++ b/benchmarks/capacity/distribution.py
@@ -6,8 +6,8 @@
 from statistics import quantiles
 
 from benchmarks.capacity import assumptions
-from benchmarks.capacity.meter import NS_PER_MS, least_ms, state_bytes
 from benchmarks.capacity.measured_day import Meter
+from benchmarks.capacity.meter import NS_PER_MS, frozen_heap, least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from benchmarks.capacity.spread import RELAY, REPLICA, VOTER, Load, Spread, book_dump
 from pumicenotch.distribution.publications import Publications
@@ -96,6 +96,23 @@
     return [each for each in changing(spread, CHANGES_USUAL) if each.role == VOTER]
 
 
+def by_records(size: float, seed: int) -> list[Reading]:
+    """One publication of so many tenants, from when the voters have agreed until all have it in force."""
+    load = Load()
+    spread = Spread(seed, load, children=CHILDREN_USUAL, zones=ZONES_USUAL)
+    changes = [load.tenant(at, 2.0) for at in range(int(size))]
+    addresses = (spread.voters[0], spread.busiest_relay(), spread.a_replica())
+    spread.watch(*addresses)
+    spread.publish(changes)
+    with frozen_heap():
+        spread.until(spread.all_current, WITHIN_MS)
+    slowest = max(spread.in_force.values()) - spread.published_at
+    found = readings(REPLICA, in_force=slowest)
+    for role, address in zip(ROLES, addresses, strict=True):
+        found += readings(role, longest_step=spread.meters[address].longest_ms)
+    return found
+
+
 def by_changes(size: float, seed: int) -> list[Reading]:
     return changing(Spread(seed, Load(), children=CHILDREN_USUAL, zones=ZONES_USUAL), size)
 
@@ -128,6 +145,7 @@
 SLOPES = (
     Slope(ROLES, "children", (8, 16, 32, 64, 125), by_children, 4),
     Slope((VOTER,), "zones", (4, 8, 12, 16, 20), by_zones, 2),
+    Slope(ROLES, "records_per_publication", (500, 2000, 8000, 20_000, 54_000), by_records),
     Slope(ROLES, "changes_per_s", (0.1, 0.2, 0.5, 1, 2, 5), by_changes, 0.1),
     Slope((RELAY, REPLICA), "tenants_held", (10, 21, 43, 86, 172.8), by_held, 2),
     Slope(ROLES, "tenants_known", (1000, 3000, 10_000, 30_000, 54_000), by_tenants, 320),
--- a/benchmarks/capacity/markdown.py
+++ b/benchmarks/capacity/markdown.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+LEAST_SHOWN = 1e-6
 SCALES = ((1024.0**2, "MB"), (1024.0, "KB"), (0.0, "B"))
 
 
@@ -23,6 +24,8 @@
 
 
 def percent(part: float) -> str:
+    if part < LEAST_SHOWN:
+        return "0%"
     return f"{100.0 * part:,.0f}%" if part >= 0.1 else f"{100.0 * part:.2g}%"
 
 
--- a/benchmarks/capacity/mechanisms.py
+++ b/benchmarks/capacity/mechanisms.py
@@ -34,8 +34,11 @@
     Mechanism("server.configuration", "", "text", "`cells/map.py` `dump`"),
     Mechanism(
         "server.configuration", "", "",
-        f"{MISSING}: whole files, read in one piece; nothing carries a change to 2,500 servers",
+        "`distribution/node.py` `Node` in its place, with a block `distribution`; whole files else",
     ),
+    Mechanism("distribution.replica", "", "", "`distribution/replica.py` `Replica`, by its subscription"),
+    Mechanism("distribution.relay", "", "", "`distribution/source.py` `Source`, three relays a zone"),
+    Mechanism("distribution.voter", "", "", "`distribution/voter_source.py`, `distribution/publications.py`"),
     Mechanism("server.process", "", "", "the parts below, held together"),
     Mechanism(
         "server.membership", "servers", "traffic",
@@ -45,6 +48,10 @@
         "server.membership", "servers", "longest_step",
         f"{MISSING}: `members/members.py` `probe_next` and `exchange` sort and send all in one step",
     ),
+    Mechanism(
+        "server.membership", "", "traffic",
+        f"{MISSING}: `members/members.py` `Members.exchange`, at 640 servers",
+    ),
     Mechanism("server.membership", "", "", "`members/members.py` `Members.gossip`: 12 news a message"),
     Mechanism("server.agreement", "", "", "`fleet/voter_node.py` `VoterNode.heartbeat_interval_ms`"),
     Mechanism("voter.leader", "servers", "traffic", "`members/members.py` `Members.exchange`: as n squared"),
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -16,7 +16,11 @@
     "memory": assumptions.MEMORY,
     "traffic": assumptions.TRAFFIC,
     "longest_step": assumptions.STEP,
+    "in_force": assumptions.IN_FORCE,
+    "settled": assumptions.REJOINED,
 }
+AT_SERVER = ("agent", "distribution.relay", "distribution.replica")
+VOTERS = ("voter.leader", "voter.follower", "distribution.voter")
 EVENTS = ("rack_lost", "switch_lost", "zone_lost", "region_cut", "zone_returning", "rolling_restarts")
 
 
@@ -61,9 +65,9 @@
 
     @property
     def budget(self) -> Assumption | None:
-        if self.role.startswith("server.") or self.role == "agent":
+        if self.role.startswith("server.") or self.role in AT_SERVER:
             return BUDGETS_AT_SERVER.get(self.measure)
-        if self.role.startswith("voter.") and self.measure == "processor":
+        if self.role in VOTERS and self.measure == "processor":
             return assumptions.LEADER
         if self.role.startswith("router") and self.measure == "longest_step":
             return assumptions.STEP
--- a/benchmarks/capacity/spread.py
+++ b/benchmarks/capacity/spread.py
@@ -103,6 +103,7 @@
         self.processes: dict[str, Process] = {}
         self.meters: dict[str, Meter] = {}
         self.in_force: dict[str, float] = {}  # when the newest version was, by replica
+        self.published_at = 0.0
         self.book = Publications()
         self.book.load(book_dump(load))
         self.voters = [f"voter-{at}:7100" for at in range(VOTERS)]
@@ -240,6 +241,7 @@
     def publish(self, changes: list[Change]) -> None:
         """Agreed, and known to all voters at once: what the log takes for that is measured elsewhere."""
         self.in_force.clear()
+        self.published_at = self.now
         publish(self.book, changes, self.meters.get(self.voters[0]))
         for address in self.voters:
             self.put(address, events.Published(self.book.version))
--- a/benchmarks/capacity/totals.py
+++ b/benchmarks/capacity/totals.py
@@ -1,40 +1,62 @@
 """The tables of totals: a server's budget, the time added to a request, and load."""
 
+from typing import NamedTuple
+
 from benchmarks.capacity import assumptions
 from benchmarks.capacity.markdown import amount, count, percent, table
 from benchmarks.capacity.rows import Row, find, worst
 
-SERVER_PARTS = {  # by what grows in them; "": by whatever comes to the most
-    "server.decisions": "tenants_known",
-    "server.connections": "callers",
-    "server.membership": "",
-    "server.agreement": "",
-    "server.configuration": "",
-    "agent": "",
-}
+
+class Part(NamedTuple):
+    """Of a server; `by` is what grows in it, "" whatever comes to the most. `whole` and `changes` say with
+    which way of configuration it is there."""
+
+    role: str
+    by: str = ""
+    whole: bool = True
+    changes: bool = True
+
+
+SERVER_PARTS = (
+    Part("server.decisions", "tenants_known"),
+    Part("server.connections", "callers"),
+    Part("server.membership"),
+    Part("server.agreement"),
+    Part("agent"),
+    Part("server.configuration", changes=False),
+    Part("distribution.replica", whole=False),
+    Part("distribution.relay", whole=False),
+)
+MEASURES = ("processor", "traffic", "state", "longest_step")
+UNITS = ("s/s", "bytes/s", "bytes", "ms")
+BUDGETS = (assumptions.PROCESSOR, assumptions.TRAFFIC, assumptions.MEMORY, assumptions.STEP)
 
 
 def server_total(found: list[Row]) -> str:
     """What a server spends on control, part by part, against its budget."""
-    head = "part | processor | sent and received | state | longest step"
-    measures = ("processor", "traffic", "state", "longest_step")
-    lines: list[list[str]] = []
     figures = {
-        role: [worst(found, role, measure, by) for measure in measures] for role, by in SERVER_PARTS.items()
+        part: [worst(found, part.role, measure, part.by) for measure in MEASURES] for part in SERVER_PARTS
     }
-    for role, own in figures.items():
-        lines.append([role, *map(cell, own)])
-    columns = [
-        [row.value for row in column if row is not None] for column in zip(*figures.values(), strict=True)
-    ]
+    lines = [[part.role, *map(cell, own)] for part, own in figures.items()]
+    whole = [own for part, own in figures.items() if part.whole]
+    lines += sum_lines("configuration as whole files", whole)
+    relay = [own for part, own in figures.items() if part.changes]
+    lines += sum_lines("as changes, on a relay", relay)
+    replica = [own for part, own in figures.items() if part.changes and part.role != "distribution.relay"]
+    lines += sum_lines("as changes, on any other", replica)
+    lines.append(["budget", *(amount(each.value, each.unit) for each in BUDGETS)])
+    return table("part | processor | sent and received | state | longest step", lines)
+
+
+def sum_lines(name: str, some: list[list[Row | None]]) -> list[list[str]]:
+    """The sums (of steps the longest) and their shares of the budgets."""
+    columns = [[row.value for row in column if row is not None] for column in zip(*some, strict=True)]
     totals = [*map(sum, columns[:-1]), max(columns[-1], default=0.0)]
-    budgets = (assumptions.PROCESSOR, assumptions.TRAFFIC, assumptions.MEMORY, assumptions.STEP)
-    units = ("s/s", "bytes/s", "bytes", "ms")
-    lines.append(["**all**", *(amount(each, unit) for each, unit in zip(totals, units, strict=True))])
-    lines.append(["budget", *(amount(each.value, each.unit) for each in budgets)])
-    shares = [each / budget.value for each, budget in zip(totals, budgets, strict=True)]
-    lines.append(["share", *map(percent, shares)])
-    return table(head, lines)
+    shares = [each / budget.value for each, budget in zip(totals, BUDGETS, strict=True)]
+    return [
+        [f"**{name}**", *(amount(each, unit) for each, unit in zip(totals, UNITS, strict=True))],
+        ["share of the budget", *map(percent, shares)],
+    ]
 
 
 def cell(row: Row | None) -> str:
@@ -48,6 +70,8 @@
     ("server.connections", "callers", "the look for idle connections", 4.0),
     ("server.membership", "servers", "a probe with an exchange of everything", 1.0 / 15.0),
     ("server.configuration", "tenants_known", "a whole cell map read", assumptions.CHANGES.value / 86_400.0),
+    ("distribution.replica", "records_per_publication", "a slice of a publication of 54,000", 1.0),
+    ("distribution.relay", "children", "a message of a child, or a push to 32", 30.0),
 )
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,8 +8,12 @@
 
 from benchmarks.capacity import __main__ as capacity
 from benchmarks.capacity import assumptions, fits, page, records, roles
+from benchmarks.capacity.bad_hours import RealFleet
+from benchmarks.capacity.hollow import HollowFleet
+from benchmarks.capacity.measured_day import Meter
 from benchmarks.capacity.records import BadSlopes
 from benchmarks.capacity.rows import rows
+from benchmarks.capacity.spread import Load, Spread
 
 SIZES = [80.0, 160.0, 320.0, 640.0, 1280.0, 2500.0]
 GOOD = {
@@ -185,3 +189,45 @@
     for row in found:
         assert row.command.startswith("`python -m benchmarks.capacity ")
         assert len(row.sizes) >= fits.POINTS_LEAST, (row.role, row.by, row.measure)
+
+
+def rates(meter: Meter, kind: str, span_ms: float) -> tuple[float, float]:
+    return meter.sent[kind] / span_ms * 1000.0, meter.received[kind] / span_ms * 1000.0
+
+
+def test_hollow_members_send_what_real_ones_would() -> None:
+    """Bytes of membership and of heartbeats, at a voter and at a server, within a fifth."""
+    span_ms, servers = 90_000.0, 60
+    hollow = HollowFleet(servers, 1)
+    hollow.ordinary()
+    by_hollow = hollow.measure(span_ms, 3)
+    real = RealFleet(servers, 1)
+    real.day.run(60_000.0)  # the closer exchanges of the start are over
+    voter = next(name for name in sorted(real.day.voters) if name != real.leader)
+    real.day.watch(real.leader, voter, real.server)
+    real.day.run(span_ms)
+    pairs = {
+        "follower": (by_hollow[hollow.follower], real.day.meters[voter]),
+        "server": (by_hollow[hollow.server], real.day.meters[real.server]),
+    }
+    for name, (made, true) in pairs.items():
+        for ours, theirs in zip(
+            rates(made, "members", span_ms), rates(true, "members", span_ms), strict=True
+        ):
+            assert ours == pytest.approx(theirs, rel=0.2), (name, made.sent, true.sent)
+    assert real.day.meters[real.leader].received_messages["asked"] == pytest.approx(
+        by_hollow[hollow.leader].received_messages["asked"] / 2.0, rel=0.1
+    )  # hollow servers have agents, who ask as often
+
+
+def test_a_small_distribution_comes_to_be_current_and_tells_its_time() -> None:
+    load = Load(routes=200, tenants=320, services=10, cells=16)
+    spread = Spread(1, load, children=6, zones=2, cold=True)
+    assert spread.until(spread.all_current, 60_000.0) > 0.0
+    spread.run(5000.0)
+    spread.watch(spread.a_replica())
+    spread.change()
+    spread.until(spread.all_current, 10_000.0)
+    assert spread.version(spread.zone[0]) == 4
+    assert max(spread.in_force.values()) - spread.published_at < assumptions.IN_FORCE.value
+    assert sum(spread.meters[spread.a_replica()].received.values()) > 0
