--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -4,37 +4,38 @@
 from typing import NamedTuple
 
 from benchmarks.capacity import assumptions
-from benchmarks.capacity.markdown import amount, percent, table
+from benchmarks.capacity.markdown import amount, table
 from benchmarks.capacity.rows import Row, find, worst
 
 
 class Placement(NamedTuple):
-    """Machines of one kind: `role` is whose measurements stand for one of them."""
+    """Machines of one kind: what `roles` measure together stands for one of them."""
 
     name: str
     machines: int
     where: str
-    role: str
+    roles: tuple[str, ...]
     loss: str
 
 
 PLACEMENTS = (
     Placement(
-        "voter, one of them leads", 5, "one in each of regions 1 to 5", "voter.leader",
-        "one: its seat is taken by a spare under its name; the leader: 1.1 s (p50), 1.7 s (p99) without one"
-        " (docs/fleet.md, `python -m benchmarks.fleet --only leaderless`); two at once: nothing else; three:"
+        "voter, one of them leads", 5, "one in each of regions 1 to 5",
+        ("voter.leader", "distribution.voter"),
+        "one: a spare takes its vote, under its name and address; the leader: 1.1 s (p50), 1.7 s (p99)"
+        " without one (docs/fleet.md, `python -m benchmarks.fleet --only leaderless`); two at once: nothing else; three:"
         " no majority, all serve, nothing is agreed until one is back",
     ),
     Placement(
-        "spare voter", 2, "regions 6 and 7", "voter.follower",
+        "spare voter", 2, "regions 6 and 7", ("voter.follower", "distribution.voter"),
         "nothing until a voter is lost as well",
     ),
     Placement(
-        "operators' commands and the lab of releases", 1, "region 1", "agent",
+        "operators' commands and the lab of releases", 1, "region 1", ("agent",),
         "commands run from any other machine",
     ),
     Placement(
-        "free for what is missing", 2, "regions 2 and 3", "", "nothing: kept for the mechanisms named below"
+        "free for what is missing", 2, "regions 2 and 3", (), "nothing: kept for the mechanisms named below"
     ),
 )  # fmt: skip
 assert sum(each.machines for each in PLACEMENTS) == assumptions.CONTROL_MACHINES.value
@@ -43,21 +44,21 @@
 def machines_table(found: list[Row]) -> str:
     lines = []
     for each in PLACEMENTS:
-        spent = worst(found, each.role, "processor")
-        traffic = [worst(found, each.role, way) for way in ("sent", "received")]
-        lines.append(
-            [
-                each.name, str(each.machines), each.where,
-                percent(spent.value) + " of a core" if spent is not None else "not measured",
-                " and ".join(amount(row.value, row.unit) for row in traffic if row is not None)
-                or "not measured",
-                each.loss,
-            ]
-        )  # fmt: skip
+        lines.append([each.name, str(each.machines), each.where, *spent(found, each.roles), each.loss])
     head = "role | machines | placed | processor | sent and received | its loss costs"
     return table(head, lines)
 
 
+def spent(found: list[Row], roles: tuple[str, ...]) -> list[str]:
+    """Processor, and what is sent and received, of the roles together."""
+    processor = [row.value for role in roles if (row := worst(found, role, "processor"))]
+    traffic = [row.value for role in roles if (row := worst(found, role, "traffic"))]
+    return [
+        amount(sum(processor), "s/s") if processor else "none",
+        amount(sum(traffic), "bytes/s") if traffic else "none",
+    ]
+
+
 class Trial(NamedTuple):
     """A figure from before the slopes, and the row that confirms or corrects it."""
 
