--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -23,8 +23,8 @@
         "voter, one of them leads", 5, "one in each of regions 1 to 5",
         ("voter.leader", "distribution.voter"),
         "one: a spare takes its vote, under its name and address; the leader: 1.1 s (p50), 1.7 s (p99)"
-        " without one (docs/fleet.md, `python -m benchmarks.fleet --only leaderless`); two at once: nothing else; three:"
-        " no majority, all serve, nothing is agreed until one is back",
+        " without one (docs/fleet.md, `python -m benchmarks.fleet --only leaderless`);"
+        " two at once: nothing else; three: no majority, all serve, nothing is agreed until one is back",
     ),
     Placement(
         "spare voter", 2, "regions 6 and 7", ("voter.follower", "distribution.voter"),
