Test that no log is served from before a scope was held, nor a former subscription's delta

Cause: trials with the code changed by hand (no reset of the log, generation ignored, pending kept) were not found.

--- a/tests/distribution/network.py
+++ b/tests/distribution/network.py
@@ -229,6 +229,8 @@
         version = len(self.published) - 1
         for name, node in self.nodes().items():
             assert node.view.version == version, (name, node.status(self.now), version)
+            copy = node._replica.copy
+            assert not copy._pending and not copy._pending_bytes, name
             found = {
                 (table, key): value
                 for (table, key), value in contents(node.view).items()
--- a/tests/distribution/test_faults.py
+++ b/tests/distribution/test_faults.py
@@ -202,7 +202,7 @@
 
 @pytest.mark.parametrize("what", ["children_most", "transfers_most"])
 def test_too_many_at_once_are_told_to_come_back(what: str) -> None:
-    network = Network(12, instances=0, settings=DEFAULTS._replace(**{what: 2}))
+    network = Network(12, instances=0, settings=DEFAULTS._replace(busy_ms=500.0, **{what: 2}))
     source, refused = leader(network), 0
     for at in range(4):
         sender = events.Sender(f"x{at}", "1", f"x{at}")
@@ -221,3 +221,37 @@
     effects = node.step(0.0, events.Received(events.Sender("i2", "1", "i2"), message))
     refusals = [each.message for each in effects if isinstance(each, SendTo)]
     assert [each.reason for each in refusals if isinstance(each, m.Refused)] == [m.NOT_A_RELAY]
+
+
+def test_a_relay_serves_no_log_from_before_it_held_a_scope() -> None:
+    network = Network(13, instances=1, subscription=lambda at: Subscription({"tenants": ["c0"]}))
+    for at in range(4):
+        network.publish([tenant("c0", "t", at), tenant("c1", "t", at)])
+        network.run(network.now + 2_000)
+    relay, told = network.node("i0"), list[m.Message]()
+    assert relay.relay and relay.view.version == 4
+    child = events.Sender("x", "1", "x")
+    both = Subscription({"tenants": ["c0", "c1"]})
+    network.step("i0", events.Received(child, m.Subscribe(1, 1, 2, False, both)))
+    network.run(network.now + 2_000)
+    assert relay.view.lookup("tenants", "c1/t") is not None
+    for effect in relay.step(network.now, events.Received(child, m.Pull(2, 1, 2))):
+        if isinstance(effect, SendTo):
+            told.append(effect.message)
+    assert told == [m.Refused(2, m.COMPACTED, 0)]
+
+
+def test_a_delta_of_a_former_subscription_is_of_no_use() -> None:
+    network = Network(14, instances=1, subscription=lambda at: Subscription({"tenants": ["c0"]}))
+    network.publish([tenant("c0", "t", 1), tenant("c1", "t", 1)])
+    network.run(5_000)
+    node = network.node("i0")
+    former = node._replica.generation
+    network.step("i0", events.SubscriptionChanged(Subscription({"tenants": ["c0", "c1"]})))
+    network.run(10_000)
+    for generation, version in ((former, 1), (node._replica.generation, 2)):
+        late = m.Delta(0, generation, 1, 2, 0, m.START, m.START, True, (), ())
+        network.published.append(network.published[-1])
+        network.step("i0", events.Received(events.Sender("v0", "1", "v0"), late))
+        network.step("i0", events.Ticked())
+        assert node.view.version == version
