--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -155,7 +155,7 @@
 
     def _choose(self, now: float) -> None:
         replica = self._replica
-        self._placement.choose(now, replica.copy.error is None)
+        self._placement.choose(now, readable=not replica.copy.is_blocked())
         self._upstreams.tick(
             now, replica.generation, self.view.version, replica.copy.newest, replica.subscription
         )
--- a/pumicenotch/distribution/placement.py
+++ b/pumicenotch/distribution/placement.py
@@ -60,11 +60,14 @@
         return waited or self._zone.size > self._settings.relays
 
     def choose(self, now_ms: float, readable: bool) -> None:
-        """Takes the role and the sources that are due. Whoever can't read what is in force accepts nobody."""
+        """Takes the role and the sources that are due. Whoever can't read the newest version serves nobody:
+        its children may be newer programs."""
         self._choose_at = NEVER
         self._take_role(now_ms)
         self._source.accepting = self.relay and self._zone.makes_me_relay() and readable
         self._source.candidates = tuple(self._zone.relays()[: m.CANDIDATES_MOST])
+        if not readable:
+            self._source.dismiss(m.NOT_A_RELAY)
         preferred: Sequence[str] = self._voters
         fallback: Sequence[str] = ()
         if not self.relay:
--- a/pumicenotch/distribution/replica.py
+++ b/pumicenotch/distribution/replica.py
@@ -258,7 +258,10 @@
 
     def _begin_transfer(self, now_ms: float) -> None:
         copy = self.copy
-        address = self._sources.best(now_ms, max(copy.view.version, copy.blocked + 1))
+        newer = max(copy.view.version, copy.blocked) + 1
+        address = self._sources.best(now_ms, newer) if copy.lags() else None
+        if address is None:  # nothing newer is to be had: at least what is in force, whole
+            address = self._sources.best(now_ms, max(copy.view.version, copy.blocked + 1))
         if address is None:
             return
         self._counts["transfers"] += 1
--- a/tests/distribution/test_faults.py
+++ b/tests/distribution/test_faults.py
@@ -50,6 +50,22 @@
     assert old.error is None
 
 
+def test_relays_that_cannot_read_a_record_hold_no_newer_program_back() -> None:
+    relays = {name for name, node in started(Network(1, instances=8)).nodes().items() if node.relay}
+    network = Network(1, instances=8, tables=lambda at: dict(TABLES if f"i{at}" in relays else NEWER))
+    for book in network.books.values():
+        book.tables = NEWER
+    started(network).publish([Change("tenants", "c/new", canonical({"form": 2, "weight": 1}))])
+    network.run(network.now + 6_000)
+    versions = {name: node.view.version for name, node in network.nodes().items()}
+    assert versions == {name: int(name not in relays) for name in network.peers}
+
+
+def started(network: Network) -> Network:
+    network.run(5_000)
+    return network
+
+
 def spoil(node: Node, key: str, value: str) -> None:
     """Memory changes by itself."""
     scope, _, name = key.partition("/")
