--- a/pumicenotch/distribution/acknowledging.py
+++ b/pumicenotch/distribution/acknowledging.py
@@ -6,11 +6,9 @@
 from pumicenotch.distribution.messages import Acknowledge, Roster
 from pumicenotch.distribution.outbox import Outbox
 from pumicenotch.distribution.reports import EMPTY, Report
-from pumicenotch.distribution.settings import Settings
+from pumicenotch.distribution.settings import NEVER, Settings
 from pumicenotch.distribution.upstreams import Upstream
 
-NEVER = float("inf")
-
 
 class Acknowledger:
     """For one replica with all that it serves."""
--- a/pumicenotch/distribution/codec.py
+++ b/pumicenotch/distribution/codec.py
@@ -184,6 +184,7 @@
     "pull": (_number, _number, _number, _cursor),
     "compare": (_number, _number, _number, _scope_id),
     "fetch": (_number, _number, _wants),
+    "end-transfer": (_number,),
     "check": (_number, _scope_digest),
     "accepted": (_number, _number, _number),
     "refused": (_number, _text, _number, _candidates),
--- a/pumicenotch/distribution/messages.py
+++ b/pumicenotch/distribution/messages.py
@@ -14,6 +14,7 @@
 WANTS_MOST = 64  # scopes named in one Fetch
 CANDIDATES_MOST = 8
 ROSTER_MOST = 1024
+AGE_UNKNOWN_MS = (1 << 31) - 1  # of whoever never knew what is current
 
 # Why a source refuses
 NOT_A_RELAY = "not-a-relay"  # it has no voters as sources, or can't read what is in force
@@ -111,6 +112,12 @@
     wants: tuple[Want, ...]
 
 
+class EndTransfer(NamedTuple):
+    """The source need not keep that transfer's view any longer."""
+
+    transfer: int
+
+
 class Check(NamedTuple):
     """Is this the digest of that scope at that version?"""
 
@@ -202,7 +209,7 @@
 
 
 Message = (
-    Subscribe | Unsubscribe | Acknowledge | Pull | Compare | Fetch | Check
+    Subscribe | Unsubscribe | Acknowledge | Pull | Compare | Fetch | EndTransfer | Check
     | Accepted | Refused | Announce | Delta | Scopes | Records | Mismatch | Progress | Roster
 )  # fmt: skip
 KINDS: dict[str, type[Any]] = {
@@ -212,6 +219,7 @@
     "pull": Pull,
     "compare": Compare,
     "fetch": Fetch,
+    "end-transfer": EndTransfer,
     "check": Check,
     "accepted": Accepted,
     "refused": Refused,
--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -25,16 +25,16 @@
 from pumicenotch.distribution.placement import Placement
 from pumicenotch.distribution.replica import Replica
 from pumicenotch.distribution.reports import BEHIND, Report, merged, own_report
-from pumicenotch.distribution.settings import DEFAULTS, Settings
+from pumicenotch.distribution.settings import DEFAULTS, NEVER, Settings
 from pumicenotch.distribution.source import Source
 from pumicenotch.distribution.subscription import Subscription
 from pumicenotch.distribution.tables import TABLES, Table
 from pumicenotch.distribution.upstreams import Upstreams
 from pumicenotch.distribution.view import View
 
-NEVER = float("inf")
-AGE_UNKNOWN_MS = (1 << 31) - 1  # as it is told to children
-FROM_CHILDREN = (m.Subscribe, m.Unsubscribe, m.Acknowledge, m.Pull, m.Compare, m.Fetch, m.Check)
+FROM_CHILDREN = (
+    m.Subscribe, m.Unsubscribe, m.Acknowledge, m.Pull, m.Compare, m.Fetch, m.EndTransfer, m.Check,
+)  # fmt: skip
 
 
 class Node:
@@ -118,7 +118,7 @@
         return any(link.accepted for link in self._upstreams.links)
 
     def _told_age_ms(self, now_ms: float) -> int:
-        return int(min(AGE_UNKNOWN_MS, self.age_ms(now_ms)))
+        return int(min(m.AGE_UNKNOWN_MS, self.age_ms(now_ms)))
 
     # The one way in
 
--- a/pumicenotch/distribution/placement.py
+++ b/pumicenotch/distribution/placement.py
@@ -7,13 +7,11 @@
 from pumicenotch.distribution.events import Peer
 from pumicenotch.distribution.outbox import Outbox
 from pumicenotch.distribution.rendezvous import ranked
-from pumicenotch.distribution.settings import Settings
+from pumicenotch.distribution.settings import NEVER, Settings
 from pumicenotch.distribution.source import Source
 from pumicenotch.distribution.upstreams import Upstreams
 from pumicenotch.distribution.zone import Zone
 
-NEVER = float("inf")
-
 
 class Placement:
     """`due` says when `choose` is to be called."""
--- a/pumicenotch/distribution/replica.py
+++ b/pumicenotch/distribution/replica.py
@@ -78,9 +78,8 @@
     def heard(self, now_ms: float, version: int) -> None:
         """A source has that version in force."""
         if version > self.copy.newest and not self.copy.lags():
-            self._begin_at = max(
-                self._begin_at, now_ms + self._settings.missed_ms
-            )  # a push may be on its way
+            pushed_by = now_ms + self._settings.missed_ms  # what is on its way has come by then
+            self._begin_at = max(self._begin_at, pushed_by)
         self.copy.newest = max(self.copy.newest, version)
 
     def subscribe(self, now_ms: float, subscription: Subscription) -> None:
@@ -123,9 +122,8 @@
     def scopes(self, now_ms: float, address: str, page: m.Scopes) -> None:
         """The answer to a comparison."""
         transfer = self._transfer
-        if self._requests.answered(page.request, address) is None:
-            return
-        if transfer is None or page.transfer != transfer.number:
+        asked = self._requests.answered(page.request, address) is not None
+        if not asked or transfer is None or page.transfer != transfer.number:
             return
         if page.version < self.copy.view.version or transfer.version not in (-1, page.version):
             self._counts["sources_behind"] += 1
@@ -147,8 +145,7 @@
 
     def refused(self, now_ms: float, address: str, refusal: m.Refused) -> None:
         """A request of this replica was refused."""
-        later = refusal.reason in (m.BUSY, m.NOT_READY)
-        if later:
+        if refusal.reason in (m.BUSY, m.NOT_READY):
             self._sources.put_off(address, now_ms + refusal.retry_after_ms)
         if refusal.reason == m.BUSY:
             self._requests.postpone(now_ms, refusal.request, refusal.retry_after_ms)
@@ -202,8 +199,7 @@
         if budget <= 0 or not transfer.done:
             return
         view = transfer.build(self.copy.view)
-        self._transfer = None
-        self._requests.cancel()
+        self._end_transfer(transfer)
         self.copy.suspects -= transfer.suspects
         self.copy.compare = bool(self.copy.suspects)
         self.copy.switch(view, transfer.subscription, None)
@@ -296,5 +292,9 @@
         """Ends a transfer; what it has fetched and verified is of use to the next one."""
         if self._transfer is not None:
             self._kept = self._transfer.complete
-            self._transfer = None
-            self._requests.cancel()
+            self._end_transfer(self._transfer)
+
+    def _end_transfer(self, transfer: Transfer) -> None:
+        self._transfer = None
+        self._requests.cancel()
+        self._out.send(transfer.address, m.EndTransfer(transfer.number))
--- a/pumicenotch/distribution/requests.py
+++ b/pumicenotch/distribution/requests.py
@@ -7,9 +7,7 @@
 
 from pumicenotch.distribution.messages import Message
 from pumicenotch.distribution.outbox import Outbox
-from pumicenotch.distribution.settings import Settings
-
-NEVER = float("inf")
+from pumicenotch.distribution.settings import NEVER, Settings
 
 
 @dataclass(slots=True)
--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -4,6 +4,8 @@
 
 from pumicenotch.distribution.messages import PAGE_BYTES_MOST, PAGE_SCOPES_MOST
 
+NEVER = float("inf")  # a time that does not come
+
 
 class Settings(NamedTuple):
     # Relays and sources
--- a/pumicenotch/distribution/source.py
+++ b/pumicenotch/distribution/source.py
@@ -12,12 +12,11 @@
 from pumicenotch.distribution.events import Sender
 from pumicenotch.distribution.outbox import Outbox
 from pumicenotch.distribution.reports import Report, merged
-from pumicenotch.distribution.settings import Settings
+from pumicenotch.distribution.settings import NEVER, Settings
 from pumicenotch.distribution.subscription import NOTHING, Subscription
 from pumicenotch.distribution.transfers import KeptTransfer, digest_page, record_page
 from pumicenotch.distribution.view import View
 
-NEVER = float("inf")
 SCOPE_DIGEST_BYTES = 48  # about, on the wire
 
 
@@ -109,6 +108,8 @@
                 self._compare(now_ms, child, message)
             case m.Fetch():
                 self._fetch(now_ms, child, message)
+            case m.EndTransfer(number):
+                self._end_transfer(child, number)
             case m.Check():
                 self._check(child, message)
 
@@ -134,9 +135,6 @@
 
     def _acknowledge(self, now_ms: float, child: Child, message: m.Acknowledge) -> None:
         child.acknowledged(message.version)
-        kept = self._transfers.get(child.name)
-        if kept is not None and message.version >= kept.view.version and not message.report.troubles:
-            del self._transfers[child.name]  # it has what it came for
         child.primary = message.primary
         child.report = message.report
         if child.primary and child.pushed < self.view.version:
@@ -191,6 +189,11 @@
         self._bucket.spend(size)
         self._out.send(child.address, m.Records(message.request, kept.number, parts))
 
+    def _end_transfer(self, child: Child, number: int) -> None:
+        kept = self._transfers.get(child.name)
+        if kept is not None and kept.number == number:
+            del self._transfers[child.name]
+
     def _check(self, child: Child, message: m.Check) -> None:
         table, scope, digest = message.scope
         known = message.version == self.view.version and self.held.contains(table, scope)
--- a/pumicenotch/distribution/upstreams.py
+++ b/pumicenotch/distribution/upstreams.py
@@ -8,11 +8,10 @@
 
 from pumicenotch.distribution import messages as m
 from pumicenotch.distribution.outbox import Outbox
-from pumicenotch.distribution.settings import Settings
+from pumicenotch.distribution.settings import NEVER, Settings
 from pumicenotch.distribution.subscription import Subscription
 
 SOURCES = 2  # the primary one pushes, the secondary one announces
-NEVER = float("inf")
 
 
 @dataclass(slots=True)
--- a/pumicenotch/distribution/voter_source.py
+++ b/pumicenotch/distribution/voter_source.py
@@ -19,12 +19,10 @@
 from pumicenotch.distribution.outbox import Outbox
 from pumicenotch.distribution.publications import Publications
 from pumicenotch.distribution.reports import Report, merged
-from pumicenotch.distribution.settings import DEFAULTS, Settings
+from pumicenotch.distribution.settings import DEFAULTS, NEVER, Settings
 from pumicenotch.distribution.source import Source
 from pumicenotch.distribution.subscription import EVERYTHING
 
-NEVER = float("inf")
-AGE_UNKNOWN_MS = (1 << 31) - 1
 MISSING_MOST = 64  # named in a status
 
 
@@ -87,7 +85,7 @@
 
     def _age_ms(self, now_ms: float) -> int:
         """How old what this voter knows is: nothing is newer while it is in touch with the leader."""
-        return 0 if self._in_touch else int(min(AGE_UNKNOWN_MS, now_ms - self._touched_at))
+        return 0 if self._in_touch else int(min(m.AGE_UNKNOWN_MS, now_ms - self._touched_at))
 
     def _leader_changed(self, now: float, event: LeaderChanged) -> None:
         if self._in_touch:
--- a/tests/distribution/test_faults.py
+++ b/tests/distribution/test_faults.py
@@ -9,6 +9,7 @@
 from pumicenotch.distribution.effects import SendTo
 from pumicenotch.distribution.node import Node
 from pumicenotch.distribution.records import Change, ScopeId
+from pumicenotch.distribution.reports import own_report
 from pumicenotch.distribution.settings import DEFAULTS
 from pumicenotch.distribution.subscription import Subscription
 from pumicenotch.distribution.tables import TABLES, Table, canonical
@@ -216,6 +217,23 @@
     assert answers(source, sender, m.Unsubscribe(), 1.0) == []
 
 
+def test_a_transfer_is_kept_until_the_child_ends_it() -> None:
+    network = Network(15, instances=0, settings=DEFAULTS._replace(page_scopes=1))
+    network.publish([tenant("c0", "t", 1), tenant("c1", "t", 1)])
+    network.run(1_000)
+    source, sender = leader(network), events.Sender("x", "1", "x")
+    answers(source, sender, m.Subscribe(1, 1, 1, True, Subscription({"tenants": None})), 1.0)
+    (first,) = answers(source, sender, m.Compare(2, 1, 5), 1.0)
+    assert isinstance(first, m.Scopes) and not first.done
+    report = own_report("x", 1, 1, "")
+    assert answers(source, sender, m.Acknowledge(1, True, report), 1.0) == []
+    following = m.Compare(3, 1, 5, ScopeId("tenants", "c0"))
+    (second,) = answers(source, sender, following, 1.0)
+    assert isinstance(second, m.Scopes) and second.done and second.version == first.version
+    answers(source, sender, m.EndTransfer(5), 1.0)
+    assert answers(source, sender, following, 1.0) == [m.Refused(3, m.NO_TRANSFER, 0)]
+
+
 @pytest.mark.parametrize("what", ["children_most", "transfers_most"])
 def test_too_many_at_once_are_told_to_come_back(what: str) -> None:
     network = Network(12, instances=0, settings=DEFAULTS._replace(busy_ms=500.0, **{what: 2}))
--- a/tests/distribution/test_messages.py
+++ b/tests/distribution/test_messages.py
@@ -26,6 +26,7 @@
     m.Pull(1, 2, 3, m.Cursor("tenants", "c", 4)),
     m.Compare(1, 2, 3, ScopeId("tenants", "c")),
     m.Fetch(1, 2, (m.Want("tenants", "c", "t"),)),
+    m.EndTransfer(2),
     m.Check(1, DIGEST),
     m.Accepted(1, 2, 3),
     m.Refused(1, m.BUSY, 500, ("h:1",)),
