End the circle of fleet/state and fleet/release; split both and the voter's node by job

Permits, halts, answers, events, moves, observations, heartbeats, levels, requests are typed. `records.member_fields` and `release_entries.plan_fields` were `told` and `plan_told`. Tests: names alone. Not run yet on this change: test_release, tests/fleet, the whole suite.

--- a/benchmarks/release.py
+++ b/benchmarks/release.py
@@ -12,7 +12,7 @@
 
 from pumicenotch.fleet.budgets import Budget
 from pumicenotch.fleet.judge import Judge, Threshold, Told
-from pumicenotch.fleet.release import waves_of
+from pumicenotch.fleet.waves import waves_of
 from pumicenotch.lab import fleets, releasing
 
 ZONES, A_ZONE, CLASSES = 3, 4, ("preview", "bake", "submit")
--- a/pumicenotch/fleet/member_node.py
+++ b/pumicenotch/fleet/member_node.py
@@ -4,12 +4,12 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from typing import Any, ClassVar
+from typing import Any, ClassVar, NamedTuple
 
 from pumicenotch.fleet.budgets import SERVING, Member
 from pumicenotch.fleet.effects import Leave, MemberChanged, Post, Reply
 from pumicenotch.fleet.entries import NAMES_MOST, TEXT_MOST
-from pumicenotch.fleet.state import told
+from pumicenotch.fleet.records import member_fields
 from pumicenotch.fleet.voter_client import UNKNOWN, VoterClient
 from pumicenotch.members import messages
 from pumicenotch.members.members import Members
@@ -18,6 +18,15 @@
 HALT = "halt"  # the key under which members hand a halt on
 
 
+class HaltMarker(NamedTuple):
+    """A halt as members hand it on; the highest rank holds."""
+
+    rank: int
+    key: str  # "": there is no halt
+    by: str
+    why: str
+
+
 class MemberNode(VoterClient):
     """Its inputs: `start`, `time`, `told` (sender (name, life, address), method, params), `asked` (conn,
     message, verb, args), `closed` (conn), `answered` (number, error, result), `serve` (whether it does,
@@ -107,20 +116,20 @@
 
     # Halt
 
-    def marker(self) -> tuple[int, str, str, str]:
-        """The halt that members hand on: its rank, id, by, why; without an id there is none."""
+    def marker(self) -> HaltMarker:
+        """The halt that members hand on."""
         rank, key, by, why = self.members.extras.get(HALT, (0, "", "", ""))
-        return rank, key, by, why
+        return HaltMarker(rank, key, by, why)
 
     def halted(self) -> str:
         """Why this process takes no step that it need not take; "" if it may."""
-        _, key, by, why = self.marker()
-        if key:
-            return f"halted: by {by}: {why}"
+        halt = self.marker()
+        if halt.key:
+            return f"halted: by {halt.by}: {halt.why}"
         return self.agreed_halt
 
     def mark(self, key: str, by: str, why: str) -> None:
-        self.members.hand(HALT, (self.marker()[0] + 1, key, by, why))
+        self.members.hand(HALT, HaltMarker(self.marker().rank + 1, key, by, why))
 
     # Requests of operators and of other processes
 
@@ -131,7 +140,7 @@
             case ["halt", str(key), str(by), str(why)] if (
                 key and by and why and len(key + by + why) <= TEXT_MOST
             ):
-                if self.marker()[1] != key:
+                if self.marker().key != key:
                     self.mark(key, by, why)
                     self.log(f"HALT by {by}: {why}")
                 self.reply(
@@ -188,7 +197,7 @@
             if not self.gone_sent and self.joined:
                 self.ask("gone", name, life)
         elif not self.joined:
-            self.ask("join", told(self.member._replace(life=life)))
+            self.ask("join", member_fields(self.member._replace(life=life)))
         elif self.leaving and not self.leaving_sent:
             self.ask("leaving", name, life, self.why)
         elif self.permit and not self.leaving and not self.began and (self.begun or not self.halted()):
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -1,88 +1,39 @@
 """What the fleet has agreed, as the log's entries make it: one state, one way for an entry to change it. The
 same entries give the same state at every voter, so a permit needs no entry of its own: it follows from the
-others.
+others."""
 
-A member is out if it holds a permit, drains, has left, or is out against its will. A permit ends only when
-its member is back in service as a new process, when its holder gives it back, or by an operator's word with
-a reason."""
-
-import json
 from collections.abc import Iterable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 from pumicenotch.fleet import release as release_
-from pumicenotch.fleet.book import Book, UnknownBook
-from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Budget, Member, Tallies, Tally
-from pumicenotch.fleet.entries import (
-    BadEntry,
-    Reader,
-    Said,
-    budgets_of,
-    member_of,
-    name,
-    names,
-    number,
-    reason,
-    text,
+from pumicenotch.fleet.book import Book
+from pumicenotch.fleet.budgets import DRAINING, OUT, SERVING, Budget, Member
+from pumicenotch.fleet.drains import Drains
+from pumicenotch.fleet.entries import Said
+from pumicenotch.fleet.records import OVERRIDE_PERMIT, TERM_PERMIT, WITHIN_BUDGETS, FleetHalt, Permit
+from pumicenotch.fleet.verbs import (
+    COUNTS_STAY,
+    OF_ONE,
+    RELEASE_VERBS,
+    REQUESTS,
+    books_by_verb,
+    read,
+    read_fields,
 )
-from pumicenotch.fleet.release import Releases
-
-# Entries after which as many are out as before, or that say themselves when it is otherwise.
-COUNTS_STAY = ("drain", "began", "halt", "resume", "word", "move", "plan", "soaked")
-# What operators ask for, each with an id first: by the method that it calls.
-REQUESTS = ("drain", "undrain", "override", "freed", "forget", "budget", "halt", "resume",
-            *release_.REQUESTS)  # fmt: skip
-HISTORY_MOST = 500  # events kept: some days of an ordinary fleet, some 50 KB
-IDS_MOST = 1000  # of answered requests, so that a repeat changes nothing
+
 FORMERS_MOST = 8  # lives of a name remembered: a letter that is older has been lost long ago
 SILENT = "silent"  # why a member is out against its will that a majority hears nothing of
-PERMITTED = ("drain", release_.KIND)  # permits that keep to the budgets
-FORMS = (1, 2, 3)  # of a dump: the second has releases, the third books
-BOOKS_FORM = 3
-
-
-class Permit(NamedTuple):
-    name: str
-    life: str
-    epoch: int  # the index at which it was given: of two, the higher is the later
-    kind: str  # "drain", "release", "term" (a process that could not wait) or "override"
-    reason: str
-    begun: bool = False
-
-
-class Request(NamedTuple):
-    """One member's place in the queue."""
-
-    name: str
-    at: int  # the index at which it was asked: the order
-    reason: str
-    by: str
-
 
-def told(member: Member) -> tuple[Any, ...]:
-    return tuple(member[:9])
 
+class State(Drains):
+    """Applies the entries."""
 
-class State:
     def __init__(self, books: Sequence[Book] = ()) -> None:
         """`books` are further subjects of the log. Raises ValueError where two claim one verb."""
+        super().__init__()
+        self.fleet = ""
         self.books = {book.name: book for book in sorted(books, key=lambda book: book.name)}
         self.book_by_verb = books_by_verb(books)
-        self.index = 0  # of the entry applied last
-        self.fleet = ""
-        self.voters: tuple[str, ...] = ()
-        self.members: dict[str, Member] = {}
-        self.budgets: tuple[Budget, ...] = ()
-        self.queue: list[Request] = []
-        self.permits: dict[str, Permit] = {}
-        self.waits: dict[str, str] = {}  # of each in the queue: why, as of the last entry
-        self.halts: dict[str, tuple[str, str]] = {}  # id -> by, why
-        self.ids: dict[str, tuple[bool, str]] = {}  # request id -> what it came to
-        self.history: list[tuple[int, str]] = []
-        self.releases = Releases(self)
-        # Who is out in each group, and of the voters, while no entry has changed it: among 1,000 members to
-        # count anew takes milliseconds, and hundreds may ask in a second.
-        self.counted: tuple[Tallies, int] | None = None
 
     # Entries
 
@@ -99,9 +50,9 @@
             return Said(*self.ids[args[0]])
         if verb not in COUNTS_STAY:
             self.counted = None
-        owner = self.releases if entry[0] in release_.ENTRIES else self
+        owner = self.releases if entry[0] in RELEASE_VERBS else self
         said: Said = getattr(owner, verb)(*args)
-        one = args[0] if verb in release_.OF_ONE else ""
+        one = args[0] if verb in OF_ONE else ""
         self.releases.settle(one.name if isinstance(one, Member) else one)
         if verb != "drain":  # which has settled by itself, to say what came of it
             self.settle()
@@ -131,13 +82,19 @@
         outcome = book.apply(self.index, verb, args)
         return Said(outcome.good, outcome.text, outcome.value)
 
-    def begin(self, fleet: str, voters: tuple[str, ...], budgets: tuple[Budget, ...], hands: Any) -> Said:
-        """The first entry. `hands` are replicas of services below, drained and returned by an operator's
-        hand."""
+    def begin(
+        self,
+        fleet: str,
+        voters: tuple[str, ...],
+        budgets: tuple[Budget, ...],
+        manual_members: Iterable[Member],
+    ) -> Said:
+        """The first entry. Members by hand are replicas of services below, drained and returned by an
+        operator."""
         if self.fleet:
             return Said(True, "begun already")
         self.fleet, self.voters, self.budgets = fleet, voters, budgets
-        for member in hands:
+        for member in manual_members:
             self.members[member.name] = member._replace(life="")
         self.note(f"fleet {fleet} begins with the voters {', '.join(voters)}")
         return Said(True, "begun")
@@ -183,7 +140,7 @@
         if held is None:
             return wrong
         if one not in self.permits:
-            self.permits[one] = Permit(one, life, self.index, "term", why, True)
+            self.permits[one] = Permit(one, life, self.index, TERM_PERMIT, why, True)
         else:
             self.permits[one] = self.permits[one]._replace(begun=True, life=life)
         self.queue = [each for each in self.queue if each.name != one]
@@ -204,7 +161,7 @@
         if not permit.begun and self.halts:
             return Said(False, self.halted())
         # Others may have gone out against their will since it was given, and a budget been lowered.
-        if not permit.begun and permit.kind in PERMITTED and (over := self.over_with(held, permit)):
+        if not permit.begun and permit.kind in WITHIN_BUDGETS and (over := self.over_with(held, permit)):
             return Said(False, f"not now: {over}")
         if not permit.begun:
             self.permits[one] = permit._replace(begun=True)
@@ -212,22 +169,6 @@
             self.note(f"{one} drains (epoch {epoch})")
         return Said(True, "begun", epoch)
 
-    def over_with(self, held: Member, permit: Permit) -> str:
-        """What its groups would be over by if it went now: beside whoever is out, with those whose permits
-        are not begun either and came before. All would wait for each other for ever if all counted."""
-        tallies = self.counted[0] if self.counted is not None else self.tallies()
-        if not any(tally.over() for tally in tallies.of(held)):
-            return ""
-
-        def counts(each: Member) -> bool:
-            other = self.permits.get(each.name)
-            if other is None or other.begun or each.standing != SERVING or each.against:
-                return self.is_out(each)
-            return (other.epoch, other.name) <= (permit.epoch, permit.name)
-
-        tallies = Tallies(self.budgets, ((each, counts(each)) for each in self.members.values()))
-        return next((over for tally in tallies.of(held) if (over := tally.over())), "")
-
     def gone(self, one: str, life: str) -> Said:
         held, wrong = self.mine(one, life)
         if held is None:
@@ -283,12 +224,6 @@
             True, f"waiting: {listed(waiting)}; {waiting[0]}: {self.waits.get(waiting[0], 'its turn')}"
         )
 
-    def ask_for(self, one: str, why: str, by: str) -> None:
-        self.queue.append(Request(one, self.index, why, by))
-
-    def spare_voters(self) -> int:
-        return max(0, (len(self.voters) - 1) // 2)
-
     def undrain(self, request: str, wanted: tuple[str, ...], why: str, by: str) -> Said:
         """Whoever waits waits no more; a permit not begun is taken back; a member by hand is back in
         service."""
@@ -335,7 +270,7 @@
             )
         self.queue = [each for each in self.queue if each.name != one]
         if one not in self.permits:
-            self.give(held, "override", why)
+            self.give(held, OVERRIDE_PERMIT, why)
         self.note(f"OVERRIDE by {by}: {one} may drain whatever the budgets say: {why}")
         return self.answered(request, Said(True, f"permit for {one}"))
 
@@ -365,12 +300,6 @@
         self.note(f"FORGOTTEN by {by}: {one}: {why}")
         return self.answered(request, Said(True, f"{one} is forgotten"))
 
-    def answered(self, request: str, said: Said) -> Said:
-        self.ids[request] = (said.good, said.text)
-        if len(self.ids) > IDS_MOST:
-            del self.ids[next(iter(self.ids))]
-        return said
-
     def budget(self, request: str, made: tuple[Budget, ...], by: str) -> Said:
         """All budgets anew. None that is out is called back by a lower one; nobody follows until it fits."""
         self.budgets = made
@@ -384,7 +313,7 @@
 
     def halt(self, request: str, by: str, why: str) -> Said:
         """From anyone, at once. Its copies, however they come, are told by the request."""
-        self.halts[request] = (by, why)
+        self.halts[request] = FleetHalt(by, why)
         self.note(f"HALT by {by}: {why}")
         return self.answered(request, Said(True, self.halted()))
 
@@ -395,112 +324,6 @@
         self.note(f"RESUMED by {by}: {why}" + (f"; still {self.halted()}" if self.halts else ""))
         return self.answered(request, Said(not self.halts, self.halted() or "the fleet goes on"))
 
-    def halted(self) -> str:
-        return (
-            "halted: " + "; ".join(f"by {by}: {why}" for by, why in self.halts.values()) if self.halts else ""
-        )
-
-    # What follows
-
-    def is_out(self, member: Member) -> bool:
-        return (member.standing != SERVING or bool(member.against) or member.name in self.permits
-                or self.releases.down(member.name))  # fmt: skip
-
-    def voters_out(self) -> int:
-        return sum(member.voter and self.is_out(member) for member in self.members.values())
-
-    def tallies(self) -> Tallies:
-        return Tallies(self.budgets, ((each, self.is_out(each)) for each in self.members.values()))
-
-    def over(self) -> list[str]:
-        return [over for tally in self.tallies().found.values() if (over := tally.over())]
-
-    def settle(self) -> None:
-        """Gives every permit that fits, in the order of asking. One that does not fit bars those behind it
-        in its groups, but nobody else: so neither a service's drain nor its callers' waits for ever."""
-        self.waits.clear()
-        if not self.queue:
-            return
-        if self.halts:
-            self.waits = dict.fromkeys((each.name for each in self.queue), self.halted())
-            return
-        tallies, voters_out = self.counted or (self.tallies(), self.voters_out())
-        barred: dict[int, str] = {}  # tally -> who waits there first
-        waiting: list[Request] = []
-        for request in self.queue:
-            member = self.members[request.name]
-            mine, out = tallies.of(member), self.is_out(member)
-            why = self.blocked(member, mine, out, barred, voters_out)
-            if why:
-                waiting.append(request)
-                self.waits[request.name] = why
-                for tally in mine:
-                    barred.setdefault(id(tally), request.name)
-                continue
-            self.give(member, release_.KIND if request.by == release_.BY else "drain", request.reason)
-            if not out:
-                voters_out += member.voter
-                for tally in mine:
-                    tally.take(member)
-        self.queue, self.counted = waiting, (tallies, voters_out)
-
-    def blocked(
-        self, member: Member, mine: Iterable[Tally], out: bool, barred: dict[int, str], voters_out: int
-    ) -> str:
-        """One that is thought to be out already is counted; but a thought may be wrong, and it serves still:
-        so it may go only where its groups are within their budgets with it."""
-        if member.voter and voters_out - out >= self.spare_voters():
-            return f"{voters_out} of {len(self.voters)} voters are out: a majority must stay"
-        for tally in mine:
-            if why := (tally.over() or tally.mixed(member)) if out else tally.against(member):
-                return why
-        if out:
-            return ""
-        for tally in mine:
-            if id(tally) in barred:
-                return f"{tally.place()}: behind {barred[id(tally)]}"
-        return ""
-
-    def give(self, member: Member, kind: str, why: str) -> None:
-        begun = not member.life  # by hand: whoever asked does it on seeing the permit
-        self.permits[member.name] = Permit(member.name, member.life, self.index, kind, why, begun)
-        if begun:
-            self.members[member.name] = member._replace(standing=DRAINING)
-        self.note(f"permit for {member.name} (epoch {self.index}): {why}")
-
-    def free(self, one: str, why: str) -> None:
-        permit = self.permits.pop(one)
-        self.note(f"permit of {one} (epoch {permit.epoch}) ends: {why}")
-
-    def note(self, what: str) -> None:
-        self.history.append((self.index, what))
-        del self.history[:-HISTORY_MOST]
-
-    # Whole
-
-    def dump(self) -> bytes:
-        """The same bytes for the same state."""
-        told = self.dump_fields()
-        books = [book for book in self.books.values() if self.releases.level >= book.level]
-        if not books:
-            return compact_json(told)
-        sections = [book.dump() for book in books]
-        told["form"] = BOOKS_FORM
-        told["books"] = [(book.name, len(data)) for book, data in zip(books, sections, strict=True)]
-        return b"\n".join((compact_json(told), b"".join(sections)))
-
-    def dump_fields(self) -> dict[str, Any]:
-        told: dict[str, Any] = {
-            "form": 2 if self.releases.level > 1 else 1,
-            "index": self.index, "fleet": self.fleet, "voters": self.voters,
-            "members": list(self.members.values()), "budgets": self.budgets, "queue": self.queue,
-            "permits": list(self.permits.values()), "halts": list(self.halts.items()),
-            "ids": list(self.ids.items()), "history": self.history,
-        }  # fmt: skip
-        if self.releases.level > 1:
-            told["releases"] = self.releases.dump()
-        return told
-
 
 def error_code(error: Exception) -> str | None:
     """Of an error that has a type of its own for operators."""
@@ -508,106 +331,7 @@
     return code if isinstance(code, str) else None
 
 
-def compact_json(told: Any) -> bytes:
-    return json.dumps(told, separators=(",", ":")).encode()
-
-
-def books_by_verb(books: Iterable[Book]) -> dict[str, Book]:
-    found: dict[str, Book] = {}
-    for book in books:
-        for verb in book.verbs:
-            if verb in ENTRIES or verb in found:
-                raise ValueError(f"book {book.name}: the verb {verb} has an owner already")
-            found[verb] = book
-    return found
-
-
-def load(data: bytes, books: Sequence[Book] = ()) -> State:
-    """What `dump` gave. Raises BadEntry on anything else, UnknownBook where `books` lacks one of it."""
-    header, _, sections = data.partition(b"\n")
-    try:
-        told = json.loads(header)
-        if told["form"] not in FORMS:
-            raise BadEntry(f"a state of form {told['form']!r}: {FORMS} are known: a newer program is wanted")
-        made = State(books)
-        made.index, made.fleet = told["index"], told["fleet"]
-        made.voters = tuple(told["voters"])
-        for each in told["members"]:
-            member = Member._make(each)
-            made.members[member.name] = member._replace(
-                serves=tuple(member.serves), uses=tuple(member.uses), formers=tuple(member.formers)
-            )
-        made.budgets = tuple(Budget._make(each) for each in told["budgets"])
-        made.queue = [Request._make(each) for each in told["queue"]]
-        made.permits = {each[0]: Permit._make(each) for each in told["permits"]}
-        made.halts = {key: (by, why) for key, (by, why) in told["halts"]}
-        made.ids = {key: (good, what) for key, (good, what) in told["ids"]}
-        made.history = [(index, what) for index, what in told["history"]]
-        if "releases" in told:
-            made.releases.load(told["releases"])
-        load_books(made, told.get("books", ()), sections)
-    except (BadEntry, UnknownBook):
-        raise
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise BadEntry(f"no state of a fleet: {type(error).__name__} {error}"[:200]) from None
-    made.settle()
-    return made
-
-
-def load_books(state: State, lengths: Iterable[tuple[str, int]], sections: bytes) -> None:
-    """Each book from its section: the sections follow each other in the order of `lengths`."""
-    found = list(lengths)
-    for book, _ in found:
-        if book not in state.books:
-            raise UnknownBook(book)
-    if sum(length for _, length in found) != len(sections):
-        raise ValueError("its books are not whole")
-    start = 0
-    for book, length in found:
-        state.books[book].load(sections[start : start + length])
-        start += length
-
-
 def listed(some: Iterable[str]) -> str:
     """The first few by name."""
     found = list(some)
     return ", ".join(found[:5]) + (f" and {len(found) - 5} more" if len(found) > 5 else "")
-
-
-ENTRIES: dict[str, tuple[str, tuple[Reader, ...]]] = {  # what each entry calls, and with what
-    "begin": ("begin", (name, names, budgets_of, lambda some: tuple(map(member_of, some)))),
-    "join": ("join", (member_of,)),
-    "serving": ("serving", (name, name)),
-    "leaving": ("leaving", (name, name, text)),
-    "began": ("began", (name, name, number)),
-    "gone": ("gone", (name, name)),
-    "against": ("against", (name, name, text)),
-    "returned": ("returned", (name, name, number)),
-    "drain": ("drain", (name, names, reason, name)),
-    "undrain": ("undrain", (name, names, reason, name)),
-    "override": ("override", (name, name, reason, name)),
-    "free": ("freed", (name, name, reason, name)),
-    "forget": ("forget", (name, name, reason, name)),
-    "budget": ("budget", (name, budgets_of, name)),
-    "halt": ("halt", (name, name, reason)),
-    "resume": ("resume", (name, names, reason, name)),
-    **release_.ENTRIES,
-}
-
-
-def read(entry: Any) -> tuple[str, tuple[Any, ...]]:
-    """What an entry does, and with what. Raises BadEntry, on what is to be refused before it is proposed."""
-    if not isinstance(entry, list | tuple) or not entry or entry[0] not in ENTRIES:
-        raise BadEntry(f"unknown: {entry!r:.60}; known: {', '.join(ENTRIES)}")
-    verb, readers = ENTRIES[entry[0]]
-    return verb, read_fields(entry, readers)
-
-
-def read_fields(entry: Sequence[Any], readers: tuple[Reader, ...]) -> tuple[Any, ...]:
-    """What follows an entry's verb, by its readers. Raises BadEntry, or what a book's reader raises."""
-    if len(entry) != len(readers) + 1:
-        raise BadEntry(f"{entry[0]}: {len(readers)} values are wanted, not {len(entry) - 1}")
-    try:
-        return tuple(reader(value) for reader, value in zip(readers, entry[1:], strict=True))
-    except TypeError as error:
-        raise BadEntry(f"{entry[0]}: {error}") from None
--- a/pumicenotch/fleet/voter_client.py
+++ b/pumicenotch/fleet/voter_client.py
@@ -4,13 +4,21 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterable
-from typing import Any, ClassVar
+from typing import Any, ClassVar, NamedTuple
 
 from pumicenotch.fleet.effects import Ask, Effect, Log, Wake
 
 NOT_LEADER, NO_MAJORITY, REFUSED, UNKNOWN = "NotLeader", "NoMajority", "Refused", "UnknownVerb"
 
 
+class PendingRequest(NamedTuple):
+    """What a voter was asked, and until when its answer counts."""
+
+    number: int
+    verb: str
+    until: float
+
+
 class VoterClient(ABC):
     INPUTS: ClassVar[frozenset[str]]
     # for an answer: an agreed step takes some round trips between regions, then another is asked
@@ -25,7 +33,7 @@
         self.voters = sorted(voters)
         self.voter_index = self.random.randrange(len(self.voters)) if self.voters else 0
         self.last_number = 0
-        self.request: tuple[int, str, float] | None = None  # number, verb, until: one at a time
+        self.request: PendingRequest | None = None  # one at a time
         self.request_at, self.failures = now, 0
 
     def step(self, now: float, name: str, *details: Any) -> list[Effect]:
@@ -42,16 +50,16 @@
         self.effects.append(Log(text))
 
     def request_due(self) -> float:
-        return self.request[2] if self.request is not None else max(self.request_at, self.now + 1.0)
+        return self.request.until if self.request is not None else max(self.request_at, self.now + 1.0)
 
     def check_timeout(self) -> None:
-        if self.request is not None and self.now >= self.request[2]:
+        if self.request is not None and self.now >= self.request.until:
             self.counts["asks_unanswered"] += 1
             self.retry()
 
     def ask(self, verb: str, *args: Any) -> None:
         self.last_number += 1
-        self.request = (self.last_number, verb, self.now + self.REQUEST_TIMEOUT_MS)
+        self.request = PendingRequest(self.last_number, verb, self.now + self.REQUEST_TIMEOUT_MS)
         self.effects.append(Ask(self.voters[self.voter_index], self.last_number, verb, args))
 
     def retry(self, towards: str = "") -> None:
@@ -67,10 +75,10 @@
         self.request_at = self.now + wait * self.random.uniform(0.5, 1.0)
 
     def answered(self, number: int, error: Any, result: Any) -> None:
-        if self.request is None or self.request[0] != number or self.now >= self.request[2]:
+        if self.request is None or self.request.number != number or self.now >= self.request.until:
             self.counts["answers_late"] += 1
             return
-        verb = self.request[1]  # in time: a process that slept through it has no permission by it
+        verb = self.request.verb  # in time: a process that slept through it has no permission by it
         if error is None:
             self.request, self.failures, self.request_at = None, 0, self.now
             self.agreed(verb, result if isinstance(result, dict) else {})
--- a/pumicenotch/lab/draining.py
+++ b/pumicenotch/lab/draining.py
@@ -8,8 +8,8 @@
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet.budgets import Budget, Member
+from pumicenotch.fleet.records import member_fields
 from pumicenotch.fleet.state import State as Agreed
-from pumicenotch.fleet.state import told
 from pumicenotch.lab.explore import Explorer
 
 UP, GOES, GONE = "up", "goes", "gone"
@@ -71,7 +71,7 @@
         made = self.type()
         made.apply(1, ("begin", "f", ("v",), (Budget("zones", "zone", most_out=self.most_out),), ()))
         for name in self.NAMES:
-            made.apply(made.index + 1, ("join", told(Member(name, "0", zone=name[0]))))
+            made.apply(made.index + 1, ("join", member_fields(Member(name, "0", zone=name[0]))))
             made.apply(made.index + 1, ("serving", name, "0"))
         processes = tuple(Process(0, UP, False) for _ in self.NAMES)
         return State(self.frozen(made), processes, frozenset(), False, False, tuple(self.bounds))
@@ -149,7 +149,7 @@
             new = str(process.life + 1)
             spent = self.spent(state, left, "returns")
             up = self.process(spent, at, is_=UP, life=process.life + 1, away=False)
-            joined = self.applied(up, ("join", told(Member(name, new, zone=name[0]))))
+            joined = self.applied(up, ("join", member_fields(Member(name, new, zone=name[0]))))
             yield f"{name} is back as another life", self.posted(joined, Letter(("serving", name, new)))
         if left.silences:  # an opinion: it may be wrong
             held = agreed.members[name]
--- a/pumicenotch/lab/releasing.py
+++ b/pumicenotch/lab/releasing.py
@@ -8,7 +8,9 @@
 from pumicenotch.fleet import effects
 from pumicenotch.fleet.agent import Agent
 from pumicenotch.fleet.budgets import Budget
-from pumicenotch.fleet.release import PLANNED, Release, plan_told, waves_of
+from pumicenotch.fleet.release import PLANNED, Release
+from pumicenotch.fleet.release_entries import plan_fields
+from pumicenotch.fleet.waves import waves_of
 from pumicenotch.lab import fleets
 from pumicenotch.lab.fleets import Day, Process
 
@@ -176,7 +178,7 @@
     def plan(self, name: str = "r1", version: str = NEW, **more: Any) -> Any:
         """Plans and starts it; the last answer."""
         told = self.release(name, version, **more)
-        text = self.agreed("plan", f"p-{name}", plan_told(told), "op")
+        text = self.agreed("plan", f"p-{name}", plan_fields(told), "op")
         return text if isinstance(text, str) else self.word(name, "start")
 
     def release(self, name: str, version: str, **more: Any) -> Release:
--- a/pumicenotch/lab/releasing_model.py
+++ b/pumicenotch/lab/releasing_model.py
@@ -12,9 +12,10 @@
 from typing import Any, NamedTuple
 
 from pumicenotch.fleet.budgets import Budget, Member
-from pumicenotch.fleet.release import ENDED, GONE, Release, plan_told
+from pumicenotch.fleet.records import member_fields
+from pumicenotch.fleet.release import ENDED, GONE, Release
+from pumicenotch.fleet.release_entries import plan_fields
 from pumicenotch.fleet.state import State as Agreed
-from pumicenotch.fleet.state import told
 from pumicenotch.lab.draining import Quiet
 from pumicenotch.lab.explore import Explorer
 
@@ -63,18 +64,20 @@
         made.apply(1, ("begin", "f", ("v",), (Budget("zones", "zone", most_out=self.most_out),), ()))
         made.apply(2, ("level", 2))
         for name in self.NAMES:
-            made.apply(made.index + 1, ("join", told(Member(name, "0", zone=name[0]))))
+            made.apply(made.index + 1, ("join", member_fields(Member(name, "0", zone=name[0]))))
             made.apply(made.index + 1, ("serving", name, "0"))
             made.apply(made.index + 1, ("word", name, "g", ((SLOT, OLD),), (OLD, NEW), "", ""))
         plan = Release("r", SLOT, NEW, OLD, 2, self.WAVES, 1, 1, True, 0, False, False)
-        made.apply(made.index + 1, ("plan", "p", plan_told(plan), "op"))
+        made.apply(made.index + 1, ("plan", "p", plan_fields(plan), "op"))
         made.apply(made.index + 1, ("release", "s", "r", "start", (), "x", "op"))
         return State(self.frozen(made), tuple(Box() for _ in self.NAMES), False, "", tuple(self.bounds))
 
     @staticmethod
     def frozen(made: Agreed) -> tuple[Any, ...]:
         """Indices count for nothing but their order: epochs are told anew by it."""
-        nodes = tuple(each._replace(move=(*each.move[:2], 0)) for each in made.releases.nodes.values())
+        nodes = tuple(
+            each._replace(move=each.move._replace(epoch=0)) for each in made.releases.nodes.values()
+        )
         queue = tuple(each._replace(at=0) for each in made.queue)
         permits = tuple(each._replace(epoch=at) for at, each in enumerate(made.permits.values()))
         members = tuple(each._replace(formers=()) for each in made.members.values())
@@ -154,7 +157,7 @@
         life = state.boxes[at].life + 1
         up = self.box(state, at, is_=UP, life=life, away=False, heard=False)
         return self.apply(
-            up, ("join", told(Member(name, str(life), zone=name[0]))), ("serving", name, str(life))
+            up, ("join", member_fields(Member(name, str(life), zone=name[0]))), ("serving", name, str(life))
         )
 
     def faults(self, state: State) -> Iterator[tuple[str, State]]:
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -11,8 +11,10 @@
 from pumicenotch.fleet.effects import MemberChanged
 from pumicenotch.fleet.entries import BadEntry, Reader, Said
 from pumicenotch.fleet.release import LEVEL
-from pumicenotch.fleet.state import State, load
-from pumicenotch.fleet.voter_node import Leadership, VoterNode
+from pumicenotch.fleet.replica_node import Leadership
+from pumicenotch.fleet.snapshot import dump, load
+from pumicenotch.fleet.state import State
+from pumicenotch.fleet.voter_node import VoterNode
 from pumicenotch.lab.fleets import Day
 from pumicenotch.members import messages
 from pumicenotch.members.messages import News, Opinion, Standing, Who
@@ -97,29 +99,29 @@
 def test_a_dump_carries_the_books_as_they_are() -> None:
     state = begun(Notes())
     state.apply(3, ("write", "a", "one\ntwo"))
-    data = state.dump()
+    data = dump(state)
     assert data.endswith(state.books["notes"].dump())
     notes = Notes()
     again = load(data, [notes])
-    assert notes.texts == {"a": "one\ntwo"} and again.dump() == data
+    assert notes.texts == {"a": "one\ntwo"} and dump(again) == data
 
 
 @pytest.mark.parametrize("level", [1, LEVEL])
 def test_below_its_level_a_dump_is_as_it_was_without_the_book(level: int) -> None:
-    data = begun(Notes(), level=level).dump()
-    assert data == begun(level=level).dump()
+    data = dump(begun(Notes(), level=level))
+    assert data == dump(begun(level=level))
     assert json.loads(data)["form"] == level
-    assert load(data, [Notes()]).dump() == data
+    assert dump(load(data, [Notes()])) == data
 
 
 def test_a_state_with_an_unknown_book_is_refused_with_a_remedy() -> None:
-    data = begun(Notes()).dump()
+    data = dump(begun(Notes()))
     with pytest.raises(UnknownBook, match=r"'notes'.*give its file the block"):
         load(data)
 
 
 def test_a_dump_that_is_not_whole_is_refused() -> None:
-    data = begun(Notes()).dump()
+    data = dump(begun(Notes()))
     for spoilt in (data[:-1], data + b"x", data.partition(b"\n")[0], data[:-3] + b"abc"):
         with pytest.raises(BadEntry):
             load(spoilt, [Notes()])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,10 @@
 
 from pumicenotch.fleet.budgets import OUT, SERVING, Budget, Member
 from pumicenotch.fleet.entries import BadEntry, Said
-from pumicenotch.fleet.state import State, load, read, told
+from pumicenotch.fleet.records import member_fields
+from pumicenotch.fleet.snapshot import dump, load
+from pumicenotch.fleet.state import State
+from pumicenotch.fleet.verbs import read
 from pumicenotch.lab.draining import LONG, Bounds, Draining, Quiet
 
 SHORT = 8_000
@@ -25,13 +28,13 @@
     ) -> None:
         self.state = State()
         self.ids = 0
-        self.do("begin", "f", voters, budgets, tuple(told(each) for each in hands))
+        self.do("begin", "f", voters, budgets, tuple(member_fields(each) for each in hands))
 
     def do(self, *entry: Any) -> Said:
         return self.state.apply(self.state.index + 1, entry)
 
     def member(self, name: str, zone: str = "", life: str = "1", **more: Any) -> None:
-        self.do("join", told(Member(name, life, zone, **more)))
+        self.do("join", member_fields(Member(name, life, zone, **more)))
         self.do("serving", name, life)
 
     def ask(self, verb: str, *args: Any, by: str = "op") -> Said:
@@ -48,7 +51,7 @@
 
     def back(self, name: str, life: str) -> None:
         held = self.state.members[name]
-        self.do("join", told(held._replace(life=life)))
+        self.do("join", member_fields(held._replace(life=life)))
         self.do("serving", name, life)
 
     @property
@@ -154,7 +157,7 @@
 
 def test_a_name_is_taken_over_for_good(fleet: Fleet) -> None:
     fleet.back("a1", "2")
-    assert not fleet.do("join", told(Member("a1", "1", "a"))).good
+    assert not fleet.do("join", member_fields(Member("a1", "1", "a"))).good
     assert not fleet.do("leaving", "a1", "1", "late").good
     assert fleet.state.members["a1"].life == "2"
 
@@ -242,10 +245,10 @@
 def test_the_whole_state_goes_through_its_dump(fleet: Fleet) -> None:
     fleet.drain("a1", "a2", "b1")
     fleet.do("halt", "h", "op", "x")
-    same = load(fleet.state.dump())
-    assert same.dump() == fleet.state.dump() and same.waits == fleet.state.waits
+    same = load(dump(fleet.state))
+    assert dump(same) == dump(fleet.state) and same.waits == fleet.state.waits
     assert same.apply(99, ("undrain", "u", ("a2",), "x", "op")).good
-    for wrong in (b"", b"{}", b'{"form": 2}', fleet.state.dump()[:-1]):
+    for wrong in (b"", b"{}", b'{"form": 2}', dump(fleet.state)[:-1]):
         with pytest.raises(BadEntry):
             load(wrong)
 
@@ -267,11 +270,11 @@
 
 @pytest.mark.parametrize("entry", WRONG, ids=repr)
 def test_what_is_no_entry_is_refused_and_changes_nothing(fleet: Fleet, entry: Any) -> None:
-    before = fleet.state.dump()
+    before = dump(fleet.state)
     with pytest.raises(BadEntry):
         read(entry)
     assert not fleet.state.apply(fleet.state.index, entry).good
-    assert fleet.state.dump() == before
+    assert dump(fleet.state) == before
 
 
 # Explored
@@ -366,7 +369,7 @@
         for zone in "abc":
             assert sum(each[0] == zone for each in away) <= 1
         assert len(away) <= 3
-        assert load(fleet.state.dump()).dump() == fleet.state.dump()
+        assert dump(load(dump(fleet.state))) == dump(fleet.state)
         if state.counted is not None:  # what is kept is what counting anew gives
             tallies, voters_out = state.counted
             kept = {key: (tally.many, tally.out, tally.gone) for key, tally in tallies.found.items()}
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -10,8 +10,13 @@
 from pumicenotch.fleet import release as release_
 from pumicenotch.fleet.agent import Agent
 from pumicenotch.fleet.budgets import SERVING, Budget, Member
-from pumicenotch.fleet.release import Release, Releases, plan_told, waves_of
-from pumicenotch.fleet.state import State, load, told
+from pumicenotch.fleet.records import RELEASE_PERMIT, member_fields
+from pumicenotch.fleet.release import Release
+from pumicenotch.fleet.release_entries import plan_fields
+from pumicenotch.fleet.releases import Releases
+from pumicenotch.fleet.snapshot import dump, load
+from pumicenotch.fleet.state import State
+from pumicenotch.fleet.waves import waves_of
 from pumicenotch.lab import fleets, releasing
 from pumicenotch.lab.releasing import NEW, OLD, Agents, Version
 from pumicenotch.lab.releasing_model import LONG, Bounds, Releasing
@@ -261,7 +266,7 @@
     held = day.state().releases.releases["r1"]
     assert held.was == "going back" and "start refused" in held.why
     leader = day.processes[day.leader()].core
-    rows = {row["name"]: row for row in leader.release_nodes(held)}  # type: ignore[union-attr]
+    rows = {row["name"]: row for row in leader.reports().release_nodes(held)}  # type: ignore[union-attr]
     assert {row["runs"] for row in rows.values() if row["trouble"].startswith("start refused")} == {OLD}
 
 
@@ -374,7 +379,7 @@
     for at in range(nodes):
         one = f"n{at}"
         entries += [
-            ("join", told(Member(one, "0", zone=f"z{at % 2}"))),
+            ("join", member_fields(Member(one, "0", zone=f"z{at % 2}"))),
             ("serving", one, "0"),
             ("word", one, "a", (("program", OLD),), (OLD, NEW), "", ""),
         ]
@@ -389,7 +394,7 @@
         "waves": (("n0",), ("n2",), ("n1", "n3")),
         "soak_ms": 1, "wait_ms": 1, "back": True, "gate": 0, "urgent": False, "mixed": False,
     }  # fmt: skip
-    return plan_told(release_.Release(name=name, **{**usual, **more}))
+    return plan_fields(Release(name=name, **{**usual, **more}))
 
 
 @pytest.mark.parametrize(
@@ -423,13 +428,13 @@
         state.apply(100, ("plan", "p", planned(), "op"))
         state.apply(101, ("release", "s", "r", "start", (), "x", "op"))
         state.apply(102, ("release", "h", "r", "halt", (), "x", "op"))
-    assert made.dump() == again.dump() and load(made.dump()).dump() == made.dump()
-    restored = load(made.dump())
+    assert dump(made) == dump(again) and dump(load(dump(made))) == dump(made)
+    restored = load(dump(made))
     assert (
         restored.releases.releases == made.releases.releases
         and restored.releases.nodes == made.releases.nodes
     )
-    assert b'"form":2' in made.dump() and b'"form":1' in agreed(level=1).dump()
+    assert b'"form":2' in dump(made) and b'"form":1' in dump(agreed(level=1))
 
 
 def test_a_repeated_word_changes_nothing() -> None:
@@ -501,9 +506,10 @@
 
 
 def keeps_no_budget(self: Releases, node: Any) -> None:
-    due, member = self.due(node), self.state.members.get(node.name)
-    if due[0] and not self.down(node.name) and member is not None and node.name not in self.state.permits:
-        self.state.give(member, release_.KIND, "release")
+    due, member = self.due(node), self.fleet.members.get(node.name)
+    if due.slot and not self.down(node.name) and member is not None and node.name not in self.fleet.permits:
+        assert isinstance(self.fleet, State)
+        self.fleet.give(member, RELEASE_PERMIT, "release")
 
 
 def goes_back_half_way(self: Releases, release: Release) -> list[str]:
