Name what releases and drains do, and type what a leader keeps of members' counts

Change: names in fleet/state and fleet/releases; watch.Counts and watch.Soak. No behaviour, no wire name. Tests: names alone (a seeded bug replaces queue_drain, which was ask).

--- a/pumicenotch/fleet/release_entries.py
+++ b/pumicenotch/fleet/release_entries.py
@@ -89,7 +89,7 @@
     "soaked": ("soaked", (name, number, truth, text)),
     "usual": ("note_usual", (name, number, usual_of)),
     "harm": ("harm", (name, name, maybe_names, reason)),
-    "word": ("word", (name, name, runs_of, maybe_names, down_of, text)),
+    "word": ("note_agent", (name, name, runs_of, maybe_names, down_of, text)),
     "move": ("move", (name, name, name, version_of)),
 }
 REQUESTS = ("plan", "release")  # with an id first
--- a/pumicenotch/fleet/releases.py
+++ b/pumicenotch/fleet/releases.py
@@ -58,9 +58,9 @@
         return Said(True, f"level {self.level}")
 
     def plan(self, request: str, made: Release, by: str) -> Said:
-        return self.fleet.answered(request, self.planned(made, by))
+        return self.fleet.answered(request, self.check_plan(made, by))
 
-    def planned(self, made: Release, by: str) -> Said:
+    def check_plan(self, made: Release, by: str) -> Said:
         if made.name in self.releases:
             return Said(False, f"there has been a release {made.name}: another name is wanted")
         if made.slot == BUDGETS:
@@ -72,9 +72,9 @@
         if not replaces and made.slot != BUDGETS:
             return Said(False, "the nodes run several versions and none is agreed: say which it replaces")
         made = made._replace(replaces=replaces)
-        if why := self.unfit(made) or self.crossing(made):
+        if why := self.obstacle(made) or self.crossing(made):
             return Said(False, why)
-        self.tidy()
+        self.forget_oldest()
         return self.put(made, f"planned by {by}: {made.slot} {made.version} for"
                               f" {made.replaces or 'what is'} in {len(made.waves)} waves")  # fmt: skip
 
@@ -82,7 +82,7 @@
         found = {self.nodes[one].version(made.slot) for one in made.nodes}
         return found.pop() if len(found) == 1 else ""
 
-    def unfit(self, made: Release) -> str:
+    def obstacle(self, made: Release) -> str:
         """Why it may not start now; "" if it may."""
         stands = self.stands.get(made.slot, made.replaces)
         if made.version == made.replaces and made.slot != BUDGETS:
@@ -107,16 +107,16 @@
                     return f"wave {at}: {kind}s {', '.join(found[:5])} together: allow it with mixed"
         return ""
 
-    def tidy(self) -> None:
+    def forget_oldest(self) -> None:
         ended = [each.name for each in self.releases.values() if each.state in ENDED]
         for one in ended[: max(0, len(ended) - RELEASES_MOST)]:
             del self.releases[one]
 
     def release(self, request: str, one: str, what: str, seen: tuple[str, ...], why: str, by: str) -> Said:
         """An operator's word, or any process's: `what` is one of WORDS, `seen` the halts that it has seen."""
-        return self.fleet.answered(request, self.said(request, one, what, seen, why, by))
+        return self.fleet.answered(request, self.command(request, one, what, seen, why, by))
 
-    def said(self, request: str, one: str, what: str, seen: tuple[str, ...], why: str, by: str) -> Said:
+    def command(self, request: str, one: str, what: str, seen: tuple[str, ...], why: str, by: str) -> Said:
         held = self.releases.get(one)
         if held is None:
             return Said(False, f"no release {one}")
@@ -141,7 +141,7 @@
     def start(self, held: Release, by: str) -> Said:
         if held.state != PLANNED:
             return Said(False, f"release {held.name} has started")
-        if why := self.unfit(held):
+        if why := self.obstacle(held):
             return Said(False, why)
         for other in self.active():
             if not self.overlaps(held, other):
@@ -241,7 +241,9 @@
         halted = self.releases[one]
         return self.go_back(halted, tuple(each.key for each in halted.halts), why, by)
 
-    def word(self, one: str, agent: str, runs: Any, holds: tuple[str, ...], down: str, trouble: str) -> Said:
+    def note_agent(
+        self, one: str, agent: str, runs: Any, holds: tuple[str, ...], down: str, trouble: str
+    ) -> Said:
         """What an agent says of its node. Of two agents the one that spoke last has the node."""
         held = self.nodes.get(one, NodeVersions(one, agent))
         if down != held.down:
@@ -311,7 +313,7 @@
         changed, self.changed = self.changed, False
         for each in self.in_order() if changed or not one else [one]:
             if each in self.nodes:
-                self.ask(self.nodes[each])
+                self.queue_drain(self.nodes[each])
         if self.changed:  # a permit that was taken back counted its node as out
             self.settle()
 
@@ -332,7 +334,7 @@
         ):
             self.put(release._replace(state=MOVING))
 
-    def ask(self, node: NodeVersions) -> None:
+    def queue_drain(self, node: NodeVersions) -> None:
         """Its drain stands in the fleet's queue as long as it is due, and no longer."""
         fleet, one = self.fleet, node.name
         slot, version = self.due(node)
--- a/pumicenotch/fleet/state.py
+++ b/pumicenotch/fleet/state.py
@@ -121,7 +121,7 @@
     def serving(self, one: str, life: str) -> Said:
         """It is in service: the permit of a former life ends here. The word of the life that the permit was
         given to frees nothing, however late it comes."""
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         permit = self.permits.get(one)
@@ -136,7 +136,7 @@
 
     def leaving(self, one: str, life: str, why: str) -> Said:
         """It drains and cannot wait: counted at once, never refused."""
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         if one not in self.permits:
@@ -152,7 +152,7 @@
     def began(self, one: str, life: str, epoch: int) -> Said:
         """The holder is about to drain. Only once this is agreed may it: a permit that was taken back is not
         used, however late its holder hears of it."""
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         permit = self.permits.get(one)
@@ -170,7 +170,7 @@
         return Said(True, "begun", epoch)
 
     def gone(self, one: str, life: str) -> Said:
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         if held.standing != OUT:
@@ -180,7 +180,7 @@
 
     def against(self, one: str, life: str, why: str) -> Said:
         """By a majority of observers it is out against its will; "" for `why`: it is not any more."""
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         if held.against != why:
@@ -188,7 +188,8 @@
             self.note(f"{one} is out against its will: {why}" if why else f"{one} is well again")
         return Said(True, "noted")
 
-    def mine(self, one: str, life: str) -> tuple[Member | None, Said]:
+    def current(self, one: str, life: str) -> tuple[Member | None, Said]:
+        """The member, if that process has the name still; else why not."""
         held = self.members.get(one)
         if held is None:
             return None, Said(False, f"no member {one}: join first")
@@ -199,9 +200,9 @@
     # Drains
 
     def drain(self, request: str, wanted: tuple[str, ...], why: str, by: str) -> Said:
-        return self.answered(request, self.drained(wanted, why, by))
+        return self.answered(request, self.request_drains(wanted, why, by))
 
-    def drained(self, wanted: tuple[str, ...], why: str, by: str) -> Said:
+    def request_drains(self, wanted: tuple[str, ...], why: str, by: str) -> Said:
         missing = [each for each in wanted if each not in self.members]
         if missing:
             return Said(False, f"no member {', '.join(missing[:5])}")
@@ -248,7 +249,7 @@
 
     def returned(self, one: str, life: str, epoch: int) -> Said:
         """The holder gives a permit back that it has not begun to use."""
-        held, wrong = self.mine(one, life)
+        held, wrong = self.current(one, life)
         if held is None:
             return wrong
         permit = self.permits.get(one)
--- a/pumicenotch/fleet/watch.py
+++ b/pumicenotch/fleet/watch.py
@@ -169,18 +169,36 @@
         return self.text if self.row >= self.WINDOWS else ""
 
 
+class Soak(NamedTuple):
+    """Since when a wave has nothing missing."""
+
+    wave: int
+    since: float
+
+
+NO_SOAK = Soak(-1, 0.0)
+
+
 class Trial:
     """Of one release, as this leader has seen it."""
 
     def __init__(self) -> None:
         self.tasks, self.calls = Judge(), Judge()
         self.pressure, self.both, self.memory = Pressure(), Both(), Memory()
-        self.soaks: tuple[int, float] = (-1, 0.0)  # the wave, since when
+        self.soak = NO_SOAK
         self.silent: dict[str, float] = {}
         self.told_at = float("-inf")
         self.text = "nothing was looked at yet"
 
 
+class Counts(NamedTuple):
+    """What a member's process has told last."""
+
+    life: str
+    since: float  # when that process was first heard
+    rows: dict[str, Row]  # by class
+
+
 class Watch:
     WINDOW_MS = 1000.0  # members speak twice in it
     WARM_MS = 2000.0  # of a new process, which is slower for no fault of its version
@@ -189,7 +207,7 @@
     AGAIN_MS = 2000.0  # before the same word is proposed again
 
     def __init__(self) -> None:
-        self.last: dict[str, tuple[str, float, dict[str, Row]]] = {}  # by member: life, since when, counts
+        self.last: dict[str, Counts] = {}  # by member
         self.fresh: dict[str, dict[str, Row]] = {}
         self.memory: dict[str, float] = {}  # MB that each holds
         self.trials: dict[str, Trial] = {}
@@ -202,15 +220,15 @@
     def told(self, now: float, name: str, life: str, rows: dict[str, Row], memory_mb: float = 0.0) -> None:
         self.memory[name] = memory_mb
         held = self.last.get(name)
-        if held is None or held[0] != life:
-            self.last[name] = (life, now, rows)
+        if held is None or held.life != life:
+            self.last[name] = Counts(life, now, rows)
             return
-        self.last[name] = (life, held[1], rows)
-        if now - held[1] < self.WARM_MS:
+        self.last[name] = Counts(life, held.since, rows)
+        if now - held.since < self.WARM_MS:
             return
         fresh = self.fresh.setdefault(name, {})
         for kind, row in rows.items():
-            more = row.less(held[2].get(kind, Row()))
+            more = row.less(held.rows.get(kind, Row()))
             fresh[kind] = fresh.get(kind, Row()).plus(more)
 
     def look(self, now: float, state: State) -> list[tuple[Any, ...]]:
@@ -317,11 +335,11 @@
         if release.state != SOAKING or release.asks:
             return ()
         if release.slot != BUDGETS and state.releases.missing(release):
-            trial.soaks = (-1, 0.0)
+            trial.soak = NO_SOAK
             return ()
-        if trial.soaks[0] != release.wave:
-            trial.soaks = (release.wave, now)
-        took = now - trial.soaks[1]
+        if trial.soak.wave != release.wave:
+            trial.soak = Soak(release.wave, now)
+        took = now - trial.soak.since
         if took < release.soak_ms:
             return ()
         wave = [state.members[name] for name in release.waves[release.wave] if name in state.members]
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -521,7 +521,7 @@
         self.advance(release)
     self.changed = False
     for each in self.in_order():
-        self.ask(self.nodes[each])
+        self.queue_drain(self.nodes[each])
 
 
 RIGHT_WANTED, RIGHT_MISSING = Releases.wanted, Releases.missing
@@ -531,14 +531,14 @@
     ("where", "seeded", "word"),
     [
         ("wanted", staticmethod(goes_on_while_halted), "though it is halted"),
-        ("ask", keeps_no_budget, "are away by permit"),
+        ("queue_drain", keeps_no_budget, "are away by permit"),
         ("settle", settles_once, "no way leads on: release going back"),
         ("target", never_catches_up, "no way leads on: release abandoned"),
     ],
 )  # fmt: skip
 def test_seeded_bugs_are_found(where: str, seeded: Any, word: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Releases, where, seeded)
-    if where == "ask":
+    if where == "queue_drain":
         monkeypatch.setattr(Releasing, "WAVES", (("a1", "a2"), ("b1",)))
         monkeypatch.setattr(State, "over_with", lambda self, held, permit: "")  # who would refuse it still
     if where == "target":
