Read what the leader tells an agent into a typed hint, in short steps

Change: AgentHint and hint_of; take_hint is note_permit, note_service, fetch; say_at and heard are report_at and answered_since_end. No behaviour.

--- a/pumicenotch/fleet/agent.py
+++ b/pumicenotch/fleet/agent.py
@@ -5,23 +5,58 @@
 process's own clock: one that comes later, or that its process slept through, is none."""
 
 from collections.abc import Iterable
-from typing import Any, ClassVar
+from typing import Any, ClassVar, NamedTuple
 
 from pumicenotch.fleet.budgets import SERVING
 from pumicenotch.fleet.effects import Anew, End, Hold, Proven, Reread, Start, Swap
 from pumicenotch.fleet.entries import TEXT_MOST
-from pumicenotch.fleet.release import GONE, RESTARTS, STARTING, STUCK
+from pumicenotch.fleet.release import GONE, NOTHING_DUE, RESTARTS, STARTING, STUCK, Step
 from pumicenotch.fleet.voter_client import VoterClient
 
 LOOP = "crash loop"  # how that trouble begins
+AGAIN_MOST_MS = 60_000.0  # between reports, whatever the leader says
 AGENT_FAILED = "agent refused"  # how a trouble begins of a version of the agent itself
 
 
+class AgentHint(NamedTuple):
+    """What the leader says of this node."""
+
+    due: Step
+    halted: str
+    life: str  # of the server, as the fleet counts it
+    standing: str
+    permit: int
+    begun: bool
+    again_ms: float
+    hold: tuple[str, ...]  # versions
+
+
+def step_of(told: Any) -> Step:
+    if isinstance(told, list | tuple) and len(told) == 2:
+        return Step(str(told[0]), str(told[1]))
+    return NOTHING_DUE
+
+
+def hint_of(told: dict[str, Any]) -> AgentHint:
+    """From the wire. What is missing or of another kind counts as not said."""
+    permit, again = told.get("permit"), told.get("again_ms")
+    return AgentHint(
+        due=step_of(told.get("due")),
+        halted=str(told.get("halted", "")),
+        life=str(told.get("life", "")),
+        standing=str(told.get("standing", "")),
+        permit=permit if type(permit) is int else 0,
+        begun=bool(told.get("begun")),
+        again_ms=again if isinstance(again, int | float) else 0.0,
+        hold=tuple(map(str, told.get("hold") or ())),
+    )
+
+
 class Agent(VoterClient):
     """Its inputs: `start`, `time`, `answered` (number, error, result), `ended` (status; None: unknown),
     `held` (version, why not), `swapped` (slot, why not)."""
 
-    SAY_MS = 500.0  # between its words
+    REPORT_MS = 500.0  # between its words
     PATIENCE_MS = 5000.0  # for its server to use its permit by itself: some of its own words to the leader
     # Without an answer after its server's end, until what is there is started: an election's time; and when
     # this process has just started: where voters are there, they answer at once.
@@ -51,31 +86,31 @@
         self.spoken = False  # with the fleet
         self.ends: list[float] = []  # unasked ones
         self.refusals = 0
-        self.started_at = self.heard_at = now
+        self.started_at = self.answered_at = now
         self.ended_at = now - (self.ALONE_MS - self.FIRST_MS)
         self.start_at = now  # not before
         self.ending: float = float("inf")  # asked to end: force from then on
-        self.say_at = now
+        self.report_at = now
         self.holding: dict[str, float] = {}  # version: not again before; infinite while it is on its way
         self.swapping = False
         # What the fleet said last.
         self.known_life = self.life_before = ""
-        self.move: tuple[str, str] = ("", "")
+        self.move = NOTHING_DUE
         self.permit, self.begun = 0, False
         self.permit_at = self.begun_at = now
         self.halted = ""
         self.wanted: tuple[str, ...] = ()  # versions to hold
 
     def due(self) -> float:
-        return min(self.request_due(), self.now + self.SAY_MS / 2.0)
+        return min(self.request_due(), self.now + self.REPORT_MS / 2.0)
 
     def start(self) -> None:
-        self.log(f"the agent of {self.node}: {self.told_runs()}")
+        self.log(f"the agent of {self.node}: {self.describe_runs()}")
 
     def time(self) -> None:
         self.check_timeout()
 
-    def told_runs(self) -> str:
+    def describe_runs(self) -> str:
         return ", ".join(f"{slot} {version}" for slot, version in sorted(self.runs.items()))
 
     # Its server
@@ -92,19 +127,19 @@
             return
         if self.swapping or self.now < self.start_at:
             return
-        moves = self.move[0] in RESTARTS and self.move[1] in self.holds
-        if (self.heard() and not moves) or self.now >= self.ended_at + self.ALONE_MS:
+        moves = self.move.slot in RESTARTS and self.move.version in self.holds
+        if (self.answered_since_end() and not moves) or self.now >= self.ended_at + self.ALONE_MS:
             self.begin()
 
-    def heard(self) -> bool:
+    def answered_since_end(self) -> bool:
         """Whether the fleet has answered since its server ended."""
-        return self.spoken and self.heard_at > self.ended_at
+        return self.spoken and self.answered_at > self.ended_at
 
     def begin(self) -> None:
         self.child, self.served, self.started_at = True, False, self.now
         self.ending = float("inf")
         self.life_before = self.known_life
-        self.log(f"starts its server: {self.told_runs()}")
+        self.log(f"starts its server: {self.describe_runs()}")
         self.effects.append(Start())
 
     def ended(self, status: int | None) -> None:
@@ -123,21 +158,21 @@
                 self.fail(f"{LOOP}: {len(self.ends)} ends in {lasted / 1000.0:.0f} s, status {status}")
         self.served = False
         self.log(f"its server has ended: status {status}")
-        self.say_soon()
+        self.report_soon()
 
     def fail(self, why: str) -> None:
         if self.trouble != why:
             self.trouble = why[:TEXT_MOST]
             self.log(why)
-            self.say_soon()
+            self.report_soon()
 
     def end(self, after_ms: float) -> None:
         if self.child and self.ending == float("inf"):
             self.ending = self.now + after_ms
             self.effects.append(End(False))
 
-    def say_soon(self) -> None:
-        self.say_at = self.now
+    def report_soon(self) -> None:
+        self.report_at = self.now
         if self.request is None:
             self.request_at = min(self.request_at, self.now)
 
@@ -153,17 +188,17 @@
             self.holds.append(version)
         if self.trouble.startswith(f"{STUCK} {version}"):
             self.trouble = ""
-        self.say_soon()
+        self.report_soon()
 
     def swapped(self, slot: str, why: str) -> None:
         self.swapping = False
         if why:
-            self.fail(f"{STUCK} {self.move[1]}: {why}")
+            self.fail(f"{STUCK} {self.move.version}: {why}")
             self.ended_at = min(self.ended_at, self.now - self.ALONE_MS)  # what is there is started
             return
-        self.runs[slot] = self.move[1]
-        self.move = ("", "")
-        self.say_soon()
+        self.runs[slot] = self.move.version
+        self.move = NOTHING_DUE
+        self.report_soon()
         if slot == "agent":
             self.effects.append(Anew())
         elif slot not in RESTARTS:
@@ -179,17 +214,17 @@
         if self.request is not None or self.now < self.request_at or not self.voters or self.swapping:
             return
         slot, version = self.move
-        if self.now >= self.say_at:
-            self.say_at = self.now + self.SAY_MS
+        if self.now >= self.report_at:
+            self.report_at = self.now + self.REPORT_MS
             runs = sorted(self.runs.items())
             down = "" if self.served else STARTING if self.child else GONE
             self.ask("agent", self.node, self.life, runs, self.holds, down, self.trouble)
         elif version in self.holds and slot in RESTARTS and self.child:
             self.have_it_end()
-        elif version in self.holds and (slot not in RESTARTS or self.heard()):
+        elif version in self.holds and (slot not in RESTARTS or self.answered_since_end()):
             self.ask("move", self.node, self.life, slot, version)
         if self.request is None and self.request_at <= self.now:
-            self.request_at = self.say_at
+            self.request_at = self.report_at
 
     def have_it_end(self) -> None:
         """By its permit the server drains by itself. One that does not is ended, its permit begun first; one
@@ -205,9 +240,9 @@
     def agreed(self, verb: str, result: dict[str, Any]) -> None:
         match verb:
             case "agent":
-                self.hear(result)
-            case "move" if self.move[0]:
-                self.log(f"moves to {self.move[0]} {self.move[1]}")
+                self.take_hint(hint_of(result))
+            case "move" if self.move.slot:
+                self.log(f"moves to {self.move.slot} {self.move.version}")
                 self.swapping = True
                 self.effects.append(Swap(*self.move))
             case "began":
@@ -218,45 +253,47 @@
         self.counts[f"{verb}_refused"] += 1
         if verb in ("move", "agent"):
             self.log(f"{verb} refused: {text}")
-        self.say_at = self.now
+        self.report_at = self.now
 
-    def hear(self, told: dict[str, Any]) -> None:
-        self.heard_at = self.now
+    def take_hint(self, hint: AgentHint) -> None:
+        """What the leader says of this node: no step rests on it alone."""
+        self.answered_at = self.now
         if not self.spoken:
             self.spoken = True
             self.effects.append(Proven(("agent",)))
-        due = told.get("due")
-        self.move = (
-            (str(due[0]), str(due[1])) if isinstance(due, list | tuple) and len(due) == 2 else ("", "")
-        )
-        if self.trouble.startswith(AGENT_FAILED) and not self.move[0]:
+        self.move, self.halted, self.known_life = hint.due, hint.halted, hint.life
+        if self.trouble.startswith(AGENT_FAILED) and not self.move.slot:
             self.trouble = ""  # nobody wants that version here any more
-        self.halted = str(told.get("halted", ""))
-        self.known_life = str(told.get("life", ""))
-        permit = told.get("permit")
-        permit = permit if type(permit) is int else 0
-        if permit != self.permit:
+        self.note_permit(hint)
+        quiet = self.served and not self.move.slot and not self.permit
+        if quiet and self.REPORT_MS < hint.again_ms <= AGAIN_MOST_MS:
+            self.report_at = self.now + hint.again_ms  # among many more seldom
+        self.note_service(hint)
+        self.fetch(hint.hold)
+
+    def note_permit(self, hint: AgentHint) -> None:
+        if hint.permit != self.permit:
             self.permit_at = self.now
-        begun = bool(told.get("begun"))
-        if begun and not self.begun:
+        if hint.begun and not self.begun:
             self.begun_at = self.now
-        self.permit, self.begun = permit, begun
-        again = told.get("again_ms")
-        quiet = self.served and not self.move[0] and not self.permit
-        if quiet and isinstance(again, int | float) and self.SAY_MS < again <= 60_000:
-            self.say_at = self.now + again  # among many more seldom
-        serves = told.get("standing") == SERVING and not permit
+        self.permit, self.begun = hint.permit, hint.begun
+
+    def note_service(self, hint: AgentHint) -> None:
+        """Its server has come into service once the fleet counts its new life so."""
+        serves = hint.standing == SERVING and not hint.permit
         if self.child and not self.served and serves and self.known_life != self.life_before:
             self.served, self.refusals = True, 0
             if not self.trouble.startswith(LOOP):
                 self.trouble = ""
             self.effects.append(Proven(tuple(slot for slot in self.runs if slot in RESTARTS)))
-            self.say_soon()
+            self.report_soon()
         calm = self.served and self.now - self.started_at > self.LOOP_MS
         if calm and self.trouble.startswith(LOOP):
             self.trouble = ""
-        self.wanted = tuple(map(str, told.get("hold") or ()))
-        for version in self.wanted:
+
+    def fetch(self, wanted: tuple[str, ...]) -> None:
+        self.wanted = wanted
+        for version in wanted:
             if version not in self.holds and self.now >= self.holding.get(version, 0.0):
                 self.holding[version] = float("inf")
                 self.effects.append(Hold(version))
