--- a/pumicenotch/cli/fleet.py
+++ b/pumicenotch/cli/fleet.py
@@ -4,23 +4,19 @@
 import getpass
 import json
 import secrets
-import socket
 import sys
 import time
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
 
-import msgpack
 from cyclopts import App, Parameter
 
-from pumicenotch import start
+from pumicenotch.cli.session import IN_ALL_S, Connection, Refused, Unreached, asked
 
 fleet = App(name="fleet", help="Drains agreed across the fleet: ask, see who waits and why, halt, resume.")
 Json = Annotated[bool, Parameter(name="--json", negative="")]
 At = Annotated[list[str], Parameter(name="--at", env_var="PUMICENOTCH_FLEET_AT")]
 Name = Annotated[str, Parameter(name="--fleet", env_var="PUMICENOTCH_FLEET")]
-ANSWER_S = 4.0  # of one process: longer than a leader waits for a majority
-IN_ALL_S = 15.0  # over all processes asked, changes of leaders between them
 
 
 def wrong(error: object, status: int = 2) -> NoReturn:
@@ -28,72 +24,6 @@
     sys.exit(status)
 
 
-class Refused(Exception):
-    """The fleet's own no, with its reason."""
-
-
-class Unreached(Exception):
-    """Nobody who could say."""
-
-
-class Line:
-    """One connection to one process of the fleet."""
-
-    def __init__(self, name: str, address: str) -> None:
-        self.sock = socket.create_connection(start.address(address), timeout=ANSWER_S)
-        self.unpacker = msgpack.Unpacker(max_buffer_size=8 * 1024 * 1024, strict_map_key=False)
-        self.sock.sendall(msgpack.packb([2, "hello", [name, "", "", ""]]))
-
-    def ask(self, verb: str, *args: Any) -> tuple[Any, Any]:
-        """Error and result."""
-        self.sock.sendall(msgpack.packb([0, 1, verb, args]))
-        until = time.monotonic() + ANSWER_S
-        while True:
-            for frame in self.unpacker:
-                match frame:
-                    case [1, 1, error, result]:
-                        return error, result
-                    case [2, "refused", [why]]:
-                        raise Refused(why)
-            if time.monotonic() > until:
-                raise TimeoutError("no answer")
-            data = self.sock.recv(65536)
-            if not data:
-                raise ConnectionError("closed without an answer")
-            self.unpacker.feed(data)
-
-    def __enter__(self) -> "Line":
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.sock.close()
-
-
-def asked(name: str, addresses: list[str], verb: str, *args: Any) -> Any:
-    """Asks each in turn, and whoever is said to lead first. Raises Refused and Unreached."""
-    until, todo, met = time.monotonic() + IN_ALL_S, list(addresses), ""
-    while time.monotonic() < until:
-        if not todo:
-            time.sleep(0.2)
-            todo = list(addresses)
-        address = todo.pop(0)
-        try:
-            with Line(name, address) as line:
-                error, result = line.ask(verb, *args)
-        except (OSError, ValueError) as fault:
-            met = f"{address}: {fault}"
-            continue
-        if error is None:
-            return result
-        code, text, more = (*error, None, None, None)[:3]
-        if code == "Refused":
-            raise Refused(text)
-        met = f"{address}: {text}"
-        if code == "NotLeader" and more:
-            todo.insert(0, more)
-    raise Unreached(f"nobody of the fleet could say in {IN_ALL_S:g} s; last: {met}")
-
-
 def told(name: str, at: list[str], as_json: bool, verb: str, *args: Any) -> None:
     """One request whose answer is a text."""
     result = answer(name, at, verb, *args)
@@ -257,8 +187,8 @@
         wrong("--at HOST:PORT is wanted: any process of the fleet")
     for address in at:
         try:
-            with Line(fleet, address) as line:
-                error, result = line.ask("halt", key, by, reason)
+            with Connection(fleet, address) as connection:
+                error, result = connection.ask("halt", key, by, reason)
         except (OSError, ValueError, Refused) as fault:
             print(f"{address}: {fault}", file=sys.stderr)
             continue
--- /dev/null
+++ b/pumicenotch/net/configuration.py
@@ -0,0 +1,233 @@
+"""Carries the distribution of configuration between a process's hub among instances and its reducer: a
+`Node` in a server, a `VoterSource` in a voter.
+
+Messages travel as notices of one method on the hub's links. The reducer has a timer of its own, so that a
+large publication is applied in slices between everything else that the process does."""
+
+import json
+import math
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+from loguru import logger
+
+from pumicenotch.distribution import effects, events
+from pumicenotch.distribution.codec import message_of, plain
+from pumicenotch.distribution.errors import MalformedMessage, UnknownTable
+from pumicenotch.distribution.instance_settings import InstanceSettings
+from pumicenotch.distribution.messages import METHOD
+from pumicenotch.distribution.node import Node
+from pumicenotch.distribution.publications import Publications
+from pumicenotch.distribution.tables import TABLES, table_of
+from pumicenotch.distribution.view import View
+from pumicenotch.distribution.voter_source import VoterSource
+from pumicenotch.errors import PumicenotchError
+from pumicenotch.fleet.voter_client import REFUSED, UNKNOWN
+from pumicenotch.members.messages import News, Opinion, Standing, Who
+from pumicenotch.net.peers import PeerHub, ResettableTimer
+
+LOOKUP, STATUS = "lookup", "configuration"
+VERBS = (LOOKUP, STATUS)
+
+
+def peer_of(news: News) -> events.Peer:
+    who = news.who
+    alive = news.opinion is not Opinion.DEAD and news.standing is not Standing.OUT
+    return events.Peer(who.name, who.zone, who.region, who.address, who.life, alive)
+
+
+def self_of(who: Who) -> events.Peer:
+    return events.Peer(who.name, who.zone, who.region, who.address, who.life)
+
+
+class Carrier(ABC):
+    """What instances and voters have in common: messages, the timer, effects and requests."""
+
+    verbs: ClassVar[tuple[str, ...]] = VERBS
+
+    def __init__(self, hub: PeerHub) -> None:
+        self.hub = hub
+        self.timer = ResettableTimer()
+
+    def run(self) -> None:
+        """Begins, in the hub's task group."""
+        self.put(events.Started())
+        self.hub.group.start_soon(self.timer.run, lambda: self.put(events.Ticked()))
+
+    # Inputs
+
+    def put(self, event: events.NodeEvent | events.VoterEvent) -> None:
+        """One event. A fault in it is logged and counted, and ends neither the connection nor the process."""
+        try:
+            found = self.step(self.timer.now(), event)
+        except Exception as error:
+            self.hub.fault(f"configuration {type(event).__name__}", error)
+            return
+        for effect in found:
+            self.carry_out(effect)
+
+    def notice(self, sender: tuple[str, str, str], method: str, params: Any) -> bool:
+        """Whether the notice was one of the distribution's."""
+        if method != METHOD:
+            return False
+        try:
+            message = message_of(params)
+        except MalformedMessage as error:
+            self.hub.count_trouble("configuration_unreadable", f"{sender[0]}: {error}")
+            return True
+        self.put(events.Received(events.Sender(*sender), message))
+        return True
+
+    def request(self, conn: int, message: int, verb: str, args: Any) -> bool:
+        """Whether the request was one of the distribution's."""
+        if verb not in self.verbs:
+            return False
+        try:
+            result = self.answer(verb, args)
+        except PumicenotchError as error:
+            self.hub.write(conn, ("error", message, (REFUSED, str(error), error.code)))
+        else:
+            self.hub.write(conn, ("result", message, result))
+        return True
+
+    def after_put(self) -> None:
+        """The hub has carried out what came of one of its own inputs."""
+
+    def peer_changed(self, news: News) -> None:
+        """Membership has another opinion of that process."""
+
+    # Effects
+
+    def carry_out(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.SendTo(address, message):
+                self.hub.send(address, ("notice", METHOD, plain(message)))
+            case effects.WakeAt(at_ms):
+                self.timer.wake(max(0.0, at_ms - self.timer.now()))
+            case effects.Log(text):
+                logger.info("configuration: {}", text)
+            case effects.InForce(version):
+                logger.debug("configuration: version {} is in force", version)
+
+    # Requests
+
+    def answer(self, verb: str, args: Any) -> dict[str, Any]:
+        """Raises PumicenotchError."""
+        match [verb, *args]:
+            case ["lookup", str(table), str(key)]:
+                return self.looked_up(table, key)
+            case ["configuration"]:
+                return self.status()
+        raise BadRequest(verb, "other values are wanted", "lookup: a table and a key; configuration: nothing")
+
+    def looked_up(self, table: str, key: str) -> dict[str, Any]:
+        table_of(TABLES, table)
+        value = self.view.lookup(table, key)
+        return {
+            "instance": self.hub.hello[1],
+            "life": self.hub.hello[2],
+            "version": self.view.version,
+            "value": None if value is None else json.loads(value),
+            "age_ms": finite(self.age_ms()),
+        }
+
+    # What the two differ in
+
+    @abstractmethod
+    def step(self, now_ms: float, event: Any) -> list[effects.Effect]:
+        """Of the reducer."""
+
+    @property
+    @abstractmethod
+    def view(self) -> View:
+        """What is in force here."""
+
+    @abstractmethod
+    def age_ms(self) -> float:
+        """How long ago the view was known to be current."""
+
+    @abstractmethod
+    def status(self) -> dict[str, Any]:
+        """For operators."""
+
+
+class BadRequest(PumicenotchError):
+    """A request with other values than its verb takes."""
+
+    code = "bad-request"
+
+
+def finite(value: float) -> float | None:
+    return value if math.isfinite(value) else None
+
+
+class InstanceCarrier(Carrier):
+    """Of a server."""
+
+    def __init__(self, hub: PeerHub, settings: InstanceSettings, voters: tuple[str, ...], seed: int) -> None:
+        super().__init__(hub)
+        self.voters = frozenset(voters)
+        self.node = Node(
+            self_of(hub.node.me),
+            voters,
+            settings.subscribed(),
+            random.Random(seed),
+            settings=settings.settings,
+            tables=settings.tables(),
+        )
+
+    def step(self, now_ms: float, event: events.NodeEvent) -> list[effects.Effect]:
+        return self.node.step(now_ms, event)
+
+    def peer_changed(self, news: News) -> None:
+        if news.who.address not in self.voters:
+            self.put(events.PeerChanged(peer_of(news)))
+
+    @property
+    def view(self) -> View:
+        return self.node.view
+
+    def age_ms(self) -> float:
+        return self.node.age_ms(self.timer.now())
+
+    def status(self) -> dict[str, Any]:
+        return self.node.status(self.timer.now())
+
+
+class VoterCarrier(Carrier):
+    """Of a voter."""
+
+    def __init__(
+        self, hub: PeerHub, publications: Publications, settings: InstanceSettings, seed: int
+    ) -> None:
+        super().__init__(hub)
+        self.publications = publications
+        self.source = VoterSource(
+            self_of(hub.node.me), publications, random.Random(seed), settings=settings.settings
+        )
+        self.version = publications.version
+        self.leadership = events.LeaderChanged("", False, False)
+
+    def step(self, now_ms: float, event: events.VoterEvent) -> list[effects.Effect]:
+        return self.source.step(now_ms, event)
+
+    def after_put(self) -> None:
+        if (leadership := self.hub.node.leadership()) != self.leadership:
+            self.leadership = leadership
+            self.put(leadership)
+        if self.publications.version != self.version:
+            self.version = self.publications.version
+            self.put(events.Published(self.version))
+
+    @property
+    def view(self) -> View:
+        return self.publications.view
+
+    def age_ms(self) -> float:
+        return self.source.age_ms(self.timer.now())
+
+    def status(self) -> dict[str, Any]:
+        members = self.hub.node.state.members
+        return self.source.status(self.timer.now(), [each.name for each in members.values() if each.life])
