--- a/pumicenotch/cli/app.py
+++ b/pumicenotch/cli/app.py
@@ -162,6 +162,7 @@
 
 
 def main() -> None:
+    from pumicenotch.cli import configuration  # noqa: F401 - adds its commands to `fleet`
     from pumicenotch.cli.cells import cells
     from pumicenotch.cli.fleet import fleet
     from pumicenotch.cli.release import release
--- /dev/null
+++ b/pumicenotch/cli/configuration.py
@@ -0,0 +1,105 @@
+"""`pumicenotch fleet publish`, `config` and `lookup`: the configuration that a fleet distributes."""
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+from pumicenotch.cli.fleet import At, Json, Name, answer, fleet, me, new, wrong
+from pumicenotch.cli.session import Refused, Session, Unreached
+from pumicenotch.config.publication import BadPublicationFile, PublicationFile, read_publication
+from pumicenotch.distribution.uploads import entries_of
+
+
+@fleet.command
+def publish(
+    file: Path, /, *, reason: str, at: At, fleet: Name, previous: int | None = None, as_json: Json = False
+) -> None:
+    """Publish changes of the configuration, whole or not at all, as the next version.
+
+    Parameters
+    ----------
+    file
+        JSON lines: {"table": ..., "key": "SCOPE/NAME", "value": {...}}, or null as the value to delete it.
+    reason
+        Why; it stands in the history.
+    at
+        Addresses among instances of voters.
+    fleet
+        The fleet's name.
+    previous
+        The version that the changes were made against: refused if another is current. The current one unless
+        given.
+    """
+    try:
+        told = read_publication(file)
+    except BadPublicationFile as error:
+        wrong(error)
+    if not at:
+        wrong("--at HOST:PORT is wanted: a process of the fleet, best several voters")
+    try:
+        with Session(fleet, at) as session:
+            result = published(session, told, reason, previous)
+    except Refused as error:
+        line = told.line_of(str(error))
+        if line:
+            wrong(f"{file}:{line}: {error}")
+        wrong(f"refused: {error}", 1)
+    except Unreached as error:
+        wrong(error, 1)
+    print(json.dumps(result) if as_json else result["text"])
+
+
+def published(session: Session, told: PublicationFile, reason: str, previous: int | None) -> dict[str, Any]:
+    """What came of it. Raises Refused and Unreached."""
+    if previous is None:
+        previous = int(session.ask("configuration")["version"])
+    result: dict[str, Any] = {}
+    for entry in entries_of(new(), previous, me(), reason, int(time.time() * 1000), told.changes):
+        result = session.ask(*entry)
+    return {"version": result["value"], "text": f"{result['text']}: {len(told.changes)} records"}
+
+
+@fleet.command
+def config(*, at: At, fleet: Name, as_json: Json = False) -> None:
+    """The configuration's version, at how many it is in force, and who is behind or in trouble.
+
+    Parameters
+    ----------
+    at
+        Addresses among instances of voters; of a server, for what that one has.
+    fleet
+        The fleet's name.
+    """
+    found = answer(fleet, at, "configuration")
+    print(json.dumps(found)) if as_json else print_status(found)
+
+
+def print_status(found: dict[str, Any]) -> None:
+    for name, value in found.items():
+        if not isinstance(value, list | dict):
+            print(f"{name}: {value}")
+
+
+@fleet.command
+def lookup(table: str, key: str, /, *, at: At, fleet: Name, as_json: Json = False) -> None:
+    """One record as the process at that address serves it, with the version and its age.
+
+    Parameters
+    ----------
+    table
+        A table's name.
+    key
+        SCOPE/NAME.
+    at
+        The address among instances of the process that is asked.
+    fleet
+        The fleet's name.
+    """
+    found = answer(fleet, at, "lookup", table, key)
+    if as_json:
+        print(json.dumps(found))
+        return
+    age = "never known to be current" if found["age_ms"] is None else f"{found['age_ms'] / 1000.0:.1f} s old"
+    print(json.dumps(found["value"]))
+    print(f"version {found['version']} at {found['instance']}, {age}")
--- a/pumicenotch/config/publication.py
+++ b/pumicenotch/config/publication.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from pumicenotch.distribution.errors import DistributionError, InvalidRecord
 from pumicenotch.distribution.records import Change
@@ -23,7 +23,19 @@
     """What is wrong with a file, a line each: `FILE:LINE: what is wrong: what is allowed`."""
 
 
-def changes_of(path: Path) -> list[Change]:
+class PublicationFile(NamedTuple):
+    changes: list[Change]
+    lines: Mapping[tuple[str, str], int]  # of each record
+
+    def line_of(self, refusal: str) -> int:
+        """Of the record that a refusal of the voters is about; 0 if it is about none."""
+        for (table, key), line in self.lines.items():
+            if refusal.startswith(f"record {table}:{key}:"):
+                return line
+        return 0
+
+
+def read_publication(path: Path) -> PublicationFile:
     """Raises BadPublicationFile."""
     changes: list[Change] = []
     faults: list[str] = []
@@ -43,7 +55,7 @@
         faults[FAULTS_MOST:] = [f"{path}: {len(faults) - FAULTS_MOST} further lines are wrong"]
     if faults:
         raise BadPublicationFile("\n".join(faults))
-    return changes
+    return PublicationFile(changes, first_lines)
 
 
 def lines_of(path: Path) -> list[str]:
--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -8,14 +8,13 @@
 import math
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from typing import Any, ClassVar
 
 from loguru import logger
 
 from pumicenotch.distribution import effects, events
 from pumicenotch.distribution.codec import message_of, plain
-from pumicenotch.distribution.errors import MalformedMessage, UnknownTable
+from pumicenotch.distribution.errors import MalformedMessage
 from pumicenotch.distribution.instance_settings import InstanceSettings
 from pumicenotch.distribution.messages import METHOD
 from pumicenotch.distribution.node import Node
@@ -24,7 +23,7 @@
 from pumicenotch.distribution.view import View
 from pumicenotch.distribution.voter_source import VoterSource
 from pumicenotch.errors import PumicenotchError
-from pumicenotch.fleet.voter_client import REFUSED, UNKNOWN
+from pumicenotch.fleet.voter_client import REFUSED
 from pumicenotch.members.messages import News, Opinion, Standing, Who
 from pumicenotch.net.peers import PeerHub, ResettableTimer
 
@@ -92,12 +91,6 @@
             self.hub.write(conn, ("result", message, result))
         return True
 
-    def after_put(self) -> None:
-        """The hub has carried out what came of one of its own inputs."""
-
-    def peer_changed(self, news: News) -> None:
-        """Membership has another opinion of that process."""
-
     # Effects
 
     def carry_out(self, effect: effects.Effect) -> None:
@@ -135,6 +128,14 @@
 
     # What the two differ in
 
+    @abstractmethod
+    def after_put(self) -> None:
+        """The hub has carried out what came of one of its own inputs."""
+
+    @abstractmethod
+    def peer_changed(self, news: News) -> None:
+        """Membership has another opinion of that process."""
+
     @abstractmethod
     def step(self, now_ms: float, event: Any) -> list[effects.Effect]:
         """Of the reducer."""
@@ -181,6 +182,9 @@
     def step(self, now_ms: float, event: events.NodeEvent) -> list[effects.Effect]:
         return self.node.step(now_ms, event)
 
+    def after_put(self) -> None:
+        """The members' inputs change nothing here but by `peer_changed`."""
+
     def peer_changed(self, news: News) -> None:
         if news.who.address not in self.voters:
             self.put(events.PeerChanged(peer_of(news)))
@@ -221,6 +225,9 @@
             self.version = self.publications.version
             self.put(events.Published(self.version))
 
+    def peer_changed(self, news: News) -> None:
+        """A voter serves whoever subscribes."""
+
     @property
     def view(self) -> View:
         return self.publications.view
