--- a/pumicenotch/lab/relay.py
+++ b/pumicenotch/lab/relay.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -23,6 +23,7 @@
     loss: float = 0.0  # chance for each frame that its connection breaks there
     copies: float = 0.0  # chance that a request comes twice
     bytes_per_s: float = float("inf")
+    alter: Callable[[Any], Any] | None = None  # what a frame is turned into on its way
 
 
 OPEN = Way()
@@ -133,7 +134,7 @@
                 if way.loss and self.chance.random() < way.loss:
                     self.broken += 1
                     return
-                told = packer.pack(frame)
+                told = packer.pack(way.alter(frame) if way.alter else frame)
                 wait = way.delay_ms / 1000.0 * self.chance.uniform(0.5, 1.5) + len(told) / way.bytes_per_s
                 due = max(due, now() + wait)  # in order, as on one connection
                 twice = frame[0] == 0 and way.copies and self.chance.random() < way.copies
--- /dev/null
+++ b/tests/fleet/test_distribution.py
@@ -0,0 +1,241 @@
+"""Configuration distributed among real processes, faults between them; judged by what the servers served."""
+
+import asyncio
+import json
+import random
+import signal
+from pathlib import Path
+
+from pumicenotch.lab.relay import Way
+from pumicenotch.lab.world import World
+from tests.fleet.configured import WATCHED, Configured, Refused, entries, generation, play
+from tests.fleet.harness import world
+from tests.histories.configuration import Key, Value
+
+LARGE = 54_000  # records of the largest publication that is expected
+
+
+def small(servers: int = 4, zones: int = 1) -> World:
+    return world(servers=servers, zones=zones, budgets=(), work_ms=10.0)
+
+
+async def relay_of(run: Configured, names: list[str]) -> str:
+    """One that serves others."""
+    found: list[str] = []
+
+    async def look() -> None:
+        while not found:
+            for name in names:
+                status = await run.told(name)
+                if status.get("relay") and status.get("children"):
+                    found.append(name)
+            await asyncio.sleep(0.05)
+
+    async with asyncio.timeout(30.0):
+        await look()
+    return found[0]
+
+
+def test_a_relay_is_killed_and_its_children_go_on(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        await run.served(await run.publish(generation(0)))
+        relay = await relay_of(run, run.servers)
+        others = [name for name in run.servers if name != relay]
+        publishing = asyncio.create_task(run.publish_generations(1, 40))
+        await run.until(lambda: run.recorder.newest[others[0]].version >= 10)
+        run.kill(relay)
+        await run.served(await publishing, others)
+        await run.restart(relay)  # with nothing in its memory
+        await run.served(await run.publish(generation(41)))
+
+    play(script, tmp_path, small())
+
+
+def test_the_leader_is_killed_while_a_publication_is_staged(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        before = await run.publish(generation(0))
+        await run.served(before)
+        changes = generation(1) | {
+            ("routes", f"s{at % 20}/r{at}"): {"upstream": f"u{at}"} for at in range(3000)
+        }
+        told = entries(changes, before)
+        leader = await run.crew.leader()
+        await asyncio.to_thread(run.ask_all, told[:-1])
+        run.crew.signal(leader, signal.SIGKILL)
+        version = await run.send(changes, told[-1:])
+        assert version == before + 1
+        await run.served(version)
+        for name in run.servers:
+            assert (await run.looked_up(name, ("routes", "s7/r2987")))["value"] == {"upstream": "u2987"}
+        run.crew.boot(leader)
+        await run.crew.agreed(lambda status: len(status["seats"]) == 3 and not status["learners"])
+        await run.served(await run.publish(generation(2)))
+
+    play(script, tmp_path, small(servers=3))
+
+
+def test_54000_records_are_published_whole_by_the_command(tmp_path: Path) -> None:
+    """Lookups are answered while they come, of the version before."""
+
+    async def script(run: Configured) -> None:
+        await run.served(await run.publish(generation(0)))
+        changes = generation(1) | {
+            ("tenants", f"c{at % 20}/t{at}"): {"weight": at, "class": "standard"} for at in range(LARGE)
+        }
+        version = await run.command(changes)
+        await run.served(version)
+        chance = random.Random(1)
+        for key in chance.sample(sorted(changes), 100):
+            for name in run.servers:
+                assert (await run.looked_up(name, key))["value"] == changes[key]
+        await run.served(await run.publish(generation(2)))
+
+    play(script, tmp_path, small(servers=3))
+
+
+def test_a_zone_is_cut_off_and_is_back_after_200_versions(tmp_path: Path) -> None:
+    """z1 has one voter of three."""
+
+    async def script(run: Configured) -> None:
+        first = await run.publish(generation(0))
+        await run.served(first)
+        inside, others = run.zone_of("z1")
+        run.crew.relay.set(inside, others, Way(cut=True))
+        last = await run.publish_generations(1, 200)
+        reached = [name for name in others if name in run.servers]
+        cut_off = [name for name in inside if name in run.servers]
+        await run.served(last, reached)
+        for name in cut_off:
+            read = run.recorder.newest[name]
+            assert read.version < last, "the cut let it through"
+        run.crew.relay.heal()
+        await run.served(last, cut_off)
+
+    play(script, tmp_path, small(zones=2))
+
+
+def test_a_stopped_server_wakes_and_catches_up(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        await run.served(await run.publish(generation(0)))
+        run.node("n0", signal.SIGSTOP)
+        others = run.servers[1:]
+        last = await run.publish_generations(1, 60)
+        await run.served(last, others)
+        run.node("n0", signal.SIGCONT)
+        await run.served(last)
+
+    play(script, tmp_path, small(servers=3))
+
+
+def test_of_two_publishers_at_once_one_is_refused_and_nothing_is_lost(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        refused = 0
+
+        async def count_up(key: Key, field: str, last: int) -> None:
+            nonlocal refused
+            for number in range(1, last + 1):
+                while True:
+                    try:
+                        await run.publish({key: {field: number}})
+                        break
+                    except Refused as error:
+                        assert "current one is" in str(error)
+                        refused += 1
+
+        previous = await run.publish(generation(0))
+        told = [{WATCHED[0]: {"upstream": name}} for name in ("x", "y")]
+        both = await asyncio.gather(
+            *(run.publish(changes, previous) for changes in told), return_exceptions=True
+        )
+        assert sum(isinstance(each, Refused) for each in both) == 1, both
+        await asyncio.gather(count_up(WATCHED[1], "rate", 20), count_up(WATCHED[3], "weight", 20))
+        version = await run.version()
+        assert version == previous + 41
+        await run.served(version)
+        for name in run.servers:
+            assert (await run.looked_up(name, WATCHED[1]))["value"] == {"rate": 20}
+            assert (await run.looked_up(name, WATCHED[3]))["value"] == {"weight": 20}
+
+    play(script, tmp_path, small(servers=3))
+
+
+class OneOlderProgram(Configured):
+    """Voters and servers take routes of form 2, but for n1."""
+
+    voter_block = '  table "routes" {\n    newest_form = 2\n  }\n'
+
+    def server_block(self, name: str) -> str:
+        return "" if name == "n1" else '    table "routes" {\n      newest_form = 2\n    }\n'
+
+
+def test_a_record_that_an_older_program_cannot_read_leaves_it_at_its_last_good_version(
+    tmp_path: Path,
+) -> None:
+    async def script(run: Configured) -> None:
+        good = await run.publish(generation(0))
+        await run.served(good)
+        newer: dict[Key, Value] = generation(1) | {WATCHED[0]: {"upstream": "u1", "form": 2}}
+        version = await run.publish(newer)
+        await run.served(version, ["n0", "n2"])
+        await run.straggler("n1", "unreadable-form")
+        status = await run.told("n1")
+        assert status["error"]["code"] == "unreadable-form" and status["error"]["remedy"]
+        assert run.recorder.newest["n1"].version == good
+        older = await run.publish(generation(2))
+        await run.served(older)
+
+    play(script, tmp_path, small(servers=3), OneOlderProgram)
+
+
+class ShortLog(Configured):
+    """Every source keeps only the last few versions as changes."""
+
+    voter_block = "  limits {\n    log_versions = 8\n  }\n"
+
+    def server_block(self, name: str) -> str:
+        return "    limits {\n      log_versions = 8\n    }\n"
+
+
+def test_one_that_missed_more_than_the_log_holds_is_current_again(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        await run.served(await run.publish(generation(0)))
+        run.node("n0", signal.SIGSTOP)
+        last = await run.publish_generations(1, 40)
+        await run.served(last, run.servers[1:])
+        run.node("n0", signal.SIGCONT)
+        await run.served(last)
+
+    play(script, tmp_path, small(servers=3), ShortLog)
+
+
+def test_a_range_that_comes_corrupted_is_found_by_its_digest_and_mended(tmp_path: Path) -> None:
+    """The relay between the processes spoils one value; nobody ever serves it."""
+
+    async def script(run: Configured) -> None:
+        await run.served(await run.publish(generation(0)))
+        spoilt: list[str] = []
+
+        def spoil(frame: object) -> object:
+            told = json.dumps(frame, default=repr)
+            if len(spoilt) < 3 and "u777" in told:
+                spoilt.append(told)
+                return replaced(frame, "u777", "u666")
+            return frame
+
+        everyone = list(run.crew.zone)
+        run.crew.relay.set(everyone, everyone, Way(alter=spoil))
+        await run.served(await run.publish(generation(777)))
+        assert spoilt, "nothing was spoilt"
+        run.crew.relay.heal()
+        await run.served(await run.publish(generation(2)))
+
+    play(script, tmp_path, small(servers=3))
+
+
+def replaced(told: object, old: str, new: str) -> object:
+    """In every text of a frame."""
+    if isinstance(told, str):
+        return told.replace(old, new)
+    if isinstance(told, list | tuple):
+        return [replaced(each, old, new) for each in told]
+    return told
--- a/tests/play.py
+++ b/tests/play.py
@@ -1,18 +1,18 @@
 """Plays scenario files: steps in time, one a line or parted by ";", and what must have come of them by then.
 
-    start KEY=VALUE ...           settings by keyword; `stage` and `tenant` lines before it add to the lists
-    stage NAME due=.. limit=.. effect=.. [window= utility= late= skip=]
-    tenant NAME [share= allowance=]
-    pool NAME STAGE,STAGE [reserve= weight= most= lends=]      class pools, by lines before `start`
-    budget RATIO BURST            of repeated attempts, before `start`
-    repool [NAME ...]             from now on only those of the pools, or none
-    at MS                         moves the clock, with ticks on the way and the gauges of the last `gauge`
-    task ID STAGE [TENANT] [waited= limit= work= kb= same= caller= again= mark=]      several as 1..9
-    end ID OUTCOME | call ID | back ID OUTCOME | gone ID | leave STOP
-    expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH
-    value LOW HIGH | closed LOW HIGH | cap TENANT LOW HIGH | patience LOW HIGH      of the latest call
-    `last` is the action of a reject that asks callers not to try elsewhere
-    forget-seen                   what was asked for so far counts no more
+start KEY=VALUE ...           settings by keyword; `stage` and `tenant` lines before it add to the lists
+stage NAME due=.. limit=.. effect=.. [window= utility= late= skip=]
+tenant NAME [share= allowance=]
+pool NAME STAGE,STAGE [reserve= weight= most= lends=]      class pools, by lines before `start`
+budget RATIO BURST            of repeated attempts, before `start`
+repool [NAME ...]             from now on only those of the pools, or none
+at MS                         moves the clock, with ticks on the way and the gauges of the last `gauge`
+task ID STAGE [TENANT] [waited= limit= work= kb= same= caller= again= mark=]      several as 1..9
+end ID OUTCOME | call ID | back ID OUTCOME | gone ID | leave STOP
+expect ACTION ID [ID ...] | never ACTION [ID ...] | count ACTION LOW HIGH
+value LOW HIGH | closed LOW HIGH | cap TENANT LOW HIGH | patience LOW HIGH      of the latest call
+`last` is the action of a reject that asks callers not to try elsewhere
+forget-seen                   what was asked for so far counts no more
 """
 
 from typing import Any
--- a/tests/serve.py
+++ b/tests/serve.py
@@ -1,19 +1,19 @@
 """Plays scenarios of the server's core, in the notation of play.py with these steps:
 
-    serve KEY=VALUE ...        a core that is linked, bound and warm, with connections 1 and 2 open; `stop` is
-                               its notice to end, `cold=yes` leaves the pool unbound, `db=no` has no calls,
-                               `sockets` and `memory` are its limits
-    send CONN MSG STAGE ID [t0= token= acct= mem= est= body=]      a task that arrives now, or at t0
-    put INPUT ARG ...          any input of the core: numbers, b:BYTES, REFUSED or BROKEN for a fault
-    open FIRST..LAST [alive]   opens those connections, and checks on each
-    reload PARTY ...           moves those to other addresses
-    finish ID HOW [RESULT] | block ID BODY      notices with the next number
-    mute [off]                 polls stay unanswered until `off` answers the last one
-    unread                     from now on `put read_out CONN` alone says that all that has come is read
-    frozen MS                  moves the clock with no timer on the way
-    out LINK KIND [ARG ...]    written once; `none` for never, `out-count N LINK KIND ...` for N times
-    did EFFECT [ARG ...] | did-not EFFECT       any other effect
-    counts NAME N
+serve KEY=VALUE ...        a core that is linked, bound and warm, with connections 1 and 2 open; `stop` is
+                           its notice to end, `cold=yes` leaves the pool unbound, `db=no` has no calls,
+                           `sockets` and `memory` are its limits
+send CONN MSG STAGE ID [t0= token= acct= mem= est= body=]      a task that arrives now, or at t0
+put INPUT ARG ...          any input of the core: numbers, b:BYTES, REFUSED or BROKEN for a fault
+open FIRST..LAST [alive]   opens those connections, and checks on each
+reload PARTY ...           moves those to other addresses
+finish ID HOW [RESULT] | block ID BODY      notices with the next number
+mute [off]                 polls stay unanswered until `off` answers the last one
+unread                     from now on `put read_out CONN` alone says that all that has come is read
+frozen MS                  moves the clock with no timer on the way
+out LINK KIND [ARG ...]    written once; `none` for never, `out-count N LINK KIND ...` for N times
+did EFFECT [ARG ...] | did-not EFFECT       any other effect
+counts NAME N
 """
 
 import re
--- a/tests/test_letter8.py
+++ b/tests/test_letter8.py
@@ -27,8 +27,19 @@
 def late_for(listed: bool, until_s: float, then_s: float) -> list[tuple[float, bool]]:
     """Three tasks a tick are read after nine tenths of their time, then fresh ones."""
     heard, ident = Heard(), 0
-    control = Control(heard, 0.0, seed=1, stages=[STAGE], tenants=[], gauges=[], cores=2, memory_kb=1e6,
-                      crowd_multiple=5.0, signal=Signal.WEIGHT, listed_by_health=listed)
+    control = Control(
+        heard,
+        0.0,
+        seed=1,
+        stages=[STAGE],
+        tenants=[],
+        gauges=[],
+        cores=2,
+        memory_kb=1e6,
+        crowd_multiple=5.0,
+        signal=Signal.WEIGHT,
+        listed_by_health=listed,
+    )
     while heard.now < 1000.0 * (until_s + then_s):
         heard.now += TICK_MS
         for _ in range(3):
@@ -58,8 +69,18 @@
 
 def test_a_server_that_leaves_stays_out_of_the_list() -> None:
     heard = Heard()
-    control = Control(heard, 0.0, seed=1, stages=[STAGE], tenants=[], gauges=[], cores=2, memory_kb=1e6,
-                      crowd_multiple=5.0, listed_by_health=True)
+    control = Control(
+        heard,
+        0.0,
+        seed=1,
+        stages=[STAGE],
+        tenants=[],
+        gauges=[],
+        cores=2,
+        memory_kb=1e6,
+        crowd_multiple=5.0,
+        listed_by_health=True,
+    )
     control.leave(0.0, 60_000.0)
     while heard.now < 20_000.0:
         heard.now += TICK_MS
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -26,8 +26,18 @@
     """With 180 gateways and two cores, two tasks a core gave each gateway 0.022, which most of them settle
     as no room at all; the credit is now what the limit and a queue get through by the due time."""
     told = Told()
-    control = Control(told, 0.0, seed=1, stages=[STAGE], tenants=[], gauges=[], cores=2, callers=180,
-                      signal=Signal.CREDIT, crowd_multiple=5.0)
+    control = Control(
+        told,
+        0.0,
+        seed=1,
+        stages=[STAGE],
+        tenants=[],
+        gauges=[],
+        cores=2,
+        callers=180,
+        signal=Signal.CREDIT,
+        crowd_multiple=5.0,
+    )
     now = 0.0
     while now <= SAMPLE_MS:
         now += TICK_MS
@@ -59,10 +69,21 @@
 
     from pumicenotch import start
 
-    old = {"family-info.signal": "bias", "family-info.callers": "6", "classes.count": "1",
-           "classes.0.effect": "by_key", "classes.0.memory-span": "9000000", "classes.0.deadline": "9000000"}
-    new = {"family-info.signal": "tokens", "family-info.callers": "180", "classes.count": "1",
-           "classes.0.effect": "once", "classes.0.deadline": "11000000"}
+    old = {
+        "family-info.signal": "bias",
+        "family-info.callers": "6",
+        "classes.count": "1",
+        "classes.0.effect": "by_key",
+        "classes.0.memory-span": "9000000",
+        "classes.0.deadline": "9000000",
+    }
+    new = {
+        "family-info.signal": "tokens",
+        "family-info.callers": "180",
+        "classes.count": "1",
+        "classes.0.effect": "once",
+        "classes.0.deadline": "11000000",
+    }
     assert start.shape(old) == "share" and start.shape(new) == "credit"
     assert start.shape({}) == "share"  # as before the move: nothing named, nothing told
     with pytest.raises(start.BadStart, match=r"family-info\.callers is missing"):
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -151,7 +151,7 @@
             case ["cancel"] if open_:
                 self.excused.add(open_[0])
                 self.step("cancel", *open_[0])
-            case ["reset" | "eof" as how] if (left := [conn for conn in (1, 2, 3) if conn not in self.gone]):
+            case ["reset" | "eof" as how] if left := [conn for conn in (1, 2, 3) if conn not in self.gone]:
                 if how == "reset":
                     self.gone.add(left[0])
                     self.excused |= {key for key in self.sent if key[0] == left[0]}
