Bound the log of changes and the choice of relays by settings; hear a repeated publication again

Cause: operators limit both by the file; a publisher whose answer was lost with the leader got a conflict with its own publication from admit. Change: Settings.log_versions_most and log_bytes_most, relay_eligible of Node, admit lets a known request pass.

--- a/pumicenotch/config/distribution.py
+++ b/pumicenotch/config/distribution.py
@@ -63,6 +63,8 @@
     bytes_burst: Annotated[float, Field(ge=100_000.0, le=1e9)] = DEFAULTS.bytes_burst
     push_bytes: Annotated[int, Field(ge=0, le=32 * 1024)] = DEFAULTS.push_bytes_most
     push_window: Annotated[int, Field(ge=1, le=1024)] = DEFAULTS.push_window
+    log_versions: Annotated[int, Field(ge=1, le=100_000)] = DEFAULTS.log_versions_most
+    log_bytes: Annotated[int, Field(ge=100_000, le=256 * 1024 * 1024)] = DEFAULTS.log_bytes_most
 
 
 class SourceBlock(Schema):
@@ -87,6 +89,8 @@
             bytes_burst=limits.bytes_burst,
             push_bytes_most=limits.push_bytes,
             push_window=limits.push_window,
+            log_versions_most=limits.log_versions,
+            log_bytes_most=limits.log_bytes,
         )
 
     def newest_forms(self) -> tuple[NewestForm, ...]:
--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -49,6 +49,7 @@
         *,
         settings: Settings = DEFAULTS,
         tables: Mapping[str, Table] = TABLES,
+        relay_eligible: bool = True,
     ) -> None:
         self.me = me
         self.counts: Counter[str] = Counter()
@@ -63,7 +64,9 @@
             self._switched,
         )  # fmt: skip
         self._source = Source(settings, chance, self._out, self.counts, self._told_age_ms)
-        self._placement = Placement(me, voters, settings, self._upstreams, self._source, self._out)
+        self._placement = Placement(
+            me, voters, settings, self._upstreams, self._source, self._out, relay_eligible
+        )
         self._acknowledger = Acknowledger(me.name, settings, self._out)
         self._started_at = NEVER
         self._widen_at = NEVER
--- a/pumicenotch/distribution/placement.py
+++ b/pumicenotch/distribution/placement.py
@@ -20,14 +20,14 @@
 
     def __init__(
         self, me: Peer, voters: Sequence[str], settings: Settings, upstreams: Upstreams, source: Source,
-        out: Outbox,
+        out: Outbox, eligible: bool = True,
     ) -> None:  # fmt: skip
         self.relay = False
         self.hints: tuple[str, ...] = ()  # relays that others have named
         self._me = me
         self._voters = tuple(ranked(me.name, voters, lambda address: address))
         self._settings, self._upstreams, self._source, self._out = settings, upstreams, source, out
-        self._zone = Zone(me, settings.relays)
+        self._zone = Zone(me, settings.relays, eligible)
         self._started_at = NEVER
         self._choose_at = NEVER
         self._step_down_at = NEVER  # of a relay that is no longer among the first ones
--- a/pumicenotch/distribution/publications.py
+++ b/pumicenotch/distribution/publications.py
@@ -60,6 +60,8 @@
     def admit(self, verb: str, args: tuple[Any, ...]) -> None:
         """Called before an entry is proposed: whether its records are of the tables' form. Not where it is
         applied, so that voters with programs of different tables agree. Raises the error that fits."""
+        if verb == "publish" and args[0] in self.requests:
+            return  # asked again, as its answer was lost: it hears the same
         for change in args[-1]:
             check_change(self.tables, change)
         self._check_previous(args[2] if verb == "stage" else args[4])
--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from pumicenotch.distribution.changelog import BYTES_MOST, ENTRIES_MOST
+
 
 class Settings(NamedTuple):
     # Relays and sources
@@ -45,6 +47,10 @@
     bytes_burst: float = 1_000_000.0
     busy_ms: float = 500.0  # the shortest time to come back, and again by chance up to as much
 
+    # The log of changes: whoever has missed more compares scopes
+    log_versions_most: int = ENTRIES_MOST
+    log_bytes_most: int = BYTES_MOST
+
     # Work in one step
     slice_changes: int = 100
     slice_bytes: int = 32 * 1024
--- a/pumicenotch/distribution/source.py
+++ b/pumicenotch/distribution/source.py
@@ -21,6 +21,11 @@
 SCOPE_DIGEST_BYTES = 48  # about, on the wire
 
 
+def log_of(settings: Settings) -> ChangeLog:
+    """An empty one, within its bounds."""
+    return ChangeLog(entries_most=settings.log_versions_most, bytes_most=settings.log_bytes_most)
+
+
 class Source:
     """Its owner sets `view`, `log` and `held`, and tells it when these have moved on (`published`)."""
 
@@ -29,7 +34,7 @@
         age_ms: Callable[[float], int],
     ) -> None:  # fmt: skip
         self.view = View()
-        self.log = ChangeLog()
+        self.log = log_of(settings)
         self.held: Subscription = NOTHING  # scopes that the view covers
         self.accepting = False
         self.candidates: tuple[str, ...] = ()  # addresses of better sources, told with a refusal
--- a/pumicenotch/distribution/zone.py
+++ b/pumicenotch/distribution/zone.py
@@ -8,11 +8,14 @@
 class Zone:
     """Of this instance; peers of other zones are left out."""
 
-    def __init__(self, me: Peer, relay_count: int) -> None:
+    def __init__(self, me: Peer, relay_count: int, eligible: bool = True) -> None:
+        """`eligible` says whether this instance may be a relay. Others that try it nonetheless are refused,
+        and go to the next."""
         self.me = me
+        self._eligible = eligible
         self._relay_count = relay_count
         self._peers: dict[str, Peer] = {}
-        self._relays: list[Peer] = [me]
+        self._relays: list[Peer] = [me] if eligible else []
 
     def changed(self, peer: Peer) -> bool:
         """Whether it is of this zone."""
@@ -23,7 +26,7 @@
                 return False
         else:
             self._peers[peer.name] = peer
-        everyone = [self.me, *self._peers.values()]
+        everyone = [*([self.me] if self._eligible else []), *self._peers.values()]
         order = ranked(self.me.zone, everyone, lambda each: each.name)
         self._relays = order[: self._relay_count]
         return True
--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -177,6 +177,7 @@
             random.Random(seed),
             settings=settings.settings,
             tables=settings.tables(),
+            relay_eligible=settings.relay,
         )
 
     def step(self, now_ms: float, event: events.NodeEvent) -> list[effects.Effect]:
