Wire the distribution of configuration to the hub among instances, off without its block

Change: net/configuration.py and net/voter_configuration.py carry Node and VoterSource; PeerHub.extension takes their notices and requests; the block distribution of config/ goes through the compiled plan; a server with it keeps more links.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -159,12 +159,12 @@
     return lambda now: Pools(now, plan, stages, numbers)
 
 
-async def join(hub: Hub, group: TaskGroup, side: Any, seed: int, sockets: int) -> Any:
+async def join(hub: Hub, group: TaskGroup, ours: Any, seed: int, sockets: int) -> Any:
     """This server's place in its fleet. Its work never waits for any of it; nothing of it is loaded where
     the file of ours names none. Returns what is told when the server leaves and ends."""
     from pumicenotch.net import fleet
 
-    return await fleet.member(hub, group, side, seed, sockets)
+    return await fleet.member(hub, group, ours.fleet, ours.distribution, seed, sockets)
 
 
 async def listening(host: str, port: int, most_s: float) -> SocketListener:
@@ -212,12 +212,13 @@
         logger.info("listening on {}:{}", *bound[:2])
         logger.info("callers are told a {}: the settings are of that shape", values["shape"])
         group.start_soon(clock.run, lambda: hub.put("time"))
-        side = getattr(values["ours"], "fleet", None)
-        mates = await join(hub, group, side, values["seed"], values["sockets"]) if side is not None else None
+        peers = None
+        if getattr(values["ours"], "fleet", None) is not None:
+            peers = await join(hub, group, values["ours"], values["seed"], values["sockets"])
         await hub.exit.wait()
-        if mates is not None:
-            mates.put("left")
-            await mates.flush(FLUSH_S)
+        if peers is not None:
+            peers.put("left")
+            await peers.flush(FLUSH_S)
         await callers.finish(hub.left_s)
         group.cancel_scope.cancel()
 
@@ -261,7 +262,7 @@
         from pumicenotch.net.fleet import links
 
         # what its fleet takes of the descriptors is not the core's
-        told["sockets"] -= links(values["sockets"])
+        told["sockets"] -= links(values["sockets"], values["ours"].distribution)
     given, _ = resource.getrlimit(resource.RLIMIT_NOFILE)  # which may be less than what was named
     if given != resource.RLIM_INFINITY:
         told["sockets"] = min(told["sockets"], given)
--- a/pumicenotch/config/compiled.py
+++ b/pumicenotch/config/compiled.py
@@ -8,6 +8,7 @@
 from pumicenotch.pools.plan import BadPlan, Plan, Pool, check, unknown
 
 if TYPE_CHECKING:  # nothing of a fleet is loaded where there is none
+    from pumicenotch.distribution.instance_settings import InstanceSettings
     from pumicenotch.fleet.settings import FleetSettings
 
 FORM = 1  # of the line; a server refuses what it does not know
@@ -24,6 +25,7 @@
     node: str = ""  # this node's name in the cell map
     map: str = ""  # the file of the cell map; "": the node knows of no cells
     fleet: "FleetSettings | None" = None  # its place in a fleet, if it is in one
+    distribution: "InstanceSettings | None" = None  # its part in distributing configuration, if it has one
 
 
 def dump(ours: Ours) -> str:
@@ -31,7 +33,14 @@
     told = {**plan._asdict(), "pools": [pool._asdict() for pool in plan.pools]} if plan is not None else None
     fleet = ours.fleet._asdict() if ours.fleet is not None else None
     cells = {"node": ours.node, "map": ours.map}
-    return json.dumps({"form": FORM, "plan": told, "cells": cells, "fleet": fleet})
+    distribution = None
+    if ours.distribution is not None:
+        from pumicenotch.distribution.instance_settings import plain
+
+        distribution = plain(ours.distribution)
+    return json.dumps(
+        {"form": FORM, "plan": told, "cells": cells, "fleet": fleet, "distribution": distribution}
+    )
 
 
 def load(text: str, name: str) -> Ours:
@@ -50,8 +59,13 @@
             from pumicenotch.fleet.settings import settings_of
 
             fleet = settings_of(told["fleet"])
+        distribution = None
+        if told.get("distribution") is not None:
+            from pumicenotch.distribution.instance_settings import instance_settings_of
+
+            distribution = instance_settings_of(told["distribution"])
         if told["plan"] is None:
-            return Ours(None, node, map_file, fleet)
+            return Ours(None, node, map_file, fleet, distribution)
         pools = tuple(Pool(**{**pool, "stages": tuple(pool["stages"])}) for pool in told["plan"]["pools"])
         plan = Plan(**{**told["plan"], "pools": pools})
         check(plan)
@@ -61,7 +75,7 @@
         if isinstance(error, BadConfig):
             raise
         raise BadConfig(f"{name}:1: no compiled plan ({type(error).__name__}): compile it anew") from None
-    return Ours(plan, node, map_file, fleet)
+    return Ours(plan, node, map_file, fleet, distribution)
 
 
 def command(path: str) -> list[str]:
@@ -102,6 +116,8 @@
         if settings is not None
         else ""
     )
+    if ours.distribution is not None:
+        fleet += f"; takes published configuration of {ours.distribution.meaning()}"
     if plan is None:
         return {"pools": [], "meaning": "no pools: all classes are as one", "cells": cells, "fleet": fleet}
     return {
--- a/pumicenotch/config/file.py
+++ b/pumicenotch/config/file.py
@@ -80,9 +80,11 @@
     """All that an HCL file says. Raises BadFile."""
     told = read(path, File)
     fleet = told.fleet.settings() if told.fleet is not None else None
+    distribution = told.fleet.distribution_settings() if told.fleet is not None else None
     if told.cells is None:
-        return Ours(told.plan(), fleet=fleet)
-    return Ours(told.plan(), told.cells.node, str((Path(path).parent / told.cells.map).resolve()), fleet)
+        return Ours(told.plan(), fleet=fleet, distribution=distribution)
+    cell_map = str((Path(path).parent / told.cells.map).resolve())
+    return Ours(told.plan(), told.cells.node, cell_map, fleet, distribution)
 
 
 __all__ = ["BadFile", "File", "ours_of", "plan_of"]
--- a/pumicenotch/config/fleet.py
+++ b/pumicenotch/config/fleet.py
@@ -2,11 +2,13 @@
 
 from collections import Counter
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, NamedTuple
 
 from pydantic import Field, model_validator
 
+from pumicenotch.config.distribution import DistributionBlock, VoterDistributionBlock
 from pumicenotch.config.schema import Schema, read
+from pumicenotch.distribution.instance_settings import InstanceSettings
 from pumicenotch.fleet import budgets
 from pumicenotch.fleet.settings import FleetSettings
 
@@ -35,6 +37,12 @@
     advertise: Address | None = None  # where the others reach it, if not where it listens
     voters: Annotated[tuple[Address, ...], Field(min_length=1, max_length=7)]
     seeds: tuple[Address, ...] = ()
+    distribution: DistributionBlock | None = None
+
+    def distribution_settings(self) -> InstanceSettings | None:
+        if self.distribution is None:
+            return None
+        return self.distribution.instance_settings(self.serves, self.cell)
 
     def settings(self) -> FleetSettings:
         return FleetSettings(
@@ -100,6 +108,7 @@
     seeds: tuple[Address, ...] = ()
     voter: tuple[VoterBlock, ...]
     by_hand: tuple[HandBlock, ...] = ()
+    distribution: VoterDistributionBlock | None = None
     seed: Annotated[int, Field(ge=0)] = 0
 
     @model_validator(mode="after")
@@ -142,10 +151,19 @@
         raise ValueError(f"{kind} {', '.join(twice)}: stands twice")
 
 
-def voter_of(path: str | Path) -> tuple[FleetSettings, int]:
-    """A voter's file, and its seed. Raises BadFile."""
+class VoterSettings(NamedTuple):
+    """All that a voter's file says."""
+
+    fleet: FleetSettings
+    seed: int
+    distribution: InstanceSettings | None
+
+
+def voter_of(path: str | Path) -> VoterSettings:
+    """Raises BadFile."""
     told = read(path, VoterFile)
-    return told.settings(), told.seed
+    distribution = told.distribution.instance_settings() if told.distribution is not None else None
+    return VoterSettings(told.settings(), told.seed, distribution)
 
 
 def budgets_of(path: str | Path) -> tuple[budgets.Budget, ...]:
--- a/pumicenotch/distribution/instance_settings.py
+++ b/pumicenotch/distribution/instance_settings.py
@@ -31,6 +31,14 @@
     def subscribed(self) -> Subscription:
         return Subscription(dict(self.subscription))
 
+    def meaning(self) -> str:
+        """For a person."""
+        parts = [
+            f"{table} (all)" if scopes is None else f"{table} ({', '.join(scopes)})"
+            for table, scopes in self.subscription
+        ]
+        return ", ".join(parts) or "no table"
+
     def tables(self) -> Mapping[str, Table]:
         newest = dict(self.newest_forms)
         return {name: table._replace(form=newest.get(name, table.form)) for name, table in TABLES.items()}
--- a/pumicenotch/distribution/voter_source.py
+++ b/pumicenotch/distribution/voter_source.py
@@ -89,6 +89,10 @@
         """How old what this voter knows is: nothing is newer while it is in touch with the leader."""
         return 0 if self._in_touch else int(min(AGE_UNKNOWN_MS, now_ms - self._touched_at))
 
+    def age_ms(self, now_ms: float) -> float:
+        """How long ago this voter's book was known to be current; infinite before it ever was."""
+        return 0.0 if self._in_touch else now_ms - self._touched_at
+
     def _leader_changed(self, now: float, event: LeaderChanged) -> None:
         if self._in_touch:
             self._touched_at = now
--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -1,5 +1,5 @@
 """Carries the distribution of configuration between a process's hub among instances and its reducer: a
-`Node` in a server, a `VoterSource` in a voter.
+`Node` in a server; `net/voter_configuration` has what is a voter's alone.
 
 Messages travel as notices of one method on the hub's links. The reducer has a timer of its own, so that a
 large publication is applied in slices between everything else that the process does."""
@@ -18,17 +18,16 @@
 from pumicenotch.distribution.instance_settings import InstanceSettings
 from pumicenotch.distribution.messages import METHOD
 from pumicenotch.distribution.node import Node
-from pumicenotch.distribution.publications import Publications
 from pumicenotch.distribution.tables import TABLES, table_of
 from pumicenotch.distribution.view import View
-from pumicenotch.distribution.voter_source import VoterSource
 from pumicenotch.errors import PumicenotchError
-from pumicenotch.fleet.voter_client import REFUSED
+from pumicenotch.fleet.voter_client import NO_MAJORITY, NOT_LEADER, REFUSED
 from pumicenotch.members.messages import News, Opinion, Standing, Who
 from pumicenotch.net.peers import PeerHub, ResettableTimer
 
 LOOKUP, STATUS = "lookup", "configuration"
 VERBS = (LOOKUP, STATUS)
+MEMBERSHIP_LINKS = 16  # of a server's links each way that its children never take
 
 
 def peer_of(news: News) -> events.Peer:
@@ -52,6 +51,7 @@
 
     def run(self) -> None:
         """Begins, in the hub's task group."""
+        self.hub.extension = self
         self.put(events.Started())
         self.hub.group.start_soon(self.timer.run, lambda: self.put(events.Ticked()))
 
@@ -87,6 +87,11 @@
             result = self.answer(verb, args)
         except PumicenotchError as error:
             self.hub.write(conn, ("error", message, (REFUSED, str(error), error.code)))
+        except NotLeading as error:
+            code, text = (
+                (NOT_LEADER, f"{error.leader} leads") if error.leader else (NO_MAJORITY, "nobody leads")
+            )
+            self.hub.write(conn, ("error", message, (code, text, error.leader)))
         else:
             self.hub.write(conn, ("result", message, result))
         return True
@@ -133,7 +138,7 @@
         """The hub has carried out what came of one of its own inputs."""
 
     @abstractmethod
-    def peer_changed(self, news: News) -> None:
+    def member_changed(self, news: News) -> None:
         """Membership has another opinion of that process."""
 
     @abstractmethod
@@ -160,6 +165,15 @@
     code = "bad-request"
 
 
+class NotLeading(Exception):
+    """A voter that does not lead is asked for what only the leader knows."""
+
+    def __init__(self, leader: str) -> None:
+        """`leader` is its address, if it is known."""
+        super().__init__(leader)
+        self.leader = leader
+
+
 def finite(value: float) -> float | None:
     return value if math.isfinite(value) else None
 
@@ -170,23 +184,29 @@
     def __init__(self, hub: PeerHub, settings: InstanceSettings, voters: tuple[str, ...], seed: int) -> None:
         super().__init__(hub)
         self.voters = frozenset(voters)
+        children = min(settings.settings.children_most, max(1, hub.links_most - MEMBERSHIP_LINKS))
         self.node = Node(
             self_of(hub.node.me),
             voters,
             settings.subscribed(),
             random.Random(seed),
-            settings=settings.settings,
+            settings=settings.settings._replace(children_most=children),
             tables=settings.tables(),
             relay_eligible=settings.relay,
         )
 
+    def run(self) -> None:
+        super().run()
+        for news in self.hub.node.members.news.values():
+            self.member_changed(news)
+
     def step(self, now_ms: float, event: events.NodeEvent) -> list[effects.Effect]:
         return self.node.step(now_ms, event)
 
     def after_put(self) -> None:
-        """The members' inputs change nothing here but by `peer_changed`."""
+        """Nothing of the node matters here beside `member_changed`."""
 
-    def peer_changed(self, news: News) -> None:
+    def member_changed(self, news: News) -> None:
         if news.who.address not in self.voters:
             self.put(events.PeerChanged(peer_of(news)))
 
@@ -199,43 +219,3 @@
 
     def status(self) -> dict[str, Any]:
         return self.node.status(self.timer.now())
-
-
-class VoterCarrier(Carrier):
-    """Of a voter."""
-
-    def __init__(
-        self, hub: PeerHub, publications: Publications, settings: InstanceSettings, seed: int
-    ) -> None:
-        super().__init__(hub)
-        self.publications = publications
-        self.source = VoterSource(
-            self_of(hub.node.me), publications, random.Random(seed), settings=settings.settings
-        )
-        self.version = publications.version
-        self.leadership = events.LeaderChanged("", False, False)
-
-    def step(self, now_ms: float, event: events.VoterEvent) -> list[effects.Effect]:
-        return self.source.step(now_ms, event)
-
-    def after_put(self) -> None:
-        if (leadership := self.hub.node.leadership()) != self.leadership:
-            self.leadership = leadership
-            self.put(leadership)
-        if self.publications.version != self.version:
-            self.version = self.publications.version
-            self.put(events.Published(self.version))
-
-    def peer_changed(self, news: News) -> None:
-        """A voter serves whoever subscribes."""
-
-    @property
-    def view(self) -> View:
-        return self.publications.view
-
-    def age_ms(self) -> float:
-        return self.source.age_ms(self.timer.now())
-
-    def status(self) -> dict[str, Any]:
-        members = self.hub.node.state.members
-        return self.source.status(self.timer.now(), [each.name for each in members.values() if each.life])
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -6,13 +6,16 @@
 import signal
 import sys
 import time
-from typing import Any
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from pumicenotch import start
+from pumicenotch.fleet.book import Book
 from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.settings import FleetSettings
 from pumicenotch.fleet.voter_node import VoterNode
@@ -22,6 +25,9 @@
 from pumicenotch.net.peers import PeerHub, ResettableTimer, open_listener, run_hub
 from pumicenotch.server.seen import Seen
 
+if TYPE_CHECKING:  # nothing of the distribution is loaded where it is off
+    from pumicenotch.distribution.instance_settings import InstanceSettings
+
 LOOK_S = 0.25  # between looks at how the server does
 WINDOW_LOOKS = 12  # over which it is judged: three seconds, above any burst's queue
 TASKS_LEAST = 20  # in such a time, to judge it at all
@@ -29,6 +35,7 @@
 PAST_USE = 0.5
 FLUSH_S = 0.05  # for the last words to leave
 LINKS_PART = 0.0625  # of a server's descriptors: each talks to a few others at a time
+RELAY_LINKS_PART = 0.1875  # and of one that may serve configuration to others of its zone
 FRAME_MOST = 128 * 1024  # to a server: a page of news has some 10 KB
 
 
@@ -40,19 +47,28 @@
     return me, {"fleet": settings.fleet, "me": me, "member": settings.member(life), "seeds": seeds}
 
 
-def links(sockets: int) -> int:
+def links(sockets: int, distribution: "InstanceSettings | None") -> int:
     """How many of a server's descriptors its fleet takes; the core has the others."""
-    return max(16, int(LINKS_PART * sockets))
+    found = max(16, int(LINKS_PART * sockets))
+    if distribution is not None and distribution.relay:
+        found += int(RELAY_LINKS_PART * sockets)
+    return found
 
 
 async def member(
-    hub: Hub, group: TaskGroup, settings: FleetSettings, seed: int, sockets: int
+    hub: Hub,
+    group: TaskGroup,
+    settings: FleetSettings,
+    distribution: "InstanceSettings | None",
+    seed: int,
+    sockets: int,
 ) -> PeerHub | None:
     """A server's. A listener that cannot be had is logged, and the server goes on without its fleet."""
     timer = ResettableTimer()
     _, told = who(settings)
     node = MemberNode(voters=settings.voters, now=timer.now(), seed=seed, **told)
-    peers = PeerHub(node, timer, group, lambda why: hub.put("leave"), FRAME_MOST, links(sockets))
+    most = links(sockets, distribution)
+    peers = PeerHub(node, timer, group, lambda why: hub.put("leave"), FRAME_MOST, most)
     try:
         listener = await open_listener(start.address(settings.listen))
     except OSError as error:
@@ -62,6 +78,10 @@
         return None
     hub.core.seen = Seen()
     run_hub(peers, listener)
+    if distribution is not None:
+        from pumicenotch.net.configuration import InstanceCarrier
+
+        InstanceCarrier(peers, distribution, settings.voters, seed).run()
     group.start_soon(watch, hub, peers)
     return peers
 
@@ -93,9 +113,14 @@
         return 0.0
 
 
-async def voter(settings: FleetSettings, seed: int) -> None:
+async def voter(settings: FleetSettings, seed: int, distribution: "InstanceSettings | None") -> None:
     """A voter's whole process, until it is asked to end or its drain is agreed."""
     timer = ResettableTimer()
+    books: Callable[[], Sequence[Book]] = tuple
+    if distribution is not None:
+        from pumicenotch.net.voter_configuration import books_of
+
+        books = partial(books_of, distribution)
     _, told = who(settings)
     node = VoterNode(
         names=dict(settings.names),
@@ -103,12 +128,17 @@
         manual_members=settings.manual_members,
         now=timer.now(),
         seed=seed,
+        books=books,
         **told,
     )
     listener = await open_listener(start.address(settings.listen))
     async with anyio.create_task_group() as group:
         peers = PeerHub(node, timer, group, lambda why: peers.put("left"))
         run_hub(peers, listener)
+        if distribution is not None:
+            from pumicenotch.net.voter_configuration import VoterCarrier
+
+            VoterCarrier(peers, node, distribution, seed).run()
         group.start_soon(signals, peers)
         await peers.exit.wait()
         await peers.flush(FLUSH_S)
@@ -129,12 +159,12 @@
     from pumicenotch.config.hcl import BadFile
 
     try:
-        settings, seed = voter_of(sys.argv[1])
+        told = voter_of(sys.argv[1])
     except BadFile as error:
         print(error, file=sys.stderr)
         sys.exit(2)
     try:
-        anyio.run(voter, settings, seed, backend_options={"use_uvloop": True})
+        anyio.run(voter, told.fleet, told.seed, told.distribution, backend_options={"use_uvloop": True})
     except (OSError, ValueError) as error:
         sys.exit(f"pumicenotch voter: {error}")
 
--- a/pumicenotch/net/peers.py
+++ b/pumicenotch/net/peers.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import anyio
 import msgpack
@@ -17,6 +17,7 @@
 from pumicenotch import start
 from pumicenotch.fleet import effects
 from pumicenotch.fleet.member_node import MemberNode
+from pumicenotch.members.messages import News
 from pumicenotch.net import gateways
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.dial import Links, Put
@@ -164,6 +165,22 @@
                 await anyio.sleep(0)
 
 
+class Extension(Protocol):
+    """A subsystem beside the node, whose notices and requests come by the same links."""
+
+    def notice(self, sender: tuple[str, str, str], method: str, params: Any) -> bool:
+        """Whether it was one of its own."""
+
+    def request(self, conn: int, message: int, verb: str, args: Any) -> bool:
+        """Whether it was one of its own, which it has answered then."""
+
+    def member_changed(self, news: News) -> None:
+        """Membership has another opinion of that process."""
+
+    def after_put(self) -> None:
+        """The node has taken an input, and what came of it is carried out."""
+
+
 class PeerHub(Hub):
     """Carries a node: inputs with the time go in, effects come out. `leave` is called when it is to drain."""
 
@@ -180,6 +197,7 @@
         self.peer_links: dict[str, PeerLink] = {}  # by link, which is "peer-ADDRESS"
         self.conns = 0
         self.idle_at = 0.0
+        self.extension: Extension | None = None
 
     def put(self, name: str, *details: Any) -> None:
         match name:
@@ -211,9 +229,20 @@
             case "met":
                 self.count_trouble(*details)
                 return
+        if self.taken_by_extension(name, details):
+            return
         super().put(name, *details)
         if name == "time":
             self.close_idle_links()
+        if self.extension is not None:
+            self.extension.after_put()
+
+    def taken_by_extension(self, name: str, details: tuple[Any, ...]) -> bool:
+        if self.extension is None:
+            return False
+        if name == "told":
+            return self.extension.notice(*details)
+        return name == "asked" and self.extension.request(*details)
 
     def fault(self, where: str, error: Exception) -> list[Any]:
         self.node.counts["faults"] += 1
@@ -341,6 +370,9 @@
                 self.write(conn, ("result", message, result))
             case effects.Reply(conn, message, error, _):
                 self.write(conn, ("error", message, error))
+            case effects.MemberChanged(news):
+                if self.extension is not None:
+                    self.extension.member_changed(news)
             case effects.Leave(why):
                 logger.info("leaves {}", why)
                 self.leave(why)
--- a/tests/fleet/configured.py
+++ b/tests/fleet/configured.py
@@ -91,9 +91,9 @@
         """Its version. Raises Refused."""
         if previous is None:
             previous = await self.version()
-        return await self.send(changes, entries(changes, previous))
+        return await self.publish_entries(changes, entries(changes, previous))
 
-    async def send(self, changes: Mapping[Key, Value], told: Iterable[tuple[Any, ...]]) -> int:
+    async def publish_entries(self, changes: Mapping[Key, Value], told: Iterable[tuple[Any, ...]]) -> int:
         version = await asyncio.to_thread(self.ask_all, list(told))
         self.published.add(version, changes)
         return version
@@ -123,7 +123,7 @@
             self.published.add(version, generation(number))
         return versions[-1]
 
-    async def command(self, changes: Mapping[Key, Value]) -> int:
+    async def publish_by_command(self, changes: Mapping[Key, Value]) -> int:
         """By `pumicenotch fleet publish`, as an operator does."""
         path = self.folder / "changes.jsonl"
         lines = (
@@ -151,6 +151,17 @@
                 f"{self.recorder.errors} {status}"
             ) from None
 
+    async def straggler(self, name: str, code: str) -> None:
+        """Until the voters count that one as behind, with that error."""
+
+        async def counted() -> bool:
+            behind = (await self.crew.ask("configuration"))["behind"]
+            return any((each["name"], each["code"]) == (name, code) for each in behind)
+
+        async with asyncio.timeout(30.0):
+            while not await counted():
+                await asyncio.sleep(0.1)
+
     async def told(self, name: str) -> dict[str, Any]:
         """What a server says of itself, to choose whom a fault hits and to see that it did."""
         try:
--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -62,7 +62,7 @@
         leader = await run.crew.leader()
         await asyncio.to_thread(run.ask_all, told[:-1])
         run.crew.signal(leader, signal.SIGKILL)
-        version = await run.send(changes, told[-1:])
+        version = await run.publish_entries(changes, told[-1:])
         assert version == before + 1
         await run.served(version)
         for name in run.servers:
@@ -82,7 +82,7 @@
         changes = generation(1) | {
             ("tenants", f"c{at % 20}/t{at}"): {"weight": at, "class": "standard"} for at in range(LARGE)
         }
-        version = await run.command(changes)
+        version = await run.publish_by_command(changes)
         await run.served(version)
         chance = random.Random(1)
         for key in chance.sample(sorted(changes), 100):
--- a/tests/test_distribution_config.py
+++ b/tests/test_distribution_config.py
@@ -3,6 +3,7 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -93,7 +94,8 @@
     told["settings"]["of_a_later_program"] = 1
     del told["settings"]["relays"]
     assert instance_settings_of(told) == InstanceSettings(newest_forms=(NewestForm("homes", 3),))
-    for wrong in ([], {}, {**told, "settings": {"relays": "x"}}, {**told, "subscription": [1]}):
+    wrongs: list[Any] = [[], {}, {**told, "settings": {"relays": "x"}}, {**told, "subscription": [1]}]
+    for wrong in wrongs:
         with pytest.raises(BadInstanceSettings, match="distribution"):
             instance_settings_of(wrong)
 
@@ -144,5 +146,5 @@
 
 
 def test_a_voter_subscribes_to_nothing(tmp_path: Path) -> None:
-    with pytest.raises(BadFile, match="distribution.subscribe: unknown block"):
+    with pytest.raises(BadFile, match=r"distribution\.subscribe: unknown block"):
         voter_of(put(tmp_path, VOTER.replace("  relays = 2\n", LARGEST)))
--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -62,7 +62,7 @@
 
 
 def test_a_voters_file_says_all(tmp_path: Path) -> None:
-    settings, seed = voter_of(put(tmp_path, VOTER + "seed = 4\n"))
+    settings, seed, _ = voter_of(put(tmp_path, VOTER + "seed = 4\n"))
     assert seed == 4 and [name for name, _ in settings.names] == ["v1", "v2", "v3"]
     assert [budget.most_out for budget in settings.budgets] == [1]
     assert [hand.serves for hand in settings.manual_members] == [("ledger",)]
