--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -65,7 +65,10 @@
             self.hub.fault(f"configuration {type(event).__name__}", error)
             return
         for effect in found:
-            self.carry_out(effect)
+            try:
+                self.carry_out(effect)
+            except Exception as error:
+                self.hub.fault(f"configuration {type(effect).__name__}", error)
 
     def notice(self, sender: tuple[str, str, str], method: str, params: Any) -> bool:
         """Whether the notice was one of the distribution's."""
