Play ten faults of distributed configuration on real processes, judged by what was served

Change: tests/fleet/test_distribution.py (relay killed, leader killed while a publication is staged, 54,000 records by the command, zone cut over 200 versions, server stopped until it is forgotten, two publishers at once, older program, compacted log, corrupted range, operators' commands), with a recorder that reads every server all the time; fleet config and lookup print what they say. The test of the compacted log first stopped the server instead of cutting it off: its sockets kept the pushes, and nothing was compacted past it; it counts transfers now.

--- a/pumicenotch/cli/configuration.py
+++ b/pumicenotch/cli/configuration.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from pumicenotch.cli.fleet import At, Json, Name, answer, fleet, me, new, wrong
+from pumicenotch.cli.fleet import At, Json, Name, answer, fleet, me, new, table, wrong
 from pumicenotch.cli.session import Refused, Session, Unreached
 from pumicenotch.config.publication import BadPublicationFile, PublicationFile, read_publication
 from pumicenotch.distribution.uploads import entries_of
@@ -72,23 +72,51 @@
         The fleet's name.
     """
     found = answer(fleet, at, "configuration")
-    print(json.dumps(found)) if as_json else print_status(found)
+    if as_json:
+        print(json.dumps(found))
+    elif "copies" in found:
+        print_fleet(found)
+    else:
+        print_instance(found)
+
 
+def print_fleet(found: dict[str, Any]) -> None:
+    """What the voters' leader knows of all."""
+    members = found["copies"] + found["missing_count"]
+    lowest = f", the lowest has {found['lowest']}" if found["behind"] else ""
+    print(f"version {found['version']}, in force at {found['in_force']} of {members}{lowest}")
+    table(
+        [[row["name"], str(row["version"]), row["code"]] for row in found["behind"]],
+        ["behind", "version", "why"],
+    )
+    if found["behind_unnamed"]:
+        print(f"and {found['behind_unnamed']} more")
+    if found["missing_count"]:
+        more = found["missing_count"] - len(found["missing"])
+        print(f"not heard of: {', '.join(found['missing'])}" + (f" and {more} more" if more else ""))
+    for row in found["history"]:
+        at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(row["at_ms"] / 1000.0))
+        print(f"{row['version']:>7}  {at}  {row['by']}: {row['why']} ({row['changes']} records)")
 
-def print_status(found: dict[str, Any]) -> None:
-    for name, value in found.items():
-        if not isinstance(value, list | dict):
-            print(f"{name}: {value}")
+
+def print_instance(found: dict[str, Any]) -> None:
+    """What one server says of itself."""
+    age = "never known to be current" if found["age_ms"] is None else f"{found['age_ms'] / 1000.0:.1f} s old"
+    print(f"version {found['version']} in force, {age}; the newest that it knows of is {found['newest']}")
+    print(f"{'relay' if found['relay'] else 'no relay'}, {found['children']} children")
+    print(f"sources: {', '.join(found['sources']) or 'none'}")
+    if found["error"] is not None:
+        print(f"error {found['error']['code']}: {found['error']['text']}")
 
 
 @fleet.command
-def lookup(table: str, key: str, /, *, at: At, fleet: Name, as_json: Json = False) -> None:
+def lookup(name: str, key: str, /, *, at: At, fleet: Name, as_json: Json = False) -> None:
     """One record as the process at that address serves it, with the version and its age.
 
     Parameters
     ----------
-    table
-        A table's name.
+    name
+        The table.
     key
         SCOPE/NAME.
     at
@@ -96,7 +124,7 @@
     fleet
         The fleet's name.
     """
-    found = answer(fleet, at, "lookup", table, key)
+    found = answer(fleet, at, "lookup", name, key)
     if as_json:
         print(json.dumps(found))
         return
--- a/tests/fleet/configured.py
+++ b/tests/fleet/configured.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from pumicenotch.cli.session import Refused, Session
+from pumicenotch.distribution.publications import LEVEL
 from pumicenotch.distribution.records import Change
 from pumicenotch.distribution.tables import canonical
 from pumicenotch.distribution.uploads import entries_of
@@ -67,6 +68,7 @@
 
     async def start(self) -> None:
         await super().start()
+        await self.crew.agreed(lambda status: status["level"] >= LEVEL)  # all voters have said so
         for name in self.servers:
             self.recorder.watch(name, self.crew.real(name))
 
@@ -151,16 +153,23 @@
                 f"{self.recorder.errors} {status}"
             ) from None
 
-    async def straggler(self, name: str, code: str) -> None:
-        """Until the voters count that one as behind, with that error."""
+    async def status_until(self, met: Callable[[dict[str, Any]], bool], within_s: float = 60.0) -> None:
+        """Until what the voters know of all meets it."""
+        async with asyncio.timeout(within_s):
+            while not met(await self.crew.ask("configuration")):
+                await asyncio.sleep(0.1)
 
-        async def counted() -> bool:
-            behind = (await self.crew.ask("configuration"))["behind"]
-            return any((each["name"], each["code"]) == (name, code) for each in behind)
+    async def all_accounted_for(self) -> None:
+        """Until the voters know of every server that it has the newest version."""
+        await self.status_until(
+            lambda status: status["in_force"] == len(self.servers) and not status["missing"]
+        )
 
-        async with asyncio.timeout(30.0):
-            while not await counted():
-                await asyncio.sleep(0.1)
+    async def straggler(self, name: str, code: str) -> None:
+        """Until the voters count that one as behind, with that error."""
+        await self.status_until(
+            lambda status: any((each["name"], each["code"]) == (name, code) for each in status["behind"])
+        )
 
     async def told(self, name: str) -> dict[str, Any]:
         """What a server says of itself, to choose whom a fault hits and to see that it did."""
@@ -170,6 +179,10 @@
             return {"unreached": repr(fault)}
         return result if error is None else {"error": error}
 
+    async def counter_of(self, name: str, of: str) -> int:
+        """Of one of a server's counters."""
+        return int((await self.told(name))["counts"].get(of, 0))
+
     async def looked_up(self, name: str, key: Key) -> Any:
         error, result = await self.crew.once(name, "lookup", *key)
         assert error is None, error
--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -13,6 +13,10 @@
 from tests.histories.configuration import Key, Value
 
 LARGE = 54_000  # records of the largest publication that is expected
+STALE_MS = 1500.0  # an age that no server has whose sources are in touch with the leader
+GAP_S = (
+    1.0  # between two answers of a server while a large publication comes: far above any on a quiet machine
+)
 
 
 def small(servers: int = 4, zones: int = 1) -> World:
@@ -82,8 +86,10 @@
         changes = generation(1) | {
             ("tenants", f"c{at % 20}/t{at}"): {"weight": at, "class": "standard"} for at in range(LARGE)
         }
+        run.recorder.longest_gap_s.clear()
         version = await run.publish_by_command(changes)
         await run.served(version)
+        assert max(run.recorder.longest_gap_s.values()) < GAP_S, run.recorder.longest_gap_s
         chance = random.Random(1)
         for key in chance.sample(sorted(changes), 100):
             for name in run.servers:
@@ -106,8 +112,8 @@
         cut_off = [name for name in inside if name in run.servers]
         await run.served(last, reached)
         for name in cut_off:
-            read = run.recorder.newest[name]
-            assert read.version < last, "the cut let it through"
+            assert run.recorder.newest[name].version < last, "the cut let it through"
+        await run.until(lambda: all(run.recorder.age_ms(name) > STALE_MS for name in cut_off))
         run.crew.relay.heal()
         await run.served(last, cut_off)
 
@@ -121,6 +127,7 @@
         others = run.servers[1:]
         last = await run.publish_generations(1, 60)
         await run.served(last, others)
+        await run.status_until(lambda status: "n0" in status["missing"])  # its sources have forgotten it
         run.node("n0", signal.SIGCONT)
         await run.served(last)
 
@@ -199,11 +206,13 @@
 def test_one_that_missed_more_than_the_log_holds_is_current_again(tmp_path: Path) -> None:
     async def script(run: Configured) -> None:
         await run.served(await run.publish(generation(0)))
-        run.node("n0", signal.SIGSTOP)
+        transfers = await run.counter_of("n0", "transfers")
+        run.crew.relay.set(["n0"], list(run.crew.zone), Way(cut=True))
         last = await run.publish_generations(1, 40)
         await run.served(last, run.servers[1:])
-        run.node("n0", signal.SIGCONT)
+        run.crew.relay.heal()
         await run.served(last)
+        assert await run.counter_of("n0", "transfers") > transfers, "it found all in a log"
 
     play(script, tmp_path, small(servers=3), ShortLog)
 
@@ -226,6 +235,8 @@
         run.crew.relay.set(everyone, everyone, Way(alter=spoil))
         await run.served(await run.publish(generation(777)))
         assert spoilt, "nothing was spoilt"
+        found = [await run.counter_of(name, "digest-mismatch") for name in run.servers]
+        assert any(found), "nobody has noticed"
         run.crew.relay.heal()
         await run.served(await run.publish(generation(2)))
 
@@ -239,3 +250,30 @@
     if isinstance(told, list | tuple):
         return [replaced(each, old, new) for each in told]
     return told
+
+
+def test_the_operators_commands_publish_look_up_and_tell_who_is_behind(tmp_path: Path) -> None:
+    async def script(run: Configured) -> None:
+        good = await run.publish_by_command(generation(0))
+        await run.served(good)
+        code, out = await run.operator("lookup", "routes", "s1/a", at=run.crew.real("n1"))
+        assert code == 0 and '{"upstream": "u0"}' in out and f"version {good} at n1" in out
+        code, out = await run.operator("lookup", "moons", "s1/a", at=run.crew.real("n1"))
+        assert code == 1 and "use one of routes" in out
+        await run.all_accounted_for()
+        code, out = await run.operator("config")
+        assert code == 0 and f"version {good}, in force at 3 of 3" in out
+        code, out = await run.operator("config", at=run.crew.real("n2"))
+        assert code == 0 and f"version {good} in force" in out
+        path = run.folder / "changes.jsonl"
+        code, out = await run.operator("publish", str(path), "--reason", "again", "--previous", "0")
+        assert code == 1 and f"it was made against version 0, the current one is {good}" in out
+        path.write_text(path.read_text() + '\n{"table": "homes", "key": "c1/t9", "value": {}}\n')
+        code, out = await run.operator("publish", str(path), "--reason", "again")
+        assert code == 2 and f"{path}:5: record homes:c1/t9: the field cell is missing" in out
+        path.write_text('{"table": "homes", "key": "c1/t9", "value": {"cell": "c1", "form": 9}}\n')
+        code, out = await run.operator("publish", str(path), "--reason", "again")
+        assert code == 2 and f"{path}:1: record homes:c1/t9: its form is 9" in out
+        assert await run.version() == good
+
+    play(script, tmp_path, small(servers=3))
--- a/tests/histories/configuration.py
+++ b/tests/histories/configuration.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import time
 from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
@@ -25,7 +26,7 @@
     key: Key
     version: int
     value: Value
-    age_ms: float
+    age_ms: float | None  # None: it was never known to be current
 
 
 class Published:
@@ -74,6 +75,7 @@
         self.reads: list[Read] = []
         self.newest: dict[str, Read] = {}  # by instance
         self.errors: dict[str, Any] = {}  # the last refusal, by instance
+        self.longest_gap_s: dict[str, float] = {}  # between two answers on one connection, by instance
         self.tasks: list[asyncio.Task[None]] = []
 
     def watch(self, instance: str, address: str) -> None:
@@ -102,7 +104,10 @@
                 key = self.keys[number % len(self.keys)]
                 number += 1
                 writer.write(msgpack.packb([0, number, "lookup", key]))
+                asked_at = time.monotonic()
                 error, result = await answers.next(number)
+                gap = time.monotonic() - asked_at
+                self.longest_gap_s[instance] = max(self.longest_gap_s.get(instance, 0.0), gap)
                 if error is None:
                     self.note(instance, key, result)
                 else:
@@ -116,6 +121,11 @@
         self.reads.append(read)
         self.newest[instance] = read
 
+    def age_ms(self, instance: str) -> float:
+        """As it told with its last answer; infinite where it never knew."""
+        age: float | None = self.newest[instance].age_ms
+        return float("inf") if age is None else age
+
     def all_at(self, version: int, instances: Iterable[str]) -> bool:
         """Whether each of them has served that version or a later one."""
         return all(each in self.newest and self.newest[each].version >= version for each in instances)
