--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from pumicenotch.distribution.changelog import BYTES_MOST, ENTRIES_MOST
 from pumicenotch.distribution.messages import PAGE_BYTES_MOST, PAGE_SCOPES_MOST
 
 
@@ -49,6 +50,10 @@
     bytes_burst: float = 1_000_000.0
     busy_ms: float = 300.0  # the shortest time to come back, and again by chance up to as much
 
+    # The log of changes: whoever has missed more compares scopes
+    log_versions_most: int = ENTRIES_MOST
+    log_bytes_most: int = BYTES_MOST
+
     # Work in one step
     slice_changes: int = 64
     slice_bytes: int = 32 * 1024
