--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,20 +1,34 @@
-"""Cost of the decisions by event, with pools and without, from few to many classes and tenants.
+"""Cost of the decisions: by event, with pools and without, and by the tenants known and active.
 
-Both play the same kind of drawn overload in turn, in one process; the figure is the ratio of the medians, so
-that the machine's speed falls out. What a run decides changes what follows, so it is cost by event.
+By event, both play the same kind of drawn overload in turn, in one process; the figure is the ratio of the
+medians, so that the machine's speed falls out. What a run decides changes what follows, so it is cost by
+event.
+
+By tenants, one control knows many and few of them send: neighbours, each of which sends once a second at 1.2
+times what the cores serve (all of them: at 0.6 times). Its figures are the longest single event and the
+longest tick, in processor time without garbage collections and as the least over the rounds, the processor
+time of all ticks a second, and the bytes that a known tenant holds once the control is made, and once every
+one has sent. The past is `none`, or `all` where every tenant sent before, as after days of service.
 
     python -m benchmarks.decisions [ROUNDS]
+    python -m benchmarks.decisions tenants [ROUNDS [KNOWN...]]
 """
 
+import gc
 import sys
 import time
+import tracemalloc
+from dataclasses import dataclass
 from statistics import median
 from typing import Any
 
-from pumicenotch.pools import Plan, Pool, Pools
-from tests.record import KINDS, STAGES, World
+from pumicenotch.control import Control
+from pumicenotch.interface import Outcome, Tenant
+from pumicenotch.pools import Pools
+from tests.record import KINDS, PLAN, STAGES, World
 
-PLAN = Plan((Pool("cheap", ("0",), reserve=0.4), Pool("heavy", ("1",)), Pool("rest", ("*",))))
+KNOWN = (300, 3_000, 15_000, 54_000)
+ACTIVE = (20, 300)
 EVENTS = ("task", "ended", "at_call", "call_ended", "caller_gone", "tick", "leave")
 
 
@@ -51,6 +65,116 @@
     return timed.spent / timed.events / 1000.0
 
 
+class Neighbours(World):
+    """The first so many of the known tenants send, in turn, each once a second."""
+
+    LENGTH_MS = 6_000.0
+    quiet = True
+
+    def __init__(self, seed: int, known: int, active: int) -> None:
+        load = 1.2 if active < known else 0.6
+        cores = max(1, round(0.3 * active / load))
+        super().__init__(seed, known, load, **{**KINDS[0], "cores": cores})
+        self.active, self.sent = active, 0
+
+    def tenant(self) -> int:
+        self.sent += 1
+        return self.sent % self.active
+
+
+class Quiet:
+    """Takes every action, and does nothing."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_, **__: None
+
+
+class Longest:
+    """A control of which the longest event, the longest tick and the time in ticks are kept, in nanoseconds
+    of processor time."""
+
+    def __init__(self, control: Control) -> None:
+        self.control, self.longest_event, self.longest_tick, self.in_ticks = control, 0, 0, 0
+
+    def __getattr__(self, name: str) -> Any:
+        do = getattr(self.control, name)
+
+        def timed(*details: Any) -> None:
+            began = time.process_time_ns()
+            do(*details)
+            took = time.process_time_ns() - began
+            self.longest_event = max(self.longest_event, took)
+            if name == "tick":
+                self.longest_tick = max(self.longest_tick, took)
+                self.in_ticks += took
+
+        return timed if name in EVENTS else do
+
+
+@dataclass(frozen=True)
+class Cost:
+    """In milliseconds; of ticks a second."""
+
+    event: float
+    tick: float
+    ticks: float
+
+
+def sampled(control: Control, tenants: int) -> None:
+    """Puts all tenants through a sample, before the time 0: one task of each, and neighbours differ."""
+    control.sampled_at = began = -10_000.0
+    for at in range(tenants):
+        control.task(began, -1 - at, 0, at, 0.0, None, None, 1.0, None)
+        control.ended(began + (100.0 if at % 2 else 400.0), -1 - at, Outcome.OK)
+    control.tick(began + 1_000.0, (0.0, 0.0, 0.0, 0.0))
+    control.agenda.items.clear()  # all tasks have ended
+
+
+def cost_of_tenants(seed: int, known: int, active: int, past: str) -> Cost:
+    world = Neighbours(seed, known, active)
+    if past == "all":
+        sampled(world.control, known)
+        world.events.clear()
+        world.running.clear()
+        world.woken(0.0)
+    longest = Longest(world.control)
+    world.control = longest  # type: ignore[assignment]
+    gc.collect()
+    gc.disable()
+    world.play()
+    gc.enable()
+    seconds = world.LENGTH_MS / 1000.0
+    return Cost(longest.longest_event / 1e6, longest.longest_tick / 1e6, longest.in_ticks / 1e6 / seconds)
+
+
+def bytes_a_tenant(known: int) -> tuple[float, float]:
+    """Held by each known tenant, and by each that has sent and is idle again; allowances are the caller's."""
+    people = [Tenant(1.0 / known, 20.0 if at % 2 else None) for at in range(known)]
+    tracemalloc.start()
+    actions: Any = Quiet()
+    control = Control(actions, 0.0, seed=1, stages=STAGES, tenants=people, gauges=[], cores=1)
+    made = tracemalloc.get_traced_memory()[0]
+    sampled(control, known)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return made / known, used / known
+
+
+def tenants(rounds: int, sizes: tuple[int, ...]) -> None:
+    print(f"{'known':>7} {'active':>7} {'past':>5} {'event ms':>9} {'tick ms':>8} {'ticks ms/s':>11}")
+    for known in sizes:
+        cases = [(active, past) for active in ACTIVE if active < known for past in ("none", "all")]
+        for active, past in [*cases, (known, "none")]:
+            costs = [cost_of_tenants(seed, known, active, past) for seed in range(rounds)]
+            event, tick = min(cost.event for cost in costs), min(cost.tick for cost in costs)
+            ticks = min(cost.ticks for cost in costs)
+            print(f"{known:>7} {active:>7} {past:>5} {event:>9.2f} {tick:>8.2f} {ticks:>11.2f}", flush=True)
+    print(f"{'known':>7} {'bytes known':>12} {'bytes used':>11}")
+    for known in sizes:
+        made, used = bytes_a_tenant(known)
+        print(f"{known:>7} {made:>12.0f} {used:>11.0f}")
+
+
 def main(rounds: int) -> None:
     print(f"{'classes, tenants':>16} {'off us':>8} {'pools us':>9} {'ratio':>6}")
     base: dict[bool, float] = {}
@@ -66,4 +190,8 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]) if len(sys.argv) > 1 else 5)
+    plain = [int(word) for word in sys.argv[1:] if word != "tenants"]
+    if "tenants" in sys.argv[1:]:
+        tenants(plain[0] if plain else 3, tuple(plain[1:]) or KNOWN)
+    else:
+        main(plain[0] if plain else 5)
--- a/tests/record.py
+++ b/tests/record.py
@@ -1,17 +1,21 @@
 """A drawn stream of events for one control, and the digest of every action it asked for on the way.
 
 The world reacts to the actions (runs end, calls come back), so one decision that differs changes all that
-follows. `digests` in tests/record.json were made by the module as it was before pools."""
+follows. `digests` in tests/record.json were made by the module as it was before pools, those of `Shifting` by
+the module as it was before its samples followed the active tenants."""
 
 import hashlib
 import heapq
 import json
 import random
+from collections.abc import Callable
+from functools import partial
 from itertools import count
 from typing import Any
 
 from pumicenotch.control import Control
 from pumicenotch.interface import Below, Effect, Halt, Outcome, Signal, Stage, Tenant
+from pumicenotch.pools import Plan, Pool, Pools
 
 STAGES = [
     Stage(2500.0, 0.0, 6300.0, Effect.RESTARTABLE, 0.0, 1.0, 0.0, 0.5),
@@ -26,12 +30,13 @@
     {"cores": 6, "crowd_multiple": 6.0, "signal": Signal.CREDIT, "below": Below.SHARED, "call_share": 9.0,
      "stay_away_passed": True, "stay_away_most_ms": 1000.0, "memory_kb": 9000.0, "entry_kb": 20.0},
 ]  # fmt: skip
-LENGTH_MS = 30_000.0
+PLAN = Plan((Pool("cheap", ("0",), reserve=0.4), Pool("heavy", ("1",)), Pool("rest", ("*",))))
 
 
 class World:
     """Takes the actions, and answers each with an event at a drawn time."""
 
+    LENGTH_MS = 30_000.0
     quiet = False  # no digest is wanted
     marks = False  # tasks tell who sends them and what they hold
 
@@ -94,12 +99,16 @@
     def woken(self, after_ms: float) -> None:
         self.at(after_ms, "tick")
 
+    def tenant(self) -> int:
+        """Whose the next task is."""
+        return self.chance.randrange(self.tenants)
+
     def play(self) -> str:
         """Events in order until the stream is over; the digest of all that was asked for."""
         ids, chance, next_task = count(1), self.chance, 0.0
         mean = 300.0 / (self.cores * self.load)
-        self.at(LENGTH_MS - 4000.0, "leave", LENGTH_MS)
-        while self.now < LENGTH_MS:
+        self.at(self.LENGTH_MS - 4000.0, "leave", self.LENGTH_MS)
+        while self.now < self.LENGTH_MS:
             if not self.events or next_task <= self.events[0][0]:
                 self.now, ident = next_task, next(ids)
                 burst = 0.25 if int(self.now) % 9000 > 6000 else 1.0
@@ -111,7 +120,7 @@
                 if stage == 2 and same is None:
                     self.keyed = [*self.keyed[-20:], ident]
                 work = chance.lognormvariate(5.5, 0.6) if chance.random() < 0.8 else None
-                tenant, waited = chance.randrange(self.tenants), chance.expovariate(1 / 4.0)
+                tenant, waited = self.tenant(), chance.expovariate(1 / 4.0)
                 limit = 5000.0 + self.now if chance.random() < 0.3 else None
                 kb = chance.uniform(20.0, 60.0)
                 more = (ident % 7, False, ident) if self.marks else ()
@@ -133,19 +142,56 @@
         return f"{self.asked} {self.digest.hexdigest()[:24]}"
 
 
+class Shifting(World):
+    """Few of many tenants send at a time: neighbours mostly, a new group every few seconds, or an earlier one
+    that comes back after it was idle. Pools are put in, and taken out, on the way."""
+
+    LENGTH_MS = 60_000.0
+    GROUP_MS = 6_000.0  # a queue's mark takes four samples to set and four to clear
+    PLACES = (0.0, 0.37, 0.0, 0.999, 0.37, 0.371, 0.0, 0.7, 0.999, 0.1)  # where each group begins, of all
+
+    def __init__(self, seed: int, tenants: int, load: float, active: int, **keywords: Any) -> None:
+        super().__init__(seed, tenants, load, **keywords)
+        self.active = active
+        numbers = {str(at): at for at in range(len(self.stages))}
+        self.at(20_000.0, "pool", Pools(0.0, PLAN, self.stages, numbers))
+        self.at(40_000.0, "pool", None)
+
+    def tenant(self) -> int:
+        group = int(self.now / self.GROUP_MS) % len(self.PLACES)
+        if self.chance.random() < 0.05:
+            return super().tenant()
+        # The first of the group sends as much as all others: its queue grows long, and is marked.
+        nth = self.chance.randrange(self.active) if self.chance.random() < 0.5 else 0
+        return (int(self.PLACES[group] * self.tenants) + nth) % self.tenants
+
+
 REACTIONS: dict[str, Any] = {
     "run": World.ran, "call": World.called, "skip_call": World.back, "reuse": World.reused,
     "wake": World.woken,
 }  # fmt: skip
 
 
-def digests() -> dict[str, str]:
+def streams() -> dict[str, Callable[[], World]]:
     """By kind, tenants, load and seed."""
-    return {
-        f"kind {at} tenants {tenants} load {load} seed {seed}": World(seed, tenants, load, **kind).play()
-        for at, kind in enumerate(KINDS)
-        for tenants, load, seed in ((1, 0.7, 1), (3, 1.2, 2), (6, 1.6, 3), (40, 1.1, 4))
-    }
+    plain = ((1, 0.7, 1), (3, 1.2, 2), (6, 1.6, 3), (40, 1.1, 4))
+    shifting = (
+        (12, 4, 1.5, 5), (50, 5, 1.3, 6), (300, 20, 1.2, 7), (300, 3, 2.0, 8), (3000, 12, 1.6, 9),
+        (15000, 40, 1.4, 10),
+    )  # fmt: skip
+    found: dict[str, Callable[[], World]] = {}
+    for at, kind in enumerate(KINDS):
+        for tenants, load, seed in plain:
+            name = f"kind {at} tenants {tenants} load {load} seed {seed}"
+            found[name] = partial(World, seed, tenants, load, **kind)
+        for tenants, active, load, seed in shifting:
+            name = f"kind {at} {active} of {tenants} tenants load {load} seed {seed}"
+            found[name] = partial(Shifting, seed, tenants, load, active, **kind)
+    return found
+
+
+def digests() -> dict[str, str]:
+    return {name: stream().play() for name, stream in streams().items()}
 
 
 if __name__ == "__main__":
