Let a control's sample follow the active tenants, with the same decisions to the bit

Change: marks look at tenants with queues or marks, the PI loop at tenants with completions (a pair that lacks them keeps its v). Caps are worked out when first asked for after a change: the chain of weights is multiplied only where v rounds to other than 0, since the table gives exactly 1 elsewhere, and summed in the tenants' order, so that every bit is as before; where a quarter of the tenants and more are uneven, over all of them in C. A tenant's state is made with its first task.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -1,26 +1,18 @@
 """All decisions of one server. A carrier makes one Control per server from its start values and calls it for
-each event (task, caller_gone, ended, at_call, call_ended, leave, tick); the Control answers in the same call,
-through the Actions that it was given. The types of both sides are in interface.py. Times are ms. Where pools
-are given, they say which class's work may start; without, all classes are as one (Whole).
+each event; the Control answers in the same call, through its Actions (interface.py). Times are ms.
 
 A task passes a chain of parts (duty, repeats, limit, queues); each passes it on, keeps it or ends it, and its
 end runs back the other way. Which tenant's task starts next, and which is rejected, is HWCS as in
-docs/design.md. Beside it stand these mechanisms:
-  1. room: a task whose place in its queue cannot be reached by its due time is rejected on arrival;
-  2. order: a tenant's queue goes by latest start, nearer for more utility, later beyond the tenant's share;
-  3. advice: the free value shuts as tasks are turned away, and callers are asked not to try elsewhere;
-  4. pace: calls below follow their recent time;
-  5. giving back: the limit falls while more than the cores can serve want one;
-  6. connections: idle ones are closed sooner while many are open and reading keeps up;
-  7. level: where one stage is dear, tasks of less utility are rejected as read while the dear ones lose.
+docs/design.md, which also lists the mechanisms beside it and when each acts.
 """
 
 import heapq
 import random
-from bisect import bisect_left, insort
+from bisect import bisect_left, bisect_right, insort
 from collections.abc import Callable, Collection
-from itertools import count
+from itertools import accumulate, chain, count, repeat
 from math import exp, log
+from operator import mul, sub
 from typing import Any
 
 from pumicenotch.interface import Actions, Below, Effect, Halt, Outcome, Pools, Signal, Stage, State, Tenant
@@ -177,13 +169,12 @@
     def lane(self, stage: int) -> int:
         return 0
 
-    def read(self, now: float, lane: int, tenant: int, caller: int, again: bool, mark: int,
-             waited_ms: float) -> tuple[float, bool]:
+    def read(self, *_: object) -> tuple[float, bool]:
         return 1.0, False
 
     def place(self, now: float, lane: int, repeat: bool, beyond: bool, waiting: Collection[int],
               usual_ms: float, room: bool) -> tuple[int, float, float, bool]:
-        return 0, self.queues.total, usual_ms, room
+        return 0, self.queues.caps.total, usual_ms, room
 
     def next(self, now: float, waiting: Collection[int]) -> int | None:
         return 0 if waiting else None
@@ -194,19 +185,16 @@
 
 
 class Line:
-    """What is known of one tenant: its queue, a lane of it for each pool, its tasks at work, and its side of
-    the control loop."""
+    """One tenant: its queue, in a lane for each pool, its tasks at work, and its side of the control loop."""
 
     SAVED_MS = 4000.0  # of the allowance: arrivals here are a random part of the tenant's, and come in clumps
 
-    def __init__(self, allowance_per_ms: float | None) -> None:
-        self.lanes: list[list[Task]] = [[]]
-        self.queued = 0
-        self.times: list[float] = []  # response times of this sample
-        self.cap, self.error, self.v = 1.0, 0.0, 0.0
+    def __init__(self, allowance_per_s: float | None, servers: int) -> None:
+        self.lanes: dict[int, list[Task]] = {}  # of those that have tasks
+        self.error = self.v = self.filled_at = 0.0
         self.busy, self.above, self.below, self.marked = 0, 0, 0, False
-        self.rate, self.filled_at = allowance_per_ms, 0.0
-        self.tokens = self.most = max(4.0, self.SAVED_MS * (allowance_per_ms or 0.0))
+        self.rate = allowance_per_s / 1000.0 / max(1, servers) if allowance_per_s else None
+        self.tokens = self.most = max(4.0, self.SAVED_MS * (self.rate or 0.0))
 
     def over_share(self, now: float, first: bool) -> bool:
         """Takes a token for a first try; without one the task is beyond the tenant's share."""
@@ -223,105 +211,151 @@
     return 7.48 * log(max(y, 1e-6)) - 0.08  # DESIGN's compensator of the output
 
 
-class Queues:
-    """HWCS: a queue and a cap per tenant; floors reserved, the rest split by compensated PI."""
+class Lines(dict[int, Line]):
+    """The tenants that have sent, by number. All begin alike, so each is made when first asked for."""
 
-    KP, KI, V_MOST = 0.47, 0.16, 6  # DESIGN's gains and clamp
-    THRESHOLD, WINDOW, TILT = 0.66, 4, 3.0  # DESIGN's 20 in 30 of a queue's length, four samples, and 1:3
-    LENGTH = 30  # DESIGN's q_len, the most that a queue may hold however fast it drains
-    HOLD = 0.7  # of the due time may go by in a full queue: the rest is for the run and its calls
+    def __init__(self, tenants: list[Tenant], servers: int) -> None:
+        self.allowances, self.servers = [tenant.allowance_per_s for tenant in tenants] or [None], servers
 
-    def __init__(self, tenants: list[Tenant], servers: int, total: int) -> None:
-        rates = [tenant.allowance_per_s for tenant in tenants] or [None]
-        self.lines = [Line(rate / 1000.0 / max(1, servers) if rate else None) for rate in rates]
-        self.pools: Pools | Whole = Whole(self)
-        # pool -> the tenants, by number, that have tasks waiting there
-        self.waiting: dict[int, list[int]] = {}
+    def __missing__(self, tenant: int) -> Line:
+        return self.setdefault(tenant, Line(self.allowances[tenant], self.servers))
+
+
+class Caps(dict[int, float]):
+    """The tenants' caps, each worked out when first asked for after a change. A tenant weighs as much as the
+    one before it, times the table's ratio for its v. The ratio is exactly 1 where v rounds to 0, so only the
+    other tenants, the uneven ones, need a multiplication."""
+
+    V_MOST = 6  # DESIGN's clamp
+    DENSE = 0.25  # of all tenants uneven: beyond, weighing all of them one by one takes less time
+
+    def __init__(self, known: int, total: int) -> None:
+        self.known = known
+        self.uneven: list[int] = []
+        self.rows = bytearray([self.V_MOST]) * known  # of the table, by tenant
         self.rebuild(total)
 
     def rebuild(self, total: int) -> None:
         """The table from v to S_i/S_{i-1}: even steps of its logarithm, up to what the floors leave."""
-        n = len(self.lines)
-        self.total, self.floor = total, min(1.0, 0.5 * total / n)
-        widest = log((total - (n - 1) * self.floor) / self.floor) if n > 1 else 0.0
-        self.table = {v: exp(widest * v / self.V_MOST) for v in range(-self.V_MOST, self.V_MOST + 1)}
-        self.split()
+        self.total, self.floor = total, min(1.0, 0.5 * total / self.known)
+        widest = log((total - (self.known - 1) * self.floor) / self.floor) if self.known > 1 else 0.0
+        self.table = [exp(widest * v / self.V_MOST) for v in range(-self.V_MOST, self.V_MOST + 1)]
+        self.clear()
+
+    def set_v(self, tenant: int, v: float) -> None:
+        row, before = round(v) + self.V_MOST, self.rows[tenant]
+        if row != before:
+            self.rows[tenant] = row
+            self.clear()
+            if before == self.V_MOST:
+                insort(self.uneven, tenant)
+            elif row == self.V_MOST:
+                del self.uneven[bisect_left(self.uneven, tenant)]
 
     def split(self) -> None:
-        weights = [1.0]
-        for line in self.lines[1:]:
-            weights.append(weights[-1] * self.table[round(line.v)])
-        rest = (self.total - len(self.lines) * self.floor) / sum(weights)
-        for line, weight in zip(self.lines, weights, strict=True):
-            line.cap = self.floor + rest * weight
+        """Multiplies and adds up in the tenants' order: in any other the last bits differ."""
+        dense = len(self.uneven) > self.DENSE * self.known
+        self.starts = range(1, self.known) if dense else self.uneven  # each weight's first tenant, but for 0
+        rows = self.rows[1:] if dense else map(self.rows.__getitem__, self.uneven)
+        self.weights = list(accumulate(map(self.table.__getitem__, rows), mul, initial=1.0))
+        sizes = map(sub, chain(self.uneven, (self.known,)), chain((0,), self.uneven))
+        each = self.weights if dense else chain.from_iterable(map(repeat, self.weights, sizes))
+        self.rest = (self.total - self.known * self.floor) / sum(each)
+
+    def __missing__(self, tenant: int) -> float:
+        if not self:
+            self.split()
+        weight = self.weights[bisect_right(self.starts, tenant)]
+        return self.setdefault(tenant, self.floor + self.rest * weight)
+
+
+class Queues:
+    """HWCS: a queue and a cap per tenant; floors reserved, the rest split by compensated PI. A sample goes
+    through the active tenants only: an idle one keeps its v, and its queue is not long."""
+
+    KP, KI = 0.47, 0.16  # DESIGN's gains
+    THRESHOLD, WINDOW, TILT = 0.66, 4, 3.0  # DESIGN's 20 in 30 of a queue's length, four samples, and 1:3
+    LENGTH = 30  # DESIGN's q_len, the most that a queue may hold however fast it drains
+    HOLD = 0.7  # of the due time may go by in a full queue: the rest is for the run and its calls
+
+    def __init__(self, tenants: list[Tenant], servers: int, total: int) -> None:
+        self.lines, self.caps = Lines(tenants, servers), Caps(max(1, len(tenants)), total)
+        self.waiting: dict[int, list[int]] = {}  # pool -> the tenants that have tasks waiting there
+        self.times: dict[int, list[float]] = {}  # tenant -> its response times of this sample
+        self.watched: set[int] = set()  # tenants whose queue is long, or was until lately
 
     def sample(self, total: int, slot_ms: float, due_ms: float) -> None:
-        if total != self.total:
-            self.rebuild(total)
-        for at, line in enumerate(self.lines):
-            long = line.queued > self.THRESHOLD * self.length(self.most(at), slot_ms, due_ms)
-            line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
-            line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
-        for before, line in zip(self.lines, self.lines[1:], strict=False):
-            if before.times and line.times:
-                y = (sum(line.times) / len(line.times)) / (sum(before.times) / len(before.times))
+        if total != self.caps.total:
+            self.caps.rebuild(total)
+        self.mark(slot_ms, due_ms)
+        means = {at: sum(times) / len(times) for at, times in self.times.items()}
+        self.times.clear()
+        for at in means:
+            if at - 1 in means:
+                before, line = self.lines[at - 1], self.lines[at]
                 r = self.TILT ** (line.marked - before.marked)  # 1:1 with none or all marked
-                error = inverse(y) - inverse(r)
+                error = inverse(means[at] / means[at - 1]) - inverse(r)
                 v = line.v + (self.KP + self.KI) * error - self.KP * line.error
-                line.v, line.error = max(-self.V_MOST, min(self.V_MOST, v)), error
-        for line in self.lines:
-            line.times.clear()
-        self.split()
+                line.v, line.error = max(-Caps.V_MOST, min(Caps.V_MOST, v)), error
+                self.caps.set_v(at, line.v)
+
+    def mark(self, slot_ms: float, due_ms: float) -> None:
+        """Marks whose queue stays long; an idle tenant's is not, and is watched until its mark is cleared."""
+        waiting = self.held()
+        caps = sum(map(self.caps.__getitem__, waiting))
+        for at in self.watched.union(waiting):
+            line, queued = self.lines[at], sum(map(len, self.lines[at].lanes.values()))
+            slots = self.caps.total * self.caps[at] / caps if queued else 0.0
+            long = queued > self.THRESHOLD * self.length(slots, slot_ms, due_ms)
+            line.above, line.below = (line.above + 1, 0) if long else (0, line.below + 1)
+            line.marked = line.above >= self.WINDOW or (line.marked and line.below < self.WINDOW)
+            (self.watched.add if long or line.marked else self.watched.discard)(at)
+
+    def held(self) -> list[int]:
+        """The tenants that have tasks waiting in any pool, in their order."""
+        return sorted({at for tenants in self.waiting.values() for at in tenants})
 
     def part(self, tenant: int, lane: int, slots: float) -> float:
         """Of the pool's slots those that the tenant's cap comes to, with those of who waits for none."""
-        waiting = sum(self.lines[at].cap for at in sorted({*self.waiting.get(lane, ()), tenant}))
-        return float(slots * self.lines[tenant].cap / waiting)
-
-    def most(self, tenant: int) -> float:
-        """The same over all pools, which is the same where there are none."""
-        waiting = sorted({tenant, *(at for tenants in self.waiting.values() for at in tenants)})
-        return self.total * self.lines[tenant].cap / sum(self.lines[at].cap for at in waiting)
+        waiting = sum(map(self.caps.__getitem__, sorted({*self.waiting.get(lane, ()), tenant})))
+        return float(slots * self.caps[tenant] / waiting)
 
     def length(self, slots: float, slot_ms: float, due_ms: float) -> float:
         """q_len: what so many slots get through in the part of a due time that may go by in a queue."""
         return max(2.0, min(self.LENGTH, slots * self.HOLD * due_ms / slot_ms))
 
     def put(self, task: Task) -> None:
-        line = self.lines[task.tenant]
-        insort(line.lanes[task.lane], task)
-        line.queued += 1
-        if len(line.lanes[task.lane]) == 1:
+        queue = self.lines[task.tenant].lanes.setdefault(task.lane, [])
+        insort(queue, task)
+        if len(queue) == 1:
             insort(self.waiting.setdefault(task.lane, []), task.tenant)
 
     def drop(self, task: Task) -> None:
-        line = self.lines[task.tenant]
-        at = bisect_left(line.lanes[task.lane], task)
-        if at == len(line.lanes[task.lane]) or line.lanes[task.lane][at] is not task:
+        lanes = self.lines[task.tenant].lanes
+        if task not in lanes.get(task.lane, ()):
             return
-        line.lanes[task.lane].pop(at)
-        line.queued -= 1
-        if not line.lanes[task.lane]:
+        lanes[task.lane].remove(task)
+        if not lanes[task.lane]:
+            del lanes[task.lane]
             self.waiting[task.lane].remove(task.tenant)
             if not self.waiting[task.lane]:
                 del self.waiting[task.lane]
 
     def next(self, now: float) -> Task | None:
         """The pools say whose class starts, caps whose work: the tenant least far into its cap goes first."""
-        lane = self.pools.next(now, self.waiting)
-        if lane is None:
+        if (lane := self.pools.next(now, self.waiting)) is None:
             return None
-        lines = [self.lines[at] for at in self.waiting[lane]]
-        return min(lines, key=lambda line: (line.busy + 1) / line.cap).lanes[lane][0]
+        tenant = min(self.waiting[lane], key=lambda at: (self.lines[at].busy + 1) / self.caps[at])
+        return self.lines[tenant].lanes[lane][0]
 
-    def pool(self, now: float, pools: Pools | Whole) -> None:
-        """From now on tasks wait in the lanes of these pools."""
-        held = [task for line in self.lines for lane in line.lanes for task in lane]
+    def pool(self, pools: Pools | Whole) -> None:
+        """From now on tasks wait in the lanes of these pools, which they have been given."""
+        lanes = [self.lines[at].lanes for at in self.held()]
+        held = [task for queues in lanes for lane in sorted(queues) for task in queues[lane]]
         self.pools, self.waiting = pools, {}
-        for line in self.lines:
-            line.lanes, line.queued = [[] for _ in range(pools.count)], 0
+        for queues in lanes:
+            queues.clear()
         for task in held:
-            task.lane = pools.lane(task.stage_no)
             self.put(task)
 
 
@@ -391,16 +425,14 @@
 
     def turn_ms(self, now: float) -> float:
         """Until a call asked for now may start: after the places that the share gives are taken, each one
-        ahead holds a place for the recent time of a call. Where calls queue for a slow shared dependency, a
-        task that starts only to wait for its call fails at its limit (lagos-roster big-2: 9,300 of them)."""
+        ahead holds a place for the recent time of a call."""
         ahead = len(self.waiting) + len(self.in_hand) + self.lingering + 1 - max(1.0, self.most)
         return max(0.0, self.free_at - now) + max(0.0, ahead) * self.recent_ms / max(self.most, 0.01)
 
 
 class Level:
     """Where a stage is dear, tasks of less utility are let in by a chance that falls while reading is behind
-    or many of the dear are lost. Guards against all that leaves less than is asked for: cores, what is below,
-    reading itself. Harms where all are worth about as much, so there it never acts."""
+    or many of the dear are lost. Where all are worth about as much it never acts."""
 
     DEAR = 2.0  # times a stage's mean utility: with less, what the others lose outweighs what is won
     CUT, OPEN = 0.6, 1.1  # of the share let in, a sample: a backlog fills faster than it drains
@@ -432,19 +464,15 @@
 
 
 class Signals:
-    """What callers are told: the free value shuts while tasks are turned away for want of room. Beside it
-    stand health and the time that their connections may idle."""
+    """What callers are told: a free value, shut while tasks are turned away, their idle time, and health."""
 
     GAIN = 0.5  # of the share turned away in a sample: shut in a few samples, with little overshoot
     OPEN = 0.8  # a sample leaves this much of it, or a few rejections would hold it shut for good
     MOST = 0.95  # never wholly shut while serving: without tasks nothing would show that there is room
-    # Connections a core beyond which idle ones are closed sooner: more than come back within seconds. Guards
-    # against a table full of callers that come once; could harm where connecting is dear and they come back.
+    # Connections a core beyond which idle ones are closed sooner: more than come back within seconds.
     LINKS, IDLE_LEAST_MS = 16.0, 1000.0
     KEEPS_UP = 0.05  # of its time that a task waits unread: beyond, reading waits for connections made anew
-    # Unread for half its time: too late. Health is bad for four samples, then good for five at the least.
-    # Guards against crowds that come as who only rejects looks idle; could harm where a whole fleet is late.
-    LOST, BAD, GOOD = 0.5, 4, 5
+    LOST, BAD, GOOD = 0.5, 4, 5  # of its time unread: bad for four samples at most, then good for five
 
     def __init__(self, actions: Actions, signal: Signal, speed: float, cores: int, callers: int,
                  idle_ms: float, listed: bool) -> None:
@@ -465,8 +493,7 @@
         self.say(0.0)
 
     def sample(self, speed: float, links: float, room: float, unread: float) -> None:
-        """Room: the tasks that may be here at once, running or queued, and still be answered in time. Two a
-        core among 180 gateways left each 0.02, which gateways settle by chance: most saw no willing one."""
+        """Room: the tasks that may be here at once, running or queued, and still be answered in time."""
         self.credit = room / self.callers
         away = self.turned_away / self.read if self.read else 0.0
         self.read = self.turned_away = 0
@@ -541,8 +568,7 @@
         return max(seen, 0.25 * (now - self.ended_at) * self.limit.on_cores)
 
     def run_time(self, task: Task, now: float) -> float:
-        """What a run takes: the stage's mean, leaning to the hint; the rest of a run is waits and chance."""
-        # What has not started waits behind the calls already waiting, where its stage calls.
+        """What a run takes: the stage's mean, leaning to the hint, after the calls that wait before it."""
         turn = self.calls.turn_ms(now) if task.state is State.HELD and task.stage_no in self.calling else 0.0
         if task.stage_no not in self.run_ms:
             return turn + max(self.slot(now), task.work or 0.0)
@@ -558,15 +584,14 @@
         self.limit.responses += 1
         self.limit.late += now > task.due
         self.pools.ended(now, task.lane, slot)
-        self.queues.lines[task.tenant].times.append(now - task.arrived)
+        self.queues.times.setdefault(task.tenant, []).append(now - task.arrived)
 
     def task(self, now: float, ident: int, stage_no: int, tenant: int, waited: float, limit: float | None,
              work: float | None, kb: float, same: int | None, caller: int = 0, again: bool = False,
              mark: int = 0) -> None:
-        """A task was read. The caller's number, its word that this is a further try, and a print of what the
-        task holds (0: none) are for the pools alone."""
+        """A task was read. Its caller, whether that marks a further try, and its print are for the pools."""
         stage = self.stages[stage_no]
-        task = Task(ident, stage_no, stage, tenant if tenant < len(self.queues.lines) else 0, now - waited)
+        task = Task(ident, stage_no, stage, tenant if tenant < self.queues.caps.known else 0, now - waited)
         task.kb, task.work = kb, work
         task.limit = max(now, limit if limit is not None else task.arrived + stage.limit_ms)
         task.due = min(task.limit, task.arrived + stage.due_ms + stage.due_stretch * (work or 0.0))
@@ -620,11 +645,10 @@
         over_share, room = line.over_share(now, not task.repeat), self.limit.has_room(now)
         task.lane, places, slot, free = self.pools.place(
             now, task.lane, task.repeat, over_share, self.queues.waiting, self.slot(now), room)
-        slots, queue = self.queues.part(task.tenant, task.lane, places), line.lanes[task.lane]
+        slots, queue = self.queues.part(task.tenant, task.lane, places), line.lanes.get(task.lane, ())
         span = max(0.0, task.due - task.arrived - run) / task.stage.utility**0.5
         task.key = task.arrived + (self.BEHIND * span if over_share else span)
-        ahead = 1 + bisect_left(queue, task)
-        wait = 0.0 if free else ahead * slot / slots
+        wait = 0.0 if free else (1 + bisect_left(queue, task)) * slot / slots
         full = len(queue) >= self.queues.length(slots, slot, self.due_ms)
         hope = self.OVER_SHARE if over_share else self.ROOM if task.work else self.UNHINTED
         part = task.hope * hope if wait else self.DOUBT
@@ -641,16 +665,13 @@
 
     def start(self, now: float) -> None:
         """Starts what may start: any tenant's while the total has room, by the caps once it is full."""
-        while self.queues.waiting and self.limit.has_room(now):
-            task = self.queues.next(now)
-            if task is None:
-                return
+        while self.queues.waiting and self.limit.has_room(now) and (task := self.queues.next(now)):
             if now + 0.8 * self.run_time(task, now) > min(task.due, self.duty.stop):  # a rough estimate
                 self.reject(task, now)
-                continue
-            if not self.limit.takes(task, self.repeats.kb):
+            elif self.limit.takes(task, self.repeats.kb):
+                self.go(task, now)
+            else:
                 return
-            self.go(task, now)
 
     def go(self, task: Task, now: float) -> None:
         self.queues.drop(task)
@@ -664,8 +685,7 @@
             self.reuse(follower, now)
 
     def ended(self, now: float, ident: int, outcome: Outcome) -> None:
-        task = self.duty.tasks.get(ident)
-        if task is not None:
+        if (task := self.duty.tasks.get(ident)) is not None:
             self.calls.end(task, now, Outcome.CANCELLED)
             if task.state is State.RUNNING and outcome in (Outcome.OK, Outcome.ERROR):
                 self.learn(task, now)
@@ -674,8 +694,7 @@
             self.work(now)
 
     def at_call(self, now: float, ident: int) -> None:
-        task = self.duty.tasks.get(ident)
-        if task is not None and task.state is State.RUNNING:
+        if (task := self.duty.tasks.get(ident)) is not None and task.state is State.RUNNING:
             self.calling.add(task.stage_no)
             self.move(task, State.CALLING, now)
             task.calls = 0
@@ -685,8 +704,7 @@
             self.work(now)
 
     def call_ended(self, now: float, ident: int, outcome: Outcome) -> None:
-        task = self.duty.tasks.get(ident)
-        if task is None or task.state is not State.CALLING:
+        if (task := self.duty.tasks.get(ident)) is None or task.state is not State.CALLING:
             return
         self.calls.end(task, now, outcome)
         if outcome is Outcome.OK:
@@ -724,22 +742,20 @@
         self.pools.on(now, task.lane, task.state is State.HELD)
 
     def pool(self, now: float, pools: Pools | None) -> None:
-        """Takes these pools in place of those before, with all that waits and runs; none: all classes are
-        one."""
+        """Takes these pools, or none, in place of those before, with all that waits and runs."""
         self.pools: Pools | Whole = pools or Whole(self.queues)
-        self.queues.pool(now, self.pools)
         for task in self.duty.tasks.values():
             task.lane = self.pools.lane(task.stage_no)
             if task.state is State.RUNNING:
                 self.pools.on(now, task.lane, True)
+        self.queues.pool(self.pools)
 
     def skip(self, task: Task, now: float) -> None:
         self.actions.skip_call(task.id)
         self.move(task, State.RUNNING, now)
 
     def go_without(self, now: float, task: Task) -> None:
-        """A call still waiting for its turn when the run could hardly end in time is left out. Guards against
-        all that keeps calls waiting; could harm only where the call would have gone in the last moment."""
+        """A call still waiting for its turn when the run could hardly end in time is left out."""
         if task in self.calls.waiting:
             self.calls.waiting.remove(task)
             self.skip(task, now)
@@ -754,8 +770,7 @@
         self.start(now)
 
     def caller_gone(self, now: float, ident: int) -> None:
-        task = self.duty.tasks.get(ident)
-        if task is not None and not task.answered:
+        if (task := self.duty.tasks.get(ident)) is not None and not task.answered:
             self.let_go(task, now)
             self.work(now)
 
@@ -786,8 +801,7 @@
             (self.reject if task.state is State.HELD else self.abandon)(task, now)
 
     def too_late(self, now: float, task: Task) -> None:
-        """Past its due time, what is held, kept from its call or can be stopped has nothing to gain: it is
-        told at once. Stopping guards against all that makes runs long; harms where the caller tries again."""
+        """Past its due time, what is held, kept from its call or can be stopped is given up at once."""
         waits = task.state is State.HELD or task in self.calls.waiting
         if task.stage.late_utility <= 0.0 and (waits or self.stops(task)):
             self.give_up(now, task)
@@ -796,10 +810,8 @@
         return self.halts and task.state is State.RUNNING and task.stage.effect is Effect.RESTARTABLE
 
     def reject(self, task: Task, now: float, stay_away: float = 0.0) -> None:
-        """Final answer to a task that has not run. While many are turned away, another server is hardly
-        better off and would only read it once more. Guards against tries that walk on and on; harms where
-        others have room, so never from one that leaves or is cold, nor for a rejection now and then or a
-        dear task, which is worth being read again."""
+        """Final answer to a task that has not run. While many are turned away, it is the last: another server
+        is hardly better off. Not from a server that leaves or is cold, and not for a dear task."""
         leaving, utility = self.signals.leaving, task.stage.utility
         wait = self.stay_away_most_ms if leaving else min(stay_away, self.stay_away_most_ms)
         last = not leaving and utility < self.level.dear and self.signals.shut > self.CROWDED
@@ -825,14 +837,13 @@
     def over(self, task: Task, now: float) -> None:
         """The task is gone from the server: its memory and places are free, and a follower takes its turn."""
         state, task.state = task.state, State.OVER
-        line = self.queues.lines[task.tenant]
         if state is State.HELD:
             self.queues.drop(task)
             if task.stage.effect is Effect.FINGERPRINTED:
                 self.repeats.drop(task, now)
         elif state is State.FOLLOWING and task.first:
             task.first.followers.remove(task)
-        line.busy -= state in (State.RUNNING, State.CALLING)
+        self.queues.lines[task.tenant].busy -= state in (State.RUNNING, State.CALLING)
         if state is State.RUNNING:
             self.limit.on_cores -= 1
             self.pools.off(now, task.lane)
--- a/pumicenotch/lab/plain.py
+++ b/pumicenotch/lab/plain.py
@@ -1,8 +1,6 @@
 """The baseline that servers without a mechanism have: first come first served by as many places as cores, a
 short bounded queue, no classes, no estimates. It keeps the four rules, which the chain around it keeps."""
 
-from bisect import insort
-
 from pumicenotch.control import Control, Task
 
 
@@ -11,7 +9,7 @@
 
     def queue(self, task: Task, now: float) -> None:
         task.key = task.arrived
-        waiting = sum(line.queued for line in self.queues.lines)
+        waiting = sum(len(queue) for lanes in self.lanes() for queue in lanes.values())
         if waiting >= self.HELD_A_CORE * self.limit.cores:
             self.reject(task, now)
         else:
@@ -20,16 +18,15 @@
 
     def start(self, now: float) -> None:
         while self.limit.on_cores < self.PLACES_A_CORE * self.limit.cores and self.queues.waiting:
-            held: list[Task] = []
-            for line in self.queues.lines:
-                for lane in line.lanes:
-                    if lane:
-                        insort(held, lane[0])
-            task = held[0]
+            task = min(queue[0] for lanes in self.lanes() for queue in lanes.values())
             if not self.limit.takes(task, self.repeats.kb):
                 return
             self.go(task, now)
 
+    def lanes(self) -> list[dict[int, list[Task]]]:
+        """The queues by lane of each tenant that has tasks waiting."""
+        return [self.queues.lines[tenant].lanes for tenant in self.queues.held()]
+
 
 if __name__ == "__main__":
     from pumicenotch.__main__ import main
--- a/tests/play.py
+++ b/tests/play.py
@@ -186,9 +186,9 @@
         assert float(plain[0]) <= self.seen.patience_ms <= float(plain[1]), self.seen.patience_ms
 
     def do_cap(self, plain: list[str], pairs: dict[str, Any]) -> None:
-        lines = self.control.queues.lines
-        cap = lines[list(self.tenants).index(plain[0])].cap
-        assert float(plain[1]) <= cap <= float(plain[2]), f"cap {cap} of {[line.cap for line in lines]}"
+        caps = [self.control.queues.caps[at] for at in range(len(self.tenants))]
+        cap = caps[list(self.tenants).index(plain[0])]
+        assert float(plain[1]) <= cap <= float(plain[2]), f"cap {cap} of {caps}"
 
     def end(self) -> None: ...
 
