--- a/tests/record.py
+++ b/tests/record.py
@@ -103,6 +103,10 @@
         """Whose the next task is."""
         return self.chance.randrange(self.tenants)
 
+    def gauges(self) -> tuple[float, ...]:
+        use = min(1.0, len(self.running) / self.cores)
+        return use, float(len(self.running)), 0.3, self.chance.uniform(0.0, 200.0)
+
     def play(self) -> str:
         """Events in order until the stream is over; the digest of all that was asked for."""
         ids, chance, next_task = count(1), self.chance, 0.0
@@ -130,8 +134,7 @@
                 continue
             self.now, _, name, details = heapq.heappop(self.events)
             if name == "tick":
-                use = min(1.0, len(self.running) / self.cores)
-                details = ((use, float(len(self.running)), 0.3, chance.uniform(0.0, 200.0)),)
+                details = (self.gauges(),)
             elif name == "ended":
                 self.running.discard(details[0])
             elif name == "call_ended" and details[1] is Outcome.OK:
@@ -166,6 +169,19 @@
         return (int(self.PLACES[group] * self.tenants) + nth) % self.tenants
 
 
+class Waiting(Shifting):
+    """The same, where most of what runs waits for the disk now and then: cores idle, so the total grows, and
+    is given back after."""
+
+    GROUP_MS = 4_500.0
+    EVERY_MS, WAITS_MS = 7_000.0, 2_500.0
+
+    def gauges(self) -> tuple[float, ...]:
+        use, running, heap, links = super().gauges()
+        on_cores = 0.4 if self.now % self.EVERY_MS < self.WAITS_MS else 1.0
+        return on_cores * use, on_cores * running, heap, links
+
+
 REACTIONS: dict[str, Any] = {
     "run": World.ran, "call": World.called, "skip_call": World.back, "reuse": World.reused,
     "wake": World.woken,
@@ -179,11 +195,15 @@
         (12, 4, 1.5, 5), (50, 5, 1.3, 6), (300, 20, 1.2, 7), (300, 3, 2.0, 8), (3000, 12, 1.6, 9),
         (15000, 40, 1.4, 10),
     )  # fmt: skip
+    waiting = ((2, 2, 1.3, 11), (12, 4, 1.5, 12), (300, 20, 1.2, 13), (3000, 12, 2.0, 14))
     found: dict[str, Callable[[], World]] = {}
     for at, kind in enumerate(KINDS):
         for tenants, load, seed in plain:
             name = f"kind {at} tenants {tenants} load {load} seed {seed}"
             found[name] = partial(World, seed, tenants, load, **kind)
+        for tenants, active, load, seed in waiting:
+            name = f"kind {at} {active} of {tenants} tenants load {load} disk seed {seed}"
+            found[name] = partial(Waiting, seed, tenants, load, active, **kind)
         for tenants, active, load, seed in shifting:
             name = f"kind {at} {active} of {tenants} tenants load {load} seed {seed}"
             found[name] = partial(Shifting, seed, tenants, load, active, **kind)
