--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -105,12 +105,12 @@
         wanted = roles.named(options.roles)
         slopes = chosen(wanted, options.by, options.sizes)
         if options.page:
-            page.renew(PAGE_FILE, records.read(SLOPES_FILE, roles.ROLES))
+            page.renew(PAGE_FILE, records.read(SLOPES_FILE, roles.RECORDED))
             print(
                 f"{PAGE_FILE.relative_to(ROOT)} is made from {SLOPES_FILE.relative_to(ROOT)}", file=sys.stderr
             )
             return 0
-        kept = records.read(options.out, roles.ROLES) if options.out is not None else []
+        kept = records.read(options.out, roles.RECORDED) if options.out is not None else []
     except (roles.UnknownRole, BadSize, BadSlopes, page.BadPage) as error:
         print(f"capacity: {error}", file=sys.stderr)
         return WRONG_USE
--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -70,7 +70,7 @@
     size: float
 
 
-DECISIONS, MAP = "server.decisions", "server.configuration"
+DECISIONS, MAP = "server.decisions.before", "server.configuration"
 KNOWN, STEP = "tenants_known", "longest_step"
 TRIALS = (
     Trial("a `Control` with 54,000 tenants holds 25 MB", 25e6, DECISIONS, KNOWN, "state", 54_000),
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -29,7 +29,7 @@
     "events": role_tables.event_table,
     "missing": shortfalls.missing_table,
     "over": shortfalls.over_table,
-    "decisions": role_tables.role_table("server.decisions"),
+    "decisions": role_tables.role_table("server.decisions", "server.decisions.before"),
     "connections": role_tables.role_table("server.connections"),
     "membership": role_tables.role_table("server.membership"),
     "agreement": role_tables.role_table("server.agreement"),
--- a/benchmarks/capacity/records.py
+++ b/benchmarks/capacity/records.py
@@ -30,6 +30,7 @@
     "services": "services in the configuration",
     "routes": "routes in the configuration",
     "tenants_known": "tenants that are configured",
+    "tenants_seen": "tenants that have sent since the server's start, in turn at 256 requests/s",
     "tenants_active": "tenants with a request in the last second at one server",
     "tenants_held": "tenants whose records one server subscribes to",
     "zones": "zones",
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -11,6 +11,7 @@
     resident,
     router,
 )
+from benchmarks.capacity.mechanisms import FORMER
 from benchmarks.capacity.slope import Slope
 
 SLOPES: tuple[Slope, ...] = (
@@ -25,6 +26,7 @@
     *distribution.SLOPES,
 )
 ROLES: tuple[str, ...] = tuple(sorted({role for slope in SLOPES for role in slope.roles}))
+RECORDED: tuple[str, ...] = tuple(sorted((*ROLES, *FORMER)))  # in the slopes file
 GROUPS: tuple[str, ...] = tuple(sorted({role.split(".")[0] for role in ROLES}))
 
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -7,7 +7,7 @@
 
 from benchmarks.capacity import assumptions, fits
 from benchmarks.capacity.assumptions import EVENTS, Assumption
-from benchmarks.capacity.mechanisms import MISSING, mechanism
+from benchmarks.capacity.mechanisms import FORMER, MISSING, mechanism
 from benchmarks.capacity.records import Measurement
 
 BUDGETS_AT_SERVER: dict[str, Assumption] = {
@@ -95,6 +95,10 @@
     @property
     def command(self) -> str:
         largest = f"{max(self.sizes):g}" if max(self.sizes) < 1e6 else f"{max(self.sizes):.0f}"
+        if self.role in FORMER:
+            role = self.role.removesuffix(".before")
+            checkout = f"git checkout {FORMER[self.role]} && python -m benchmarks.capacity"
+            return f"`{checkout} {role} --by {self.by} --sizes {largest}`"
         return f"`python -m benchmarks.capacity {self.role} --by {self.by} --sizes {largest}`"
 
 
--- a/benchmarks/capacity/shortfalls.py
+++ b/benchmarks/capacity/shortfalls.py
@@ -2,6 +2,7 @@
 
 from benchmarks.capacity.assumptions import EVENTS
 from benchmarks.capacity.markdown import amount, table
+from benchmarks.capacity.mechanisms import FORMER
 from benchmarks.capacity.rows import Row
 
 OVER = 1.0  # of a budget
@@ -9,6 +10,7 @@
 
 def over_budget(found: list[Row], missing: bool) -> list[Row]:
     some = [row for row in found if row.by not in EVENTS and row.missing is missing]
+    some = [row for row in some if row.role not in FORMER]
     over = [row for row in some if row.share is not None and row.share > OVER]
     over.sort(key=lambda row: row.share or 0.0)
     furthest = {(row.role, row.measure): row for row in over}  # one of a role and measure
--- a/benchmarks/capacity/totals.py
+++ b/benchmarks/capacity/totals.py
@@ -66,7 +66,7 @@
 
 
 STEPS: tuple[tuple[str, str, str, float], ...] = (  # role, by, what, how often a second
-    ("server.decisions", "tenants_known", "the sample over all known tenants", 1.0),
+    ("server.decisions", "tenants_known", "the sample of the tenants", 1.0),
     ("server.connections", "callers", "the look for idle connections", 4.0),
     ("server.membership", "servers", "a probe with an exchange of everything", 1.0 / 15.0),
     ("server.configuration", "tenants_known", "a whole cell map read", assumptions.CHANGES.value / 86_400.0),
