--- a/benchmarks/capacity/assumptions.py
+++ b/benchmarks/capacity/assumptions.py
@@ -101,7 +101,7 @@
     "services": SERVICES.value,
     "routes": ROUTES.value,
     "tenants_known": TENANTS.value,
-    "tenants_seen": TENANTS_AT_SERVER.value,
+    "tenants_seen": TENANTS.value,  # without cells a server sees all of them in time
     "tenants_active": ACTIVE.value,
     "tenants_held": TENANTS_AT_SERVER.value,
     "zones": ZONES.value,
--- a/benchmarks/capacity/mechanisms.py
+++ b/benchmarks/capacity/mechanisms.py
@@ -22,6 +22,10 @@
         "server.decisions", "tenants_known", "",
         "`control.py` `Lines`, `Caps`: a tenant costs from its first request on",
     ),
+    Mechanism(
+        "server.decisions", "tenants_seen", "longest_step",
+        f"{MISSING}: `control.py` `Caps.split` adds up all tenants' weights where a cap has changed",
+    ),
     Mechanism("server.decisions", "", "", "`control.py` `Queues.sample`: only active tenants are gone over"),
     Mechanism("server.decisions.before", "", "", "replaced: the sample went over all known tenants"),
     Mechanism("server.connections", "", "", "`server/callers.py` `Callers.close_idle`, four times a second"),
