--- a/tests/distribution/test_network.py
+++ b/tests/distribution/test_network.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from pumicenotch.distribution.changelog import ChangeLog
+from pumicenotch.distribution.events import SubscriptionChanged
 from pumicenotch.distribution.records import Change
 from pumicenotch.distribution.subscription import Subscription
 from tests.distribution.network import Network, Weather, tenant
@@ -54,11 +55,13 @@
     network.assert_settled()
 
 
+SUBSCRIPTIONS = [Subscription({"tenants": scopes}) for scopes in (None, ["c0"], ["c1", "c2"])]
+
+
 def run_script(seed: int, script: list[tuple[str, int]], weather: Weather) -> Network:
-    subscriptions = [Subscription({"tenants": scopes}) for scopes in (None, ["c0"], ["c1", "c2"])]
     network = Network(
         seed, voters=2, instances=5, weather=weather, log=lambda: ChangeLog(entries_most=4),
-        subscription=lambda at: subscriptions[at % 3],
+        subscription=lambda at: SUBSCRIPTIONS[at % 3],
     )  # fmt: skip
     network.run(1_500)
     for what, which in script:
@@ -80,6 +83,9 @@
         network.publish([Change("tenants", f"c{which % 3}/t{which % 4}", None)])
     elif what == "bulk":
         network.publish([tenant(f"c{at % 3}", f"bulk{at}-{which}", at) for at in range(900)])
+    elif what == "subscribe":
+        network.subscriptions[name] = SUBSCRIPTIONS[which // 5]
+        network.step(name, SubscriptionChanged(network.subscriptions[name]))
     elif what == "cut":
         network.cut ^= {name}
     elif what == "crash" and name in network.reducers:
@@ -88,7 +94,9 @@
         network.start_instance(name)
 
 
-STEPS = st.tuples(st.sampled_from(["put", "put", "drop", "bulk", "cut", "crash"]), st.integers(0, 11))
+STEPS = st.tuples(
+    st.sampled_from(["put", "put", "drop", "bulk", "cut", "crash", "subscribe"]), st.integers(0, 14)
+)
 
 
 @settings(max_examples=25, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
