--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -29,6 +29,8 @@
 # For the peers' own ends once the last answers are written, before the process ends: a way there and back.
 ENDS_S = 0.02
 FINISH_S = 0.002  # between looks whether all of that is so
+SMALL_HINT = 0.01  # below it four decimals would leave less than two digits
+LEAST_HINT = 1e-9  # above 0, as the nine decimals of a small one can tell it
 LAST_TRIES = 4  # to accept the last ones, where descriptors are short
 
 
@@ -38,7 +40,13 @@
 
 
 def fields(hint: float | None, **more: str) -> dict[str, str]:
-    return more if hint is None else {"hint": f"{hint:.4f}", **more}
+    return more if hint is None else {"hint": decimal(hint), **more}
+
+
+def decimal(hint: float) -> str:
+    """Never written as nothing unless it is: of a credit that very many callers share, each has little, and
+    told 0 none of them would send."""
+    return f"{hint:.4f}" if hint == 0.0 or hint >= SMALL_HINT else f"{max(hint, LEAST_HINT):.9f}"
 
 
 def rejected(message: int, hint: float | None, stay_away_ms: float, last: bool, cell: str = "") -> bytes:
