Test reports answered in pieces and a class's effect by the settings

Two terms of the standing test that no test on the real program showed: both pass on the code as it was.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -278,8 +278,8 @@
         answers = ", ".join(f"{kind} {count}" for kind, count in sorted(play.answers.items()))
         knew = ", ".join(f"{kind} {count}" for kind, count in sorted(play.knew.items()))
         on_cores = f"{play.on_cores.value:.1f} of {play.on_cores.allowed:.1f}"
-        print(f"share {play.case.share:g}, seed {play.case.seed}: arrived {play.arrivals}; on cores {on_cores}; "
-              f"{answers}; sent knowing {knew}")  # fmt: skip
+        print(f"share {play.case.share:g}, seed {play.case.seed}: arrived {play.arrivals}; "
+              f"on cores {on_cores}; {answers}; sent knowing {knew}")  # fmt: skip
     return int(any(play.arrivals.falls or play.on_cores.first_fall_told is not None for play in plays))
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -373,3 +373,44 @@
         bound(program, "starting", 0)
         good, hint = check(Gateway(program.address), 1)
         assert good and 0.2 <= hint * callers <= 1.0
+
+
+def test_a_report_that_is_answered_in_pieces_and_in_chunks_keeps_its_connection(tmp_path: Path) -> None:
+    """The next report comes on the same connection, though each piece is read apart."""
+    said = b"HTTP/1.1 204 No Content\r\nX-Long: " + b"x" * 300 + b"\r\n\r\n"
+    with Program(tmp_path) as program:
+        program.bind()
+        gateway, registry = Gateway(program.address), program.registry.accept()
+        registry.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        message = 0
+        for _ in range(2):
+            assert registry.line().startswith(b"PUT ")
+            while registry.line().strip():
+                pass
+            assert registry.file.read(17) == b'{"state":"ready"}'
+            for at in range(0, len(said), 60):
+                registry.send(said[at : at + 60])
+                message += 1
+                check(gateway, message)
+
+
+def test_a_class_has_the_effect_that_the_settings_give_it(tmp_path: Path) -> None:
+    """The class that is repeatable elsewhere is by_key here, with a short window: within it one run, after it
+    another."""
+    window_ms = 300
+    classes = [{"name": "read", "deadline": 900_000, "effect": "by_key", "memory-span": 1000 * window_ms}]
+    with Program(tmp_path, settings={**settings(), "classes": classes}) as program:
+        pool, gateway = program.bind(), Gateway(program.address)
+        token = {"token": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
+        first_ms = int(time.time() * 1000)
+        gateway.task(1, "aa", b"k", t0=str(first_ms), **token)
+        assert pool.command("spawn")["call"] == "aa"
+        gateway.task(2, "bb", b"k", t0=str(first_ms + window_ms - 1), again="1", **token)
+        pool.finish("aa", b"one")
+        assert [result(answer(gateway)), result(answer(gateway))] == [b"one", b"one"]
+        while time.time() * 1000.0 < first_ms + window_ms + 50:
+            time.sleep(0.005)
+        gateway.task(3, "cc", b"k", again="1", **token)
+        assert pool.command("spawn")["call"] == "cc"
+        pool.finish("cc", b"two")
+        assert result(answer(gateway)) == b"two"
