Work out the three references of the PI loop once

Cause: each pair of a sample went through the compensator twice, the second time for one of three constants.

--- a/pumicenotch/control.py
+++ b/pumicenotch/control.py
@@ -274,7 +274,8 @@
     through the active tenants only: an idle one keeps its v, and its queue is not long."""
 
     KP, KI = 0.47, 0.16  # DESIGN's gains
-    THRESHOLD, WINDOW, TILT = 0.66, 4, 3.0  # DESIGN's 20 in 30 of a queue's length, four samples, and 1:3
+    THRESHOLD, WINDOW = 0.66, 4  # DESIGN's 20 in 30 of a queue's length, and four samples
+    REFERENCES = (inverse(1.0), inverse(3.0), inverse(3.0**-1))  # 1:1, and 1:3 against either, by marks apart
     LENGTH = 30  # DESIGN's q_len, the most that a queue may hold however fast it drains
     HOLD = 0.7  # of the due time may go by in a full queue: the rest is for the run and its calls
 
@@ -293,8 +294,7 @@
         for at in means:
             if at - 1 in means:
                 before, line = self.lines[at - 1], self.lines[at]
-                r = self.TILT ** (line.marked - before.marked)  # 1:1 with none or all marked
-                error = inverse(means[at] / means[at - 1]) - inverse(r)
+                error = inverse(means[at] / means[at - 1]) - self.REFERENCES[line.marked - before.marked]
                 v = line.v + (self.KP + self.KI) * error - self.KP * line.error
                 line.v, line.error = max(-Caps.V_MOST, min(Caps.V_MOST, v)), error
                 self.caps.set_v(at, line.v)
