Follow another subscription at a reload; tell a record that is not held from one that is not there

Cause: a server's services change without a restart; a lookup of a scope that the server does not take answered as if there were no record. Change: SIGHUP hands the new subscription to the node, NotHeld with its remedy; nothing of the distribution is loaded without its block (tests/fleet/test_alone.py).

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -87,6 +87,9 @@
         held = hub.core.fence.cells
         if held is None or cells.epoch > held.epoch:
             hub.put("remap", cells, f"the cell map of epoch {cells.epoch} is in force")
+    if ours is not None and ours.distribution != values["ours"].distribution:
+        resubscribe(values, ours.distribution)
+        values["ours"] = values["ours"]._replace(distribution=ours.distribution)
     if ours is not None and ours.plan != values["ours"].plan:
         values["ours"], plan = ours, ours.plan
         hub.put(
@@ -94,6 +97,16 @@
         )
 
 
+def resubscribe(values: dict[str, Any], settings: Any) -> None:
+    """The block `distribution` of the file of ours has changed."""
+    peers = values["peers"]
+    if peers is None or peers.extension is None or settings is None:
+        logger.info("reload: the block distribution is switched on and off by a restart")
+        return
+    peers.extension.reload(settings)
+    logger.info("reload: this server takes published configuration of {}", settings.meaning())
+
+
 async def replanned(config: str) -> Any:
     """What the file of ours says now; None where none was named. The file is read in a process of its own,
     while this one goes on."""
@@ -212,9 +225,9 @@
         logger.info("listening on {}:{}", *bound[:2])
         logger.info("callers are told a {}: the settings are of that shape", values["shape"])
         group.start_soon(clock.run, lambda: hub.put("time"))
-        peers = None
         if getattr(values["ours"], "fleet", None) is not None:
-            peers = await join(hub, group, values["ours"], values["seed"], values["sockets"])
+            values["peers"] = await join(hub, group, values["ours"], values["seed"], values["sockets"])
+        peers = values["peers"]
         await hub.exit.wait()
         if peers is not None:
             peers.put("left")
@@ -282,7 +295,7 @@
     try:
         values = read()
         values["config"] = os.environ.get("PUMICENOTCH_CONFIG", "")
-        values["ours"] = planned(values["config"])
+        values["ours"], values["peers"] = planned(values["config"]), None
         core = made(values, decides)
     except ValueError as error:
         sys.exit(f"pumicenotch: {error}")
--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -81,6 +81,10 @@
         """What is in force."""
         return self._replica.copy.view
 
+    def holds(self, table: str, scope: str) -> bool:
+        """Whether the view has that scope, with or without records in it."""
+        return self._replica.copy.coverage.contains(table, scope)
+
     @property
     def relay(self) -> bool:
         """Whether it serves others of its zone."""
--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -18,6 +18,7 @@
 from pumicenotch.distribution.instance_settings import InstanceSettings
 from pumicenotch.distribution.messages import METHOD
 from pumicenotch.distribution.node import Node
+from pumicenotch.distribution.records import split_key
 from pumicenotch.distribution.tables import TABLES, table_of
 from pumicenotch.distribution.view import View
 from pumicenotch.errors import PumicenotchError
@@ -125,6 +126,13 @@
 
     def looked_up(self, table: str, key: str) -> dict[str, Any]:
         table_of(TABLES, table)
+        scope, _ = split_key(f"record {table}:{key}", key)
+        if not self.holds(table, scope):
+            raise NotHeld(
+                f"record {table}:{key}",
+                f"{self.hub.hello[1]} does not hold the scope {scope}",
+                "ask a process that subscribes to it, or a voter; one that has just started: ask again",
+            )
         value = self.view.lookup(table, key)
         return {
             "instance": self.hub.hello[1],
@@ -148,6 +156,10 @@
     def step(self, now_ms: float, event: Any) -> list[effects.Effect]:
         """Of the reducer."""
 
+    @abstractmethod
+    def holds(self, table: str, scope: str) -> bool:
+        """Whether the view has that scope, with or without records in it."""
+
     @property
     @abstractmethod
     def view(self) -> View:
@@ -168,6 +180,12 @@
     code = "bad-request"
 
 
+class NotHeld(PumicenotchError):
+    """A record of a scope to which the process does not subscribe, or that it has not got yet."""
+
+    code = "not-held"
+
+
 class NotLeading(Exception):
     """A voter that does not lead is asked for what only the leader knows."""
 
@@ -213,6 +231,13 @@
         if news.who.address not in self.voters:
             self.put(events.PeerChanged(peer_of(news)))
 
+    def reload(self, settings: InstanceSettings) -> None:
+        """The server's file says something else now: the subscription follows it, the rest at a restart."""
+        self.put(events.SubscriptionChanged(settings.subscribed()))
+
+    def holds(self, table: str, scope: str) -> bool:
+        return self.node.holds(table, scope)
+
     @property
     def view(self) -> View:
         return self.node.view
--- a/pumicenotch/net/voter_configuration.py
+++ b/pumicenotch/net/voter_configuration.py
@@ -65,6 +65,9 @@
             raise NotLeading(self.node.leadership().address)
         return super().answer(verb, args)
 
+    def holds(self, table: str, scope: str) -> bool:
+        return True
+
     @property
     def view(self) -> View:
         return self.publications.view
--- a/tests/fleet/configured.py
+++ b/tests/fleet/configured.py
@@ -45,6 +45,7 @@
     """Servers with the block `distribution`; `voter_block` and `server_block` add to it."""
 
     voter_block = ""
+    subscriptions = SUBSCRIBE_ALL
 
     def __init__(self, world: World, seed: int, launch: Launch, folder: Path) -> None:
         super().__init__(world, seed, launch, folder)
@@ -59,9 +60,8 @@
         """The member's block with the block `distribution` in it."""
         launch = super().launch_of(node)
         path = Path(launch.config)
-        block = (
-            f"  distribution {{\n    relays = 2\n{SUBSCRIBE_ALL}{self.server_block(f'n{node.number}')}  }}\n"
-        )
+        own = self.server_block(f"n{node.number}")
+        block = f"  distribution {{\n    relays = 2\n{self.subscriptions}{own}  }}\n"
         text = path.read_text().rstrip()
         path.write_text(f"{text.removesuffix('}')}{block}}}\n")
         return launch
--- a/tests/fleet/test_alone.py
+++ b/tests/fleet/test_alone.py
@@ -38,9 +38,22 @@
     """The bench's run has no such file: it lives in 32 MB and a part of a core."""
     script = (
         "import sys, pumicenotch.__main__\n"
-        "rooms = ('members', 'agree', 'fleet', 'cells', 'config', 'net.peers', 'net.fleet')\n"
+        "rooms = ('members', 'agree', 'fleet', 'cells', 'config', 'distribution', 'net.peers', 'net.fleet')\n"
         "whole = tuple(f'pumicenotch.{room}' for room in rooms)\n"
         "print([name for name in sys.modules if name.startswith(whole)])"
     )
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_a_fleet_without_the_block_distribution_loads_nothing_of_it() -> None:
+    """Neither in a server nor in a voter."""
+    script = (
+        "import sys, pumicenotch.__main__, pumicenotch.net.fleet, pumicenotch.config.compiled as compiled\n"
+        "compiled.load(compiled.dump(compiled.Ours()), 'plan')\n"
+        "whole = ('pumicenotch.distribution', 'pumicenotch.net.configuration',"
+        " 'pumicenotch.net.voter_configuration')\n"
+        "print([name for name in sys.modules if name.startswith(whole)])"
+    )
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -8,7 +8,7 @@
 
 from pumicenotch.lab.relay import Way
 from pumicenotch.lab.world import World
-from tests.fleet.configured import WATCHED, Configured, Refused, entries, generation, play
+from tests.fleet.configured import SUBSCRIBE_ALL, WATCHED, Configured, Refused, entries, generation, play
 from tests.fleet.harness import world
 from tests.histories.configuration import Key, Value
 
@@ -252,6 +252,33 @@
     return told
 
 
+class TwoScopes(Configured):
+    """Servers take what is watched, and of the routes no other scope."""
+
+    subscriptions = SUBSCRIBE_ALL.replace("all = true", 'scopes = ["s1", "c1"]')
+
+
+def test_a_server_holds_what_it_subscribes_to_and_takes_another_subscription_at_a_reload(
+    tmp_path: Path,
+) -> None:
+    async def script(run: Configured) -> None:
+        key = ("routes", "s9/a")
+        await run.served(await run.publish(generation(0) | {key: {"upstream": "u9"}}))
+        error, _ = await run.crew.once("n0", "lookup", *key)
+        assert error[2] == "not-held" and "n0 does not hold the scope s9" in error[1]
+        path = run.folder / "n0.hcl"
+        path.write_text(path.read_text().replace('"s1"', '"s1", "s9"'))
+        run.node("n0", signal.SIGHUP)
+        async with asyncio.timeout(30.0):
+            while (await run.crew.once("n0", "lookup", *key))[0] is not None:
+                await asyncio.sleep(0.05)
+        assert (await run.looked_up("n0", key))["value"] == {"upstream": "u9"}
+        assert (await run.crew.once("n1", "lookup", *key))[0] is not None
+        await run.served(await run.publish(generation(1)))
+
+    play(script, tmp_path, small(servers=2, zones=2), TwoScopes)
+
+
 def test_the_operators_commands_publish_look_up_and_tell_who_is_behind(tmp_path: Path) -> None:
     async def script(run: Configured) -> None:
         good = await run.publish_by_command(generation(0))
