--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -7,7 +7,10 @@
 import json
 import math
 import random
+import time
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any, ClassVar
 
 from loguru import logger
@@ -41,6 +44,35 @@
     return events.Peer(who.name, who.zone, who.region, who.address, who.life)
 
 
+class StepTimes:
+    """Processor time of the steps by which the distribution holds the event loop: what else the machine does
+    meanwhile is not in it."""
+
+    BOUND_MS = 1.0
+
+    def __init__(self) -> None:
+        self.count = self.over_bound = 0
+        self.longest_ms = 0.0
+
+    @contextmanager
+    def measured(self) -> Iterator[None]:
+        began = time.thread_time()
+        try:
+            yield
+        finally:
+            took_ms = (time.thread_time() - began) * 1000.0
+            self.count += 1
+            self.over_bound += took_ms > self.BOUND_MS
+            self.longest_ms = max(self.longest_ms, took_ms)
+
+    def plain(self) -> dict[str, Any]:
+        return {
+            "count": self.count,
+            "over_1_ms": self.over_bound,
+            "longest_ms": round(self.longest_ms, 2),
+        }
+
+
 class Carrier(ABC):
     """What instances and voters have in common: messages, the timer, effects and requests."""
 
@@ -49,12 +81,17 @@
     def __init__(self, hub: PeerHub) -> None:
         self.hub = hub
         self.timer = ResettableTimer()
+        self.step_times = StepTimes()
 
     def run(self) -> None:
         """Begins, in the hub's task group."""
         self.hub.extension = self
         self.put(events.Started())
-        self.hub.group.start_soon(self.timer.run, lambda: self.put(events.Ticked()))
+        self.hub.group.start_soon(self.timer.run, self.tick)
+
+    def tick(self) -> None:
+        with self.step_times.measured():
+            self.put(events.Ticked())
 
     # Inputs
 
@@ -75,13 +112,17 @@
         """Whether the notice was one of the distribution's."""
         if method != METHOD:
             return False
+        with self.step_times.measured():
+            self.receive(events.Sender(*sender), params)
+        return True
+
+    def receive(self, sender: events.Sender, params: Any) -> None:
         try:
             message = message_of(params)
         except MalformedMessage as error:
-            self.hub.count_trouble("configuration_unreadable", f"{sender[0]}: {error}")
-            return True
-        self.put(events.Received(events.Sender(*sender), message))
-        return True
+            self.hub.count_trouble("configuration_unreadable", f"{sender.name}: {error}")
+            return
+        self.put(events.Received(sender, message))
 
     def request(self, conn: int, message: int, verb: str, args: Any) -> bool:
         """Whether the request was one of the distribution's."""
@@ -121,7 +162,7 @@
             case ["lookup", str(table), str(key)]:
                 return self.looked_up(table, key)
             case ["configuration"]:
-                return self.status()
+                return {**self.status(), "steps": self.step_times.plain()}
         raise BadRequest(verb, "other values are wanted", "lookup: a table and a key; configuration: nothing")
 
     def looked_up(self, table: str, key: str) -> dict[str, Any]:
