Tell a copy that is ahead of all its sources from a current one

Cause: when all voters have ended and the fleet is founded anew, servers kept their higher version and told an age of nothing, as each source with a lower version counted as a proof that they are current. Seen by a test on real processes that failed before. Change: only a source with the very version counts for the age; SourceBehind, with its remedy, in the status and in what voters hear; a source that forgot its child has no version until it accepts again; docs.

--- a/pumicenotch/distribution/errors.py
+++ b/pumicenotch/distribution/errors.py
@@ -77,6 +77,12 @@
     code = "source-refused"
 
 
+class SourceBehind(DistributionError):
+    """All sources of this instance have lower versions than its own copy."""
+
+    code = "source-behind"
+
+
 class MalformedMessage(DistributionError):
     """A message is not of the form that sources and replicas send."""
 
--- a/pumicenotch/distribution/node.py
+++ b/pumicenotch/distribution/node.py
@@ -10,7 +10,7 @@
 from pumicenotch.distribution.acknowledging import Acknowledger
 from pumicenotch.distribution.changelog import LogEntry
 from pumicenotch.distribution.effects import Effect, WakeAt
-from pumicenotch.distribution.errors import DistributionError, SourceRefused
+from pumicenotch.distribution.errors import DistributionError, SourceBehind, SourceRefused
 from pumicenotch.distribution.events import (
     NodeEvent,
     Peer,
@@ -95,6 +95,12 @@
         """What keeps this copy behind, if anything does."""
         if self._replica.copy.error is not None:
             return self._replica.copy.error
+        if self._is_ahead_of_sources():
+            return SourceBehind(
+                f"instance {self.me.name}",
+                f"it has version {self.view.version}, and all its sources have lower ones",
+                "if the fleet was founded anew, publish all again, then restart this instance",
+            )
         if self._started_at + self._settings.source_silent_ms > self._now or self._has_source():
             return None
         return SourceRefused(
@@ -121,6 +127,12 @@
             "counts": dict(self.counts),
         }
 
+    def _is_ahead_of_sources(self) -> bool:
+        """For longer than a source may lag: no version goes back, so that nothing mends it by itself."""
+        versions = [link.version for link in self._upstreams.links if link.accepted]
+        silent = self._now - self._current_at >= self._settings.source_silent_ms
+        return bool(versions) and max(versions) < self.view.version and silent
+
     def _has_source(self) -> bool:
         return any(link.accepted for link in self._upstreams.links)
 
@@ -276,7 +288,8 @@
 
     def _find_age(self) -> None:
         for link in self._upstreams.links:
-            if link.version <= self.view.version:
+            # One with a lower version says nothing: it lags, or its past is another one.
+            if link.version == self.view.version:
                 self._current_at = max(self._current_at, link.as_of)
 
     # Acknowledgements
@@ -284,15 +297,21 @@
     def report(self) -> Report:
         """Of this copy and those that it serves."""
         copy = self._replica.copy
-        code = "" if copy.error is None else copy.error.code
+        code = self._code()
         if not code and not copy.coverage.covers(self._own):
             code = BEHIND
         own = own_report(self.me.name, copy.view.version, copy.newest, code)
         return merged([own, self._source.report()])
 
-    def _acknowledge(self, now: float) -> None:
+    def _code(self) -> str:
+        """Of the error that sources are to hear of."""
         error = self._replica.copy.error
-        code = "" if error is None else error.code
+        if error is None:
+            return SourceBehind.code if self._is_ahead_of_sources() else ""
+        return error.code
+
+    def _acknowledge(self, now: float) -> None:
+        code = self._code()
         if code != self._error_code:
             self._error_code = code
             self._acknowledger.changed(now, serves=bool(self._source.children))
--- a/pumicenotch/distribution/upstreams.py
+++ b/pumicenotch/distribution/upstreams.py
@@ -144,6 +144,7 @@
         link = self.link(address)
         if link is not None and link.accepted:
             link.accepted, link.subscribe_at, link.tries = False, now_ms, 0
+            link.version, link.as_of = 0, -NEVER  # it may be another process, with another past
 
     def subscribe_anew(self, now_ms: float) -> None:
         """The subscription is another one."""
--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from pumicenotch.distribution.publications import LEVEL
 from pumicenotch.lab.relay import Way
 from pumicenotch.lab.world import World
 from tests.fleet.configured import SUBSCRIBE_ALL, WATCHED, Configured, Refused, entries, generation, play
@@ -252,6 +253,30 @@
     return told
 
 
+def test_servers_of_a_fleet_founded_anew_keep_what_they_have_and_say_so(tmp_path: Path) -> None:
+    """All voters end at once, and with them what was published: the new fleet begins with version 0."""
+
+    async def script(run: Configured) -> None:
+        last = await run.publish_generations(0, 4)
+        await run.served(last)
+        for name in run.crew.voters:
+            run.crew.signal(name, signal.SIGKILL)
+        for name in run.crew.voters:
+            run.crew.boot(name)
+        await run.crew.agreed(lambda status: status["level"] >= LEVEL)
+        assert await run.version() == 0
+        await run.until(lambda: all(run.recorder.age_ms(name) > STALE_MS for name in run.servers))
+        relays = [name for name in run.servers if (await run.told(name))["relay"]]
+        assert relays
+        for name in relays:
+            await run.straggler(name, "source-behind")
+            assert "restart this instance" in (await run.told(name))["error"]["text"]
+        await run.until(lambda: all(run.recorder.age_ms(name) > STALE_MS for name in run.servers))
+        assert all(run.recorder.newest[name].version == last for name in run.servers)
+
+    play(script, tmp_path, small(servers=3))
+
+
 class TwoScopes(Configured):
     """Servers take what is watched, and of the routes no other scope."""
 
