--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -4,10 +4,14 @@
 Messages travel as notices of one method on the hub's links. The reducer has a timer of its own, so that a
 large publication is applied in slices between everything else that the process does."""
 
+import gc
 import json
 import math
 import random
+import time
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any, ClassVar
 
 from loguru import logger
@@ -18,6 +22,7 @@
 from pumicenotch.distribution.instance_settings import InstanceSettings
 from pumicenotch.distribution.messages import METHOD
 from pumicenotch.distribution.node import Node
+from pumicenotch.distribution.records import split_key
 from pumicenotch.distribution.tables import TABLES, table_of
 from pumicenotch.distribution.view import View
 from pumicenotch.errors import PumicenotchError
@@ -40,6 +45,35 @@
     return events.Peer(who.name, who.zone, who.region, who.address, who.life)
 
 
+class StepTimes:
+    """Processor time of the steps by which the distribution holds the event loop: what else the machine does
+    meanwhile is not in it."""
+
+    BOUND_MS = 1.0
+
+    def __init__(self) -> None:
+        self.count = self.over_bound = 0
+        self.longest_ms = 0.0
+
+    @contextmanager
+    def measured(self) -> Iterator[None]:
+        began = time.thread_time()
+        try:
+            yield
+        finally:
+            took_ms = (time.thread_time() - began) * 1000.0
+            self.count += 1
+            self.over_bound += took_ms > self.BOUND_MS
+            self.longest_ms = max(self.longest_ms, took_ms)
+
+    def plain(self) -> dict[str, Any]:
+        return {
+            "count": self.count,
+            "over_1_ms": self.over_bound,
+            "longest_ms": round(self.longest_ms, 2),
+        }
+
+
 class Carrier(ABC):
     """What instances and voters have in common: messages, the timer, effects and requests."""
 
@@ -48,12 +82,17 @@
     def __init__(self, hub: PeerHub) -> None:
         self.hub = hub
         self.timer = ResettableTimer()
+        self.step_times = StepTimes()
 
     def run(self) -> None:
         """Begins, in the hub's task group."""
         self.hub.extension = self
         self.put(events.Started())
-        self.hub.group.start_soon(self.timer.run, lambda: self.put(events.Ticked()))
+        self.hub.group.start_soon(self.timer.run, self.tick)
+
+    def tick(self) -> None:
+        with self.step_times.measured():
+            self.put(events.Ticked())
 
     # Inputs
 
@@ -74,13 +113,17 @@
         """Whether the notice was one of the distribution's."""
         if method != METHOD:
             return False
+        with self.step_times.measured():
+            self.receive(events.Sender(*sender), params)
+        return True
+
+    def receive(self, sender: events.Sender, params: Any) -> None:
         try:
             message = message_of(params)
         except MalformedMessage as error:
-            self.hub.count_trouble("configuration_unreadable", f"{sender[0]}: {error}")
-            return True
-        self.put(events.Received(events.Sender(*sender), message))
-        return True
+            self.hub.count_trouble("configuration_unreadable", f"{sender.name}: {error}")
+            return
+        self.put(events.Received(sender, message))
 
     def request(self, conn: int, message: int, verb: str, args: Any) -> bool:
         """Whether the request was one of the distribution's."""
@@ -120,11 +163,18 @@
             case ["lookup", str(table), str(key)]:
                 return self.looked_up(table, key)
             case ["configuration"]:
-                return self.status()
+                return {**self.status(), "steps": self.step_times.plain()}
         raise BadRequest(verb, "other values are wanted", "lookup: a table and a key; configuration: nothing")
 
     def looked_up(self, table: str, key: str) -> dict[str, Any]:
         table_of(TABLES, table)
+        scope, _ = split_key(f"record {table}:{key}", key)
+        if not self.holds(table, scope):
+            raise NotHeld(
+                f"record {table}:{key}",
+                f"{self.hub.hello[1]} does not hold the scope {scope}",
+                "ask a process that subscribes to it, or a voter; one that has just started: ask again",
+            )
         value = self.view.lookup(table, key)
         return {
             "instance": self.hub.hello[1],
@@ -148,6 +198,10 @@
     def step(self, now_ms: float, event: Any) -> list[effects.Effect]:
         """Of the reducer."""
 
+    @abstractmethod
+    def holds(self, table: str, scope: str) -> bool:
+        """Whether the view has that scope, with or without records in it."""
+
     @property
     @abstractmethod
     def view(self) -> View:
@@ -168,6 +222,12 @@
     code = "bad-request"
 
 
+class NotHeld(PumicenotchError):
+    """A record of a scope to which the process does not subscribe, or that it has not got yet."""
+
+    code = "not-held"
+
+
 class NotLeading(Exception):
     """A voter that does not lead is asked for what only the leader knows."""
 
@@ -199,6 +259,9 @@
         )
 
     def run(self) -> None:
+        # A full collection over all that the program has loaded would hold the loop for some 25 ms, and a
+        # large publication brings one about.
+        gc.freeze()
         super().run()
         for news in self.hub.node.members.news.values():
             self.member_changed(news)
@@ -213,6 +276,13 @@
         if news.who.address not in self.voters:
             self.put(events.PeerChanged(peer_of(news)))
 
+    def reload(self, settings: InstanceSettings) -> None:
+        """The server's file says something else now: the subscription follows it, the rest at a restart."""
+        self.put(events.SubscriptionChanged(settings.subscribed()))
+
+    def holds(self, table: str, scope: str) -> bool:
+        return self.node.holds(table, scope)
+
     @property
     def view(self) -> View:
         return self.node.view
