--- a/benchmarks/capacity/distribution.py
+++ b/benchmarks/capacity/distribution.py
@@ -103,8 +103,8 @@
     changes = [load.tenant(at, 2.0) for at in range(int(size))]
     addresses = (spread.voters[0], spread.busiest_relay(), spread.a_replica())
     spread.watch(*addresses)
-    spread.publish(changes)
     with frozen_heap():
+        spread.publish(changes)
         spread.until(spread.all_current, WITHIN_MS)
     slowest = max(spread.in_force.values()) - spread.published_at
     found = readings(REPLICA, in_force=slowest)
