Hollow instances in the lab: many real members in a process, in a fleet of real voters

Cause: a fleet of 2,500 cannot be tried with whole servers on one machine. Change: lab/hollow* hold real membership, agreement clients and frames with no requests behind them; FleetRun and the experiment's schema carry them (block hollow), with losses, region cuts, replacements, a guard on memory, processes and time, and a ratio between arms.

--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -1,6 +1,7 @@
 """`pumicenotch lab`: experiments, their results, and a world to look at."""
 
 import json
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated, Any
@@ -11,6 +12,7 @@
 
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.lab import experiment as lab_
+from pumicenotch.lab.guard import MachineTooSmall
 
 lab = App(name="lab", help="Real servers with an emulated world round them: experiments and their results.")
 Json = Annotated[bool, Parameter(name="--json", negative="")]
@@ -68,8 +70,10 @@
         told, path = lab_.read(name, sets)
         if out is not None and (out / "summary.json").exists():
             raise BadFile(f"{out}: holds a result already: name another folder, or remove it first")
-    except BadFile as error:
+        lab_.check_machine(told)
+    except (BadFile, MachineTooSmall) as error:
         wrong(error)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # as Ctrl-C: what runs is ended
     found: list[lab_.Run] = []
     whole = True
     logs = str(out) if out is not None else ""
@@ -79,7 +83,10 @@
             print(f"{ran.arm} seed {ran.seed}: utility {ran.figures['utility']:.3f}", file=sys.stderr)
     except KeyboardInterrupt:
         whole = False
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)  # what runs is ending already
         print("stopped: what had ended is kept and marked", file=sys.stderr)
+    except MachineTooSmall as error:
+        wrong(error)
     summary = lab_.summary(told, path.stem, sets, found, whole)
     try:
         if out is not None:
@@ -101,7 +108,7 @@
     arms = summary["arms"]
     for arm in arms:
         table.add_column(arm, justify="right")
-    for figure in next(iter(arms.values()), {}):
+    for figure in dict.fromkeys(figure for arm in arms.values() for figure in arm):
         table.add_row(figure, *(f"{arms[arm].get(figure, float('nan')):.4g}" for arm in arms))
     console.print(table)
     bounds = Table(title="bounds" if summary["whole"] else "bounds (stopped before the end)")
--- a/pumicenotch/lab/crew.py
+++ b/pumicenotch/lab/crew.py
@@ -39,9 +39,14 @@
 
 
 class Crew:
-    """`budgets` is HCL text of blocks; members by hand may stand there too."""
-
-    def __init__(self, folder: Path, seed: int, voters: int, zones: int, budgets: str) -> None:
+    """`budgets` is HCL text of blocks; members by hand may stand there too. Where they are `direct`, no relay
+    is between the processes: it would carry more than one process can."""
+
+    def __init__(
+        self, folder: Path, seed: int, voters: int, zones: int, budgets: str, regions: int = 1,
+        direct: bool = False,
+    ) -> None:  # fmt: skip
+        self.regions, self.direct = regions, direct
         self.folder, self.seed, self.zones, self.budgets = folder, seed, zones, budgets
         self.relay = Relay(seed)
         self.ip = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250 + 1}.{next(NUMBERS) % 250 + 1}"
@@ -58,14 +63,22 @@
     def port(self, name: str) -> int:
         return self.ports.setdefault(name, len(self.ports))
 
+    def region(self, zone: str) -> str:
+        """Of a zone z0, z1, ...; none where the world has only one."""
+        return f"g{int(zone[1:]) % self.regions}" if self.regions > 1 else ""
+
     def real(self, name: str) -> str:
         return f"{self.ip}:{REAL + self.port(name)}"
 
     def shown(self, name: str) -> str:
+        if self.direct:
+            return self.real(name)
         return f"{self.ip}:{SHOWN + self.port(name)}"
 
     async def add(self, name: str, zone: str) -> None:
         self.zone[name] = zone
+        if self.direct:
+            return
         await self.relay.open(name, self.real(name), self.ip, SHOWN + self.port(name))
 
     # Processes
@@ -78,6 +91,7 @@
             voter.path.write_text(
                 f'fleet = "{FLEET}"\nmember = "{voter.name}"\nlisten = "{self.real(voter.name)}"\n'
                 f'advertise = "{self.shown(voter.name)}"\nzone = "{voter.zone}"\nseed = {self.seed}\n'
+                f'region = "{self.region(voter.zone)}"\n'
                 f"{listed}{self.budgets}\n"
             )
             self.boot(voter.name)
@@ -94,7 +108,8 @@
         more = f'  uses = ["{uses}"]\n' if uses else ""
         return (
             f'fleet "{FLEET}" {{\n  member = "{name}"\n  listen = "{self.real(name)}"\n'
-            f'  advertise = "{self.shown(name)}"\n  voters = [{voters}]\n  zone = "{zone}"\n{more}}}\n'
+            f'  advertise = "{self.shown(name)}"\n  voters = [{voters}]\n  zone = "{zone}"\n'
+            f'  region = "{self.region(zone)}"\n{more}}}\n'
         )
 
     def signal(self, name: str, number: int) -> None:
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -24,12 +24,14 @@
 from pumicenotch.config.files import put
 from pumicenotch.config.hcl import Block, parse
 from pumicenotch.config.schema import Schema, load
+from pumicenotch.lab.guard import SEED_S, Machine, check, raise_descriptors
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.measure import figures, windows
-from pumicenotch.lab.world import World, names_of
+from pumicenotch.lab.world import World, names_of, region_of, zone_of
 
 FORM = 1  # of summary.json
 FOLDER = Path(__file__).parents[2] / "experiments"
+ROUND_S = 15.0  # for a run's start and end beside its length, without hollow instances
 CORES_A_RUN = 1  # a loopback run has a server and a world, some tenths of a core together
 CORES_A_FLEET = 2  # and a fleet has a dozen servers, voters and a relay, maybe agents
 
@@ -40,6 +42,8 @@
     pools: str = ""  # a file of ours, beside the experiment's
     drains: Literal["none", "alone", "agreed"] = "agreed"  # of a fleet: what becomes of its `drain_all`
     releases: Literal["none", "good", "bad-class", "crash-loop", "kills-below"] = "none"
+    hollow: bool = True  # whether the world's hollow instances are there
+    length_s: Annotated[float, Field(gt=1.0)] | None = None  # where it ends sooner than the others
 
 
 class Bound(Schema):
@@ -48,6 +52,7 @@
     figure: str
     arm: str
     than: str | None = None
+    ratio: bool = False  # to the other arm's figure, in place of the difference
     least: float | None = None
     most: float | None = None
 
@@ -55,6 +60,8 @@
     def bounded(self) -> "Bound":
         if (self.least is None) == (self.most is None):
             raise ValueError("either least or most is wanted")
+        if self.ratio and self.than is None:
+            raise ValueError("ratio: than is wanted, the arm that it is a ratio to")
         return self
 
 
@@ -65,6 +72,29 @@
     bound: tuple[Bound, ...] = ()
     seed: Annotated[int, Field(ge=0)] = 1
     seeds: Annotated[int, Field(ge=1, le=1000)] = 1  # runs of each arm, by seeds that follow each other
+    seconds: Annotated[float, Field(gt=1.0, le=86400.0)] | None = None  # another length, its faults in scale
+
+    @model_validator(mode="before")
+    @classmethod
+    def scale(cls, told: Any) -> Any:
+        """`seconds` makes the whole run shorter or longer: its faults come and last in proportion."""
+        if not isinstance(told, dict):
+            return told
+        seconds, length = told.get("seconds"), told.get("length_s", 60.0)
+        if not isinstance(seconds, int | float) or not isinstance(length, int | float) or length <= 0:
+            return told
+        factor = seconds / length
+
+        def scaled(block: Any, *names: str) -> Any:
+            times = {name: round(block[name] * factor, 3) for name in names
+                     if isinstance(block.get(name), int | float)}  # fmt: skip
+            return {**block, **times}
+
+        return {
+            **scaled(told, "warm_s"), "length_s": seconds,
+            "fault": [scaled({"for_s": 1.0, **fault}, "at_s", "for_s") for fault in told.get("fault", ())],
+            "arm": [scaled(arm, "length_s") for arm in told.get("arm", ())],
+        }  # fmt: skip
 
     @model_validator(mode="after")
     def fits(self) -> "Experiment":
@@ -99,8 +129,30 @@
                 raise ValueError(f"fault {fault.kind}: needs voters")
             if fault.kind == "move" and not self.routers:
                 raise ValueError("fault move: needs routers")
+            if fault.kind in ("lose", "cut_region", "replace") and self.hollow is None:
+                raise ValueError(f"fault {fault.kind}: needs a block hollow")
+            if fault.kind in ("cut_zone", "link") and self.hollow is not None:
+                raise ValueError(f"fault {fault.kind}: no relay carries a fleet with hollow instances")
+        if self.hollow is not None and (not self.voters or self.agents):
+            raise ValueError("hollow: needs voters, and servers without agents")
+        self.check_places()
         return self
 
+    def check_places(self) -> None:
+        """What faults of hollow instances name is there; a region that is cut has no real member."""
+        real = range(max(self.servers, self.voters))
+        taken = {region_of(at, self.zones, self.regions) for at in real}
+        free = sorted({region_of(at, self.zones, self.regions) for at in range(self.zones)} - taken)
+        for fault in self.fault:
+            place = f"fault at {fault.at_s:g} s"
+            if fault.kind == "lose" and fault.zone not in {
+                zone_of(at, self.zones) for at in range(self.zones)
+            }:
+                raise ValueError(f"{place}: no zone {fault.zone!r}; zones: z0 to z{self.zones - 1}")
+            if fault.kind == "cut_region" and fault.region not in free:
+                allowed = ", ".join(free) or "none"
+                raise ValueError(f"{place}: region {fault.region!r}: regions without real members: {allowed}")
+
 
 def assign(whole: Block, name: str, sets: Iterable[str]) -> None:
     """Puts `K=V` in the place of what the file says: `load=1.2`, `gateways.tries=10` (every such block),
@@ -234,11 +286,18 @@
         elif told.voters:
             from pumicenotch.lab.fleetrun import FleetRun
 
-            on_sockets = run(told, seed, launch, kept, carrier=partial(FleetRun, drains=arm.drains))
+            made = partial(
+                FleetRun,
+                drains=arm.drains,
+                hollow=arm.hollow,
+                until_s=arm.length_s,
+                limit_s=limit_s(told, arm),
+            )
+            on_sockets = run(told, seed, launch, kept, carrier=made)
         else:
             on_sockets = run(told, seed, launch, kept)
         cpu, ledger, late = on_sockets.cpu_ms, on_sockets.ledger, on_sockets.late or [0.0]
-    found = figures(told, ledger, cpu, ledger.sent)
+    found = figures(ledger.world, ledger, cpu, ledger.sent)
     found["send_late_p99_ms"] = round(float(np.percentile(late, 99)), 2)
     if told.carrier == "loopback":
         found |= {"memory_mb": round(on_sockets.memory_mb, 1), **on_sockets.more()}
@@ -265,11 +324,29 @@
                 done(one)
                 yield one
         except (KeyboardInterrupt, BrokenProcessPool):
-            pool.shutdown(wait=False, cancel_futures=True)  # those on their way end by the same signal
+            for process in list((pool._processes or {}).values()):  # a signal to this process alone goes on
+                if process.is_alive():
+                    process.terminate()
+            pool.shutdown(wait=False, cancel_futures=True)
             raise KeyboardInterrupt from None
 
 
+def limit_s(told: Experiment, arm: Arm) -> float:
+    """How long a run of it may last, so that the seed's other arms fit beside it."""
+    others = [each for each in told.arm if each.name != arm.name]
+    return SEED_S - sum((each.length_s or told.length_s) + ROUND_S for each in others)
+
+
+def check_machine(told: Experiment) -> None:
+    """Raises MachineTooSmall."""
+    if told.hollow is not None and any(arm.hollow for arm in told.arm):
+        raise_descriptors()
+        check(told.hollow.instances, Machine.here())
+
+
 def workers(told: Experiment) -> int:
+    if told.hollow is not None:  # one at a time: beside another, neither would be measured
+        return 1
     cores = min(8, os.cpu_count() or 1)
     return max(1, cores // (CORES_A_FLEET if told.voters else CORES_A_RUN))
 
@@ -326,13 +403,12 @@
             kept.append({"bound": f"{bound.arm} {bound.figure}", "figure": None, "kept": False})
             continue
         values = [
-            by[bound.arm, seed][bound.figure] - (by[bound.than, seed][bound.figure] if bound.than else 0.0)
-            for seed in seeds
+            compared(bound, by[bound.arm, seed], by.get((bound.than or "", seed), {})) for seed in seeds
         ]
         figure = round(mean(values), 4)
         good = figure >= bound.least if bound.least is not None else figure <= (bound.most or 0.0)
         sign = f">= {bound.least:g}" if bound.least is not None else f"<= {bound.most:g}"
-        over = f" less {bound.than}'s" if bound.than else ""
+        over = f" {'by' if bound.ratio else 'less'} {bound.than}'s" if bound.than else ""
         row: dict[str, Any] = {
             "bound": f"{bound.arm} {bound.figure}{over} {sign}",
             "figure": figure,
@@ -344,6 +420,15 @@
     return kept
 
 
+def compared(bound: Bound, mine: dict[str, float], others: dict[str, float]) -> float:
+    """The figure itself, or held against the other arm's."""
+    value = mine[bound.figure]
+    if bound.than is None:
+        return value
+    other = others[bound.figure]
+    return value / max(1e-9, other) if bound.ratio else value - other
+
+
 def keep(folder: Path, told: dict[str, Any], found: list[Run]) -> None:
     """Each file whole or not at all: a full disk leaves what was there."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -13,10 +13,16 @@
 
 from pumicenotch.lab import world as world_
 from pumicenotch.lab.crew import Crew
+from pumicenotch.lab.guard import SEED_S, Machine, Watch
+from pumicenotch.lab.hollow_messages import Place
+from pumicenotch.lab.hollow_run import HollowRun
 from pumicenotch.lab.loopback import UP_S, Launch, Loopback, Node
+from pumicenotch.lab.measure import added
 from pumicenotch.lab.peers import GatewayPeer
 from pumicenotch.lab.relay import OPEN, Way
 
+HOLLOW_FORMED_S = 100.0  # the same with hollow instances, many of them
+HOLLOW_FAULTS = ("lose", "cut_region", "replace")
 LOOK_S = 0.02  # between looks at who is out: a tenth of the shortest time that a server is
 FORMED_S = 40.0  # for voters to found the fleet and all servers to be in it
 
@@ -30,11 +36,27 @@
 
 class FleetRun(Loopback):
     def __init__(
-        self, world: world_.World, seed: int, launch: Launch, folder: Path, drains: str = "agreed"
-    ) -> None:
+        self, world: world_.World, seed: int, launch: Launch, folder: Path, drains: str = "agreed",
+        hollow: bool = True, until_s: float | None = None, limit_s: float = SEED_S,
+    ) -> None:  # fmt: skip
+        """`hollow` says whether the world's hollow instances are there, `limit_s` how long the run may last
+        with them. A run that ends sooner, at `until_s`, has the same arrivals up to then."""
         super().__init__(world, seed, launch, folder)
+        if until_s is not None and until_s < world.length_s:
+            faults = tuple(fault for fault in world.fault if fault.at_s < until_s)
+            self.world = world = world.model_copy(update={"length_s": until_s, "fault": faults})
+            self.ledger.world = world
+            self.tasks = [task for task in self.tasks if task.at < until_s * 1000.0]
         self.drains = drains
-        self.crew = Crew(folder, seed, world.voters, world.zones, "\n".join(map(block, world.budget)))
+        budgets = "\n".join(map(block, world.budget))
+        direct = world.hollow is not None
+        self.crew = Crew(folder, seed, world.voters, world.zones, budgets, world.regions, direct)
+        self.hollow: HollowRun | None = None
+        if direct and hollow:
+            watch = Watch(Machine.here(), limit_s)
+            self.hollow = HollowRun(world, seed, folder, self.crew, watch, self.spawn_task)
+            self.hollow.others_pids = self.pids
+            self.hollow.fail = self.fail
         self.zone = {node.number: f"z{node.number % world.zones}" for node in self.nodes}
         self.watched: dict[int, Watched] = {}
         self.out: dict[int, float] = {}  # voluntarily, since when
@@ -52,13 +74,32 @@
         await self.crew.start()
         for node in self.nodes:
             await self.crew.add(f"n{node.number}", self.zone[node.number])
+        many, within_s = len(self.nodes) + self.world.voters, FORMED_S
+        if self.hollow is not None:
+            self.watching.append(asyncio.create_task(self.hollow.watching()))
+            many, within_s = many + len(self.hollow.fleet.places), HOLLOW_FORMED_S
+            await self.hollow.start(self.real_places(), HOLLOW_FORMED_S)
         await super().start()
-        many = len(self.nodes) + self.world.voters
-        await self.crew.agreed(lambda status: status["members"] == many and not status["out"], FORMED_S)
+        await self.crew.agreed(lambda status: status["members"] == many and not status["out"], within_s)
         for node in self.nodes:
             await self.watch(node)
         self.watching.append(asyncio.create_task(self.look_on()))
 
+    async def load(self, progress: Any) -> None:
+        if self.hollow is not None:
+            self.hollow.begin()
+        await super().load(progress)
+
+    def real_places(self) -> list[Place]:
+        return [Place(name, self.crew.shown(name), zone, self.crew.region(zone))
+                for name, zone in self.crew.zone.items()]  # fmt: skip
+
+    def pids(self) -> list[int]:
+        """Of voters and servers that were started here."""
+        processes = [voter.process for voter in self.crew.voters.values()]
+        processes += [node.process for node in self.nodes]
+        return [each.pid for each in processes if each is not None and each.poll() is None]
+
     def launch_of(self, node: Node) -> Launch:
         launch = super().launch_of(node)
         text = Path(launch.config).read_text() if launch.config else ""
@@ -146,6 +187,10 @@
     # Faults
 
     def fault(self, fault: world_.Fault, now: float) -> None:
+        if fault.kind in HOLLOW_FAULTS:
+            if self.hollow is not None:
+                self.hollow.fault(fault)
+            return
         match fault.kind:
             case "drain_all":
                 self.asked_at = now
@@ -190,10 +235,16 @@
 
     def more(self) -> dict[str, float]:
         took = (self.done_at - self.asked_at) / 1000.0 if self.done_at else -1.0
-        return {
+        found = {
             "most_out": float(self.most_out), "most_over_budget": float(self.most_over),
             "drained": float(len(self.drained)), "drain_all_s": round(took, 2),
         }  # fmt: skip
+        if self.world.hollow is not None:
+            first_s = min((fault.at_s for fault in self.world.fault), default=self.world.length_s)
+            found |= added(self.world, self.ledger, first_s)
+        if self.hollow is not None:
+            found |= self.hollow.more()
+        return found
 
     async def stop(self) -> None:
         self.stopped = True
@@ -203,7 +254,11 @@
         try:
             await super().stop()
         finally:
-            await self.crew.stop()
+            try:
+                if self.hollow is not None:
+                    await self.hollow.stop()
+            finally:
+                await self.crew.stop()
 
 
 def block(budget: Any) -> str:
--- /dev/null
+++ b/pumicenotch/lab/hollow.py
@@ -0,0 +1,145 @@
+"""A process that holds many hollow instances of a fleet (`python -m pumicenotch.lab.hollow SPEC.json`).
+
+Commands come by standard input, reports go to standard output; at the end of its input it ends, so that none
+outlives its runner."""
+
+import asyncio
+import gc
+import json
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from pumicenotch.lab.hollow_instance import Cut, Instance, Meter, packed, usage
+from pumicenotch.lab.hollow_messages import Command, Place, Report, Spec
+
+REPORT_S = 0.5
+LINE_MOST = 4 * 1024 * 1024  # of a command: names of a whole region
+
+
+class HollowProcess:
+    def __init__(self, spec: Spec, group: TaskGroup) -> None:
+        self.spec, self.group = spec, group
+        self.directory = [Place(*each) for each in json.loads(Path(spec.directory).read_text())]
+        self.meter = Meter(spec.voters)
+        self.cut = Cut(self.directory)
+        self.known = packed(spec, self.directory)
+        self.instances: dict[int, Instance] = {}
+        self.generation: Counter[int] = Counter()
+        self.lives: list[list[Any]] = []  # changes since the last report
+        self.counts: Counter[str] = Counter()  # of instances that have ended
+
+    # Commands
+
+    async def commands(self) -> None:
+        reader = asyncio.StreamReader(LINE_MOST)
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        while line := await reader.readline():
+            command = Command.load(line)
+            if command.do == "end":
+                break
+            self.carry_out(command)
+        self.group.cancel_scope.cancel()
+
+    def carry_out(self, command: Command) -> None:
+        match command.do:
+            case "start":
+                gap = command.within_s / max(1, len(command.numbers))
+                for at, number in enumerate(command.numbers):
+                    self.group.start_soon(self.start, number, at * gap)
+                self.group.start_soon(self.freeze, command.within_s + 1.0)
+            case "kill":
+                for number in command.numbers:
+                    if number in self.instances:
+                        self.instances[number].stopped.set()
+            case "replace":
+                for number in command.numbers:
+                    self.group.start_soon(self.replace, number)
+            case "cut":
+                self.cut.cut(command.names)
+            case "heal":
+                self.cut.heal()
+            case _:
+                logger.error("hollow: unknown command {!r}", command.do)
+
+    async def start(self, number: int, after_s: float) -> None:
+        await anyio.sleep(after_s)
+        generation = self.generation[number]
+        self.generation[number] += 1
+        instance = Instance(self.spec, self.directory[number], number, generation, self.meter, self.cut)
+        self.instances[number] = instance
+        self.lives.append([number, generation, True])
+        try:
+            await instance.run(self.known if generation == 0 else b"")
+        except* OSError as error:
+            logger.error("hollow: {} cannot run: {}", instance.place.name, error.exceptions[0])
+        finally:
+            self.lives.append([number, generation, False])
+            if self.instances.get(number) is instance:
+                del self.instances[number]
+            if instance.member is not None:
+                self.counts.update(instance.member.counts)
+
+    async def replace(self, number: int) -> None:
+        """An orderly end, then another life in its place."""
+        if number in self.instances:
+            await self.instances[number].leave()
+            while number in self.instances:
+                await anyio.sleep(0.02)
+            await self.start(number, 0.0)
+
+    @staticmethod
+    async def freeze(after_s: float) -> None:
+        """What all instances know from their start is no garbage: to look through it again and again would
+        cost what no process with one instance pays."""
+        await anyio.sleep(after_s)
+        gc.collect()
+        gc.freeze()
+
+    # Reports
+
+    async def reports(self) -> None:
+        while True:
+            await anyio.sleep(REPORT_S)
+            print(self.report().dump(), flush=True)
+
+    def report(self) -> Report:
+        report = Report(at=time.monotonic(), up=len(self.instances))
+        self.meter.fill(report)
+        counts = self.counts.copy()
+        for instance in self.instances.values():
+            if instance.member is not None:
+                report.serving += instance.member.agreed_serving
+                counts.update(instance.member.counts)
+        report.counts, report.lives, self.lives = dict(counts), self.lives, []
+        report.descriptors = len(os.listdir("/proc/self/fd"))
+        usage(report)
+        return report
+
+
+async def serve(spec: Spec) -> None:
+    async with anyio.create_task_group() as group:
+        process = HollowProcess(spec, group)
+        group.start_soon(process.reports)
+        group.start_soon(process.commands)
+
+
+def main() -> None:
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING", format="{time:HH:mm:ss.SSS} {level} {message}", diagnose=False)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # a terminal's goes to all: the runner ends this process
+    spec = Spec.load(Path(sys.argv[1]).read_text())
+    anyio.run(serve, spec, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pumicenotch/lab/hollow_instance.py
@@ -0,0 +1,239 @@
+"""One hollow instance: the real member, its real hub and listener, measured, with no requests behind it."""
+
+import random
+import resource
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import anyio
+import msgpack
+
+from pumicenotch import start
+from pumicenotch.fleet import effects
+from pumicenotch.fleet.mate import Mate
+from pumicenotch.fleet.side import Side
+from pumicenotch.lab.hollow_messages import FIRST_BEGAN_MS, STEP_BUCKET_MS, Place, Report, Spec, life_of
+from pumicenotch.members.messages import News, Opinion, Standing, Who
+from pumicenotch.net.fleet import FRAME_MOST, LOOK_S, links
+from pumicenotch.net.mates import Alarm, Mates, begin, listening
+
+SOCKETS = 1024  # descriptors that the platform gives a server: the fleet's part follows from it
+GONE_S = 3.0  # for an orderly end to be agreed, before the instance stops all the same
+DRAIN_S = 0.3  # between the word of a drain and its end: nobody is served meanwhile
+KNOWN_INCARNATION = 2  # of a member that has come into service once
+
+
+class Meter:
+    """What the instances of one process do, until it is told and begins anew."""
+
+    def __init__(self, voters: list[str]) -> None:
+        self.voters = frozenset(voters)
+        self.dead: Counter[tuple[str, str]] = Counter()
+        self.fresh()
+
+    def fresh(self) -> None:
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.steps: Counter[int] = Counter()
+        self.longest_cpu_ms = self.longest_wall_ms = 0.0
+        self.longest_input = ""
+        self.dropped = 0
+        self.dead_since: Counter[tuple[str, str]] = Counter()
+
+    def role(self, address: str) -> str:
+        return "voter" if address in self.voters else "server"
+
+    def step(self, name: str, cpu_ms: float, wall_ms: float) -> None:
+        self.steps[int(cpu_ms / STEP_BUCKET_MS)] += 1
+        if cpu_ms > self.longest_cpu_ms:
+            self.longest_cpu_ms, self.longest_input = cpu_ms, name
+        self.longest_wall_ms = max(self.longest_wall_ms, wall_ms)
+
+    def thought_dead(self, name: str, life: str, more: int) -> None:
+        self.dead_since[name, life] += more
+
+    def fill(self, report: Report) -> None:
+        """Tells all since the last time."""
+        report.sent, report.received = dict(self.sent), dict(self.received)
+        report.steps, report.dropped = dict(self.steps), self.dropped
+        report.longest_cpu_ms = round(self.longest_cpu_ms, 3)
+        report.longest_wall_ms = round(self.longest_wall_ms, 3)
+        report.longest_input = self.longest_input
+        report.dead = [[*key, many] for key, many in self.dead_since.items() if many]
+        self.fresh()
+
+
+class Cut:
+    """Which members are cut off from all others."""
+
+    def __init__(self, directory: list[Place]) -> None:
+        self.address = {place.name: place.address for place in directory}
+        self.inside: frozenset[str] = frozenset()  # addresses
+
+    def cut(self, names: list[str]) -> None:
+        self.inside = frozenset(self.address[name] for name in names)
+
+    def heal(self) -> None:
+        self.inside = frozenset()
+
+    def between(self, one: str, other: str) -> bool:
+        return bool(self.inside) and (one in self.inside) is not (other in self.inside)
+
+
+class HollowMember(Mate):
+    """The real one, with its opinions watched."""
+
+    def __init__(self, meter: Meter, **rest: Any) -> None:
+        super().__init__(**rest)
+        self.meter = meter
+        self.holds_dead: dict[str, str] = {}  # name -> life
+
+    def changed(self, news: News) -> None:
+        super().changed(news)
+        name, life = news.who.name, news.who.life
+        if (before := self.holds_dead.pop(name, None)) is not None:
+            self.meter.thought_dead(name, before, -1)
+        if news.opinion is Opinion.DEAD and news.standing is not Standing.OUT:
+            self.holds_dead[name] = life
+            self.meter.thought_dead(name, life, 1)
+
+    def know(self, packed: bytes, chance: random.Random) -> None:
+        """Takes all in as known for long: each instance unpacks them, so that it holds texts of its own as a
+        process would. The exchanges of whole pages go on in turn, not with the seeds first."""
+        members = self.members
+        for each in msgpack.unpackb(packed, use_list=False):
+            who = Who(*each)
+            if who.name != self.me.name:
+                members.news[who.name] = News(
+                    who, KNOWN_INCARNATION, Standing.SERVING, Opinion.ALIVE, who.name
+                )
+                members.since[who.name] = self.now
+        members.pages_told = members.SEEDED + 1 + chance.randrange(3)
+        members.page_at = self.now + chance.uniform(0.0, members.PAGE_PERIODS * members.PERIOD_MS)
+        members.next_at = self.now + chance.uniform(0.0, members.PERIOD_MS)
+
+    def forget_all(self) -> None:
+        """Its process ends: what it held is held no more."""
+        for name, life in self.holds_dead.items():
+            self.meter.thought_dead(name, life, -1)
+        self.holds_dead.clear()
+
+
+class HollowHub(Mates):
+    """The real one; counts what it carries, and carries nothing over a cut."""
+
+    def __init__(self, meter: Meter, cut: Cut, *rest: Any) -> None:
+        super().__init__(*rest)
+        self.meter, self.cut, self.address = meter, cut, self.hello[3]
+
+    def put(self, name: str, *details: Any) -> None:
+        if name == "told":
+            sender = details[0][2]
+            if self.cut.between(self.address, sender):
+                self.meter.dropped += 1
+                return
+            self.meter.received[self.meter.role(sender)] += 1
+        elif name == "answered":
+            self.meter.received["voter"] += 1
+        wall, cpu = time.perf_counter(), time.thread_time()
+        super().put(name, *details)
+        taken = (time.thread_time() - cpu) * 1000.0
+        self.meter.step(name, taken, (time.perf_counter() - wall) * 1000.0)
+
+    def tell(self, address: str, message: tuple[Any, ...]) -> None:
+        if self.cut.between(self.address, address):
+            self.meter.dropped += 1
+            return
+        self.meter.sent[self.meter.role(address)] += 1
+        super().tell(address, message)
+
+    def carry_out(self, effect: Any) -> None:
+        if not isinstance(effect, effects.Log):  # many instances' lines would fill the disk
+            super().carry_out(effect)
+
+
+class Instance:
+    """From its start to its end; started again it is another life."""
+
+    def __init__(
+        self, spec: Spec, place: Place, number: int, generation: int, meter: Meter, cut: Cut
+    ) -> None:
+        self.spec, self.place, self.number, self.generation = spec, place, number, generation
+        self.meter, self.cut = meter, cut
+        self.stopped = anyio.Event()
+        self.hub: HollowHub | None = None
+        self.member: HollowMember | None = None
+
+    async def run(self, known: bytes) -> None:
+        """Until it is stopped: abruptly, as a process that is killed. `known` are those that it knows at its
+        start, packed; none for a cold one."""
+        listener = await listening(start.address(self.place.address))
+        try:
+            async with anyio.create_task_group() as group:
+                self.member, self.hub = self.made(group, known)
+                begin(self.hub, listener)
+                group.start_soon(self.serve, self.hub)
+                await self.stopped.wait()
+                group.cancel_scope.cancel()
+        finally:
+            if self.member is not None:
+                self.member.forget_all()
+            await listener.aclose()
+
+    def made(self, group: Any, known: bytes) -> tuple[HollowMember, HollowHub]:
+        place, alarm = self.place, Alarm()
+        life = life_of(self.number, self.generation)
+        began = int(time.time() * 1000) if self.generation else FIRST_BEGAN_MS
+        side = Side(self.spec.fleet, place.name, place.address, tuple(self.spec.voters),
+                    zone=place.zone, region=place.region)  # fmt: skip
+        chance = random.Random(self.spec.seed * 1_000_003 + self.number * 101 + self.generation)
+        member = HollowMember(
+            self.meter, fleet=self.spec.fleet, member=side.member(life), voters=side.voters,
+            me=Who(place.name, place.address, life, began, place.zone, place.region),
+            seeds=side.voters, now=alarm.now(), seed=chance.getrandbits(32),
+        )  # fmt: skip
+        if known:
+            member.know(known, chance)
+        hub = HollowHub(
+            self.meter, self.cut, member, alarm, group, lambda _: None, FRAME_MOST, links(SOCKETS)
+        )
+        return member, hub
+
+    async def serve(self, hub: HollowHub) -> None:
+        """What a server's watch tells its member, of one that is well."""
+        while True:
+            await anyio.sleep(LOOK_S)
+            hub.put("serve", True, False)
+
+    async def leave(self) -> None:
+        """An orderly end: it drains, says that it is gone, and stops."""
+        if self.hub is not None and self.member is not None:
+            self.hub.put("leave", "replaced")
+            await anyio.sleep(DRAIN_S)
+            self.hub.put("left")
+            with anyio.move_on_after(GONE_S):
+                while not self.member.gone_told:
+                    await anyio.sleep(0.05)
+        self.stopped.set()
+
+
+def packed(spec: Spec, directory: list[Place]) -> bytes:
+    """All hollow members as they are known after a day in service."""
+    if not spec.knows:
+        return b""
+    return bytes(msgpack.packb([
+        (place.name, place.address, life_of(number, 0), FIRST_BEGAN_MS, place.zone, place.region)
+        for number, place in enumerate(directory[: spec.hollow])
+    ]))  # fmt: skip
+
+
+def usage(report: Report) -> None:
+    """What the process has used, from the kernel."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    report.cpu_s = used.ru_utime + used.ru_stime
+    fields = Path("/proc/self/statm").read_text().split()
+    report.memory_mb = int(fields[1]) * resource.getpagesize() / 1048576.0
+    io = dict(line.split(": ") for line in Path("/proc/self/io").read_text().splitlines())
+    report.read_bytes, report.written_bytes = int(io["rchar"]), int(io["wchar"])
--- /dev/null
+++ b/pumicenotch/lab/hollow_run.py
@@ -0,0 +1,232 @@
+"""A run's hollow part: faults on hollow instances, looks at what the voters have agreed, the guard."""
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from pumicenotch.lab.crew import Crew, Refused
+from pumicenotch.lab.guard import MachineTooSmall, Watch
+from pumicenotch.lab.hollow_fleet import HollowFleet
+from pumicenotch.lab.hollow_judge import HollowJudge, Loss
+from pumicenotch.lab.hollow_messages import Place
+from pumicenotch.lab.world import DAY_S, Fault, World
+
+STATUS_S = 0.5  # between looks at what is agreed
+AGREE_S = 1.0  # between entries proposed to see how long agreement takes
+LOOK_S = 0.5  # between looks of the guard, and at the voters' use
+VOTER_WINDOW_S = 5.0  # over which a voter's use is taken
+TICKS_A_S = os.sysconf("SC_CLK_TCK")  # the kernel's unit of processor time
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class VoterUse:
+    """A voter's processor time and bytes, from outside, look by look."""
+
+    def __init__(self) -> None:
+        self.looks: list[tuple[float, float, int, int]] = []  # at, cpu s, read, written
+
+    def look(self, pid: int) -> None:
+        try:
+            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            io = dict(line.split(": ") for line in Path(f"/proc/{pid}/io").read_text().splitlines())
+        except (OSError, ValueError):
+            return
+        cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_A_S
+        if self.looks and cpu_s < self.looks[-1][1]:
+            self.looks.clear()  # another process in its place
+        self.looks.append((time.monotonic(), cpu_s, int(io["rchar"]), int(io["wchar"])))
+
+    def over(self, begin: float, end: float) -> tuple[float, float, float]:
+        """Part of a core, bytes read and written a second, over that time."""
+        some = [look for look in self.looks if begin <= look[0] <= end]
+        if len(some) < 2 or some[-1][0] - some[0][0] < 1.0:
+            return 0.0, 0.0, 0.0
+        first, last = some[0], some[-1]
+        lasted = last[0] - first[0]
+        return ((last[1] - first[1]) / lasted, (last[2] - first[2]) / lasted, (last[3] - first[3]) / lasted)
+
+
+class HollowRun:
+    def __init__(self, world: World, seed: int, folder: Path, crew: Crew, watch: Watch, spawn: Spawn) -> None:
+        assert world.hollow is not None
+        self.world, self.crew, self.guard, self.spawn = world, crew, watch, spawn
+        self.fleet = HollowFleet(world.hollow, world.zones, world.regions, seed, folder, crew)
+        self.judge = HollowJudge(self.fleet.places)
+        self.fleet.on_report = self.judge.report
+        self.events = (folder / "hollow-events.jsonl").open("w")
+        self.judge.note = self.note
+        self.voters = {name: VoterUse() for name in crew.voters}
+        self.led: list[tuple[float, str]] = []  # who led, by look
+        self.agreed_ms: list[float] = []
+        self.began = self.quiet_until = self.ended = 0.0
+        self.start_s = 0.0
+        self.others_pids: Callable[[], list[int]] = list
+        self.fail: Callable[[MachineTooSmall], None] = lambda error: None
+        self.started = time.monotonic()
+
+    # Start
+
+    async def start(self, others: list[Place], within_s: float) -> None:
+        began = time.monotonic()
+        await self.fleet.start(others, within_s)
+        self.start_s = time.monotonic() - began
+
+    def begin(self) -> None:
+        """The load begins: from now on it is measured, up to the first fault as quiet."""
+        self.began = time.monotonic()
+        first = min((fault.at_s for fault in self.world.fault), default=self.world.length_s)
+        self.quiet_until = self.began + first
+        for job in (self.statuses(), self.agreements()):
+            self.spawn(job)
+
+    def note(self, at: float, what: str, more: dict[str, Any]) -> None:
+        """A line of the run's log, by its own time."""
+        self.events.write(json.dumps({"s": round(at - self.began, 2), "what": what, **more}) + "\n")
+
+    # Watching
+
+    async def watching(self) -> None:
+        """The guard, from the run's first process on."""
+        while True:
+            pids = [*self.fleet.pids, *self.others_pids()]
+            try:
+                self.guard.look(pids, time.monotonic() - self.started)
+            except MachineTooSmall as error:
+                self.fail(error)
+                return
+            for name, voter in self.crew.voters.items():
+                if voter.process is not None and voter.up:
+                    self.voters[name].look(voter.process.pid)
+            await asyncio.sleep(LOOK_S)
+
+    async def statuses(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError, Refused):
+                status = await self.crew.ask("status", within_s=2.0)
+                now = time.monotonic()
+                self.note(now, "status", {"leader": status["leader"], "out": status["out"]})
+                self.led.append((now, status["leader"]))
+                self.judge.out(now, status["out"])
+            await asyncio.sleep(STATUS_S)
+
+    async def agreements(self) -> None:
+        """Entries that change nothing: nobody of those drains."""
+        name = next(iter(self.crew.voters))
+        while True:
+            began = time.monotonic()
+            with contextlib.suppress(TimeoutError, Refused):
+                await self.crew.ask("undrain", secrets.token_hex(8), [name], "timed", "lab", within_s=10.0)
+                self.agreed_ms.append((time.monotonic() - began) * 1000.0)
+            await asyncio.sleep(AGREE_S)
+
+    # Faults
+
+    def fault(self, fault: Fault) -> bool:
+        """Whether it was one of hollow instances."""
+        self.note(time.monotonic(), "fault", fault.model_dump(exclude_defaults=True))
+        match fault.kind:
+            case "lose":
+                numbers = self.fleet.in_zone(fault.zone, fault.many)
+                loss = self.judge.lose(fault.label or f"zone_{fault.zone}", numbers, time.monotonic())
+                self.fleet.tell("kill", numbers)
+                if fault.for_s:
+                    self.spawn(self.back(loss, numbers, fault.for_s))
+            case "cut_region":
+                self.spawn(self.cut(fault))
+            case "replace":
+                self.spawn(self.replace(fault))
+            case _:
+                return False
+        return True
+
+    async def back(self, loss: Loss, numbers: list[int], after_s: float) -> None:
+        """All at once, knowing nobody."""
+        await asyncio.sleep(after_s)
+        loss.back_at = time.monotonic()
+        self.fleet.tell("start", numbers)
+
+    async def cut(self, fault: Fault) -> None:
+        places = self.fleet.places
+        numbers = [number for number, place in enumerate(places) if place.region == fault.region]
+        loss = self.judge.cut(fault.label or "region", numbers, time.monotonic())
+        self.fleet.cut([places[number].name for number in numbers])
+        await asyncio.sleep(fault.for_s)
+        self.fleet.heal()
+        self.note(time.monotonic(), "healed", {"region": fault.region})
+        loss.back_at = time.monotonic()
+        self.judge.healed(loss.back_at)
+
+    async def replace(self, fault: Fault) -> None:
+        """One after another at the day's rate, each an orderly end and another life."""
+        gap, until = DAY_S / fault.a_day, time.monotonic() + fault.for_s
+        number = len(self.fleet.places) - 1
+        while time.monotonic() + gap < until:
+            await asyncio.sleep(gap)
+            number = self.next_well(number)
+            self.judge.meant_to_end.add(number)
+            self.fleet.tell("replace", [number])
+
+    def next_well(self, number: int) -> int:
+        lost = {name for loss in self.judge.losses for name in loss.victims}
+        for _ in self.fleet.places:
+            number = (number - 1) % len(self.fleet.places)
+            if self.fleet.places[number].name not in lost:
+                break
+        return number
+
+    # End
+
+    async def stop(self) -> None:
+        self.ended = time.monotonic()
+        await self.fleet.stop()
+        self.events.close()
+
+    def leader_peak(self) -> tuple[float, float]:
+        """The most that whoever led has used over a window: part of a core, bytes sent a second."""
+        cpu = sent = 0.0
+        for at, name in self.led:
+            part, _, written = self.voters[name].over(at - VOTER_WINDOW_S, at)
+            cpu, sent = max(cpu, part), max(sent, written)
+        return cpu, sent
+
+    def mean_use(self, begin: float, end: float) -> dict[str, float]:
+        leaders = [name for at, name in self.led if begin <= at < end]
+        leader = max(set(leaders), key=leaders.count) if leaders else ""
+        found: dict[str, float] = {}
+        uses = {name: use.over(begin, end) for name, use in self.voters.items()}
+        others = [use for name, use in uses.items() if name != leader]
+        for role, some in (("leader", [uses[leader]] if leader else []), ("follower", others)):
+            for at, figure in enumerate(("cpu", "received_bytes_per_s", "sent_bytes_per_s")):
+                found[f"{role}_{figure}"] = round(float(np.mean([use[at] for use in some] or [0.0])), 4)
+        return found
+
+    def more(self) -> dict[str, float]:
+        cpu, sent = self.leader_peak()
+        times = self.agreed_ms or [-1.0]
+        found = {
+            "hollow_instances": float(len(self.fleet.places)),
+            "hollow_processes": float(len(self.fleet.processes)), "start_s": round(self.start_s, 2),
+            "run_memory_mb": round(self.guard.most_mb, 0),
+            "run_processes": float(self.guard.most_processes),
+            "run_s": round((self.ended or time.monotonic()) - self.started, 1),
+            "agree_p50_ms": round(float(np.percentile(times, 50)), 1),
+            "agree_p99_ms": round(float(np.percentile(times, 99)), 1),
+            "agree_longest_ms": round(max(times), 1),
+            "leader_peak_cpu": round(cpu, 3), "leader_peak_sent_bytes_per_s": round(sent, 0),
+            "hollow_processes_fallen": float(len(self.fleet.ended_by_themselves)),
+        }  # fmt: skip
+        ended = self.ended or time.monotonic()
+        found |= self.judge.each("quiet", self.began, self.quiet_until)
+        found |= self.judge.each("control", self.began, ended)
+        found |= {f"quiet_{name}": value for name, value in
+                  self.mean_use(self.began, self.quiet_until).items()}  # fmt: skip
+        return found | self.judge.figures()
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -188,6 +188,9 @@
         self.cpu_ms = self.memory_mb = 0.0  # of all servers; at most of any
         self.stopped = False
         self.began = 0.0
+        self.failure: BaseException | None = None  # why the run has ended before its time
+        self.ending = False  # it stops what it has started
+        self.main: asyncio.Task[Any] | None = None  # that runs it
 
     # The clients' wire. Times in ms from the run's begin.
 
@@ -305,6 +308,9 @@
 
     async def run(self, progress: Callable[["Loopback"], None] | None = None) -> "Loopback":
         self.loop = asyncio.get_running_loop()
+        self.main = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            self.loop.add_signal_handler(number, self.fail, KeyboardInterrupt())
         self.began = self.loop.time() * 1000.0
         self.clients = Clients(self.world, self.seed, self, self.ledger)
         self.dials: set[asyncio.Task[None]] = set()
@@ -312,6 +318,7 @@
             await self.start()
             await self.load(progress)
         finally:
+            self.ending = True
             self.cpu_ms += sum(node.cpu_ms() for node in self.nodes)
             self.memory_mb = max(node.memory_mb() for node in self.nodes)
             await self.stop()
@@ -321,6 +328,12 @@
                 self.ledger.fell(self.now(), node.number, "its cores were crowded for too long")
         return self
 
+    def fail(self, why: BaseException) -> None:
+        """Ends the run, once: what it has started is stopped, whatever else comes meanwhile."""
+        if self.failure is None and self.main is not None and not self.ending:
+            self.failure = why
+            self.main.cancel()
+
     async def start(self) -> None:
         for node in self.nodes:
             make = partial(PoolPeer, partial(self.linked, node), partial(self.command, node))
@@ -507,4 +520,10 @@
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
-        return uvloop.run(carrier(world, seed, launch, folder).run(progress))
+        made = carrier(world, seed, launch, folder)
+        try:
+            return uvloop.run(made.run(progress))
+        except asyncio.CancelledError:
+            if made.failure is None:
+                raise
+            raise made.failure from None
--- a/pumicenotch/lab/measure.py
+++ b/pumicenotch/lab/measure.py
@@ -52,6 +52,21 @@
     return {name: round(value, 4) for name, value in found.items()}
 
 
+def added(world: World, ledger: Ledger, until_s: float) -> dict[str, float]:
+    """What a served task took beyond its own work, at the median and for 99 in 100: `quiet` of those meant to
+    begin after the warm-up and up to then, `later` of all that came after."""
+    quiet, later = HdrHistogram(1, MOST_MS * 1000, DIGITS), HdrHistogram(1, MOST_MS * 1000, DIGITS)
+    for end in ledger.ends:
+        if end.kind == "served" and end.task.at >= world.warm_s * 1000.0:
+            took = end.at - end.task.at - end.task.work / world.speed - end.task.disk
+            some = quiet if end.task.at < until_s * 1000.0 else later
+            some.record_value(max(1, min(MOST_MS * 1000, int(took * 1000.0))))
+    return {
+        f"{name}_added_p{part}_ms": round(some.get_value_at_percentile(part) / 1000.0, 3)
+        for name, some in (("quiet", quiet), ("later", later)) for part in (50, 99)
+    }  # fmt: skip
+
+
 def windows(world: World, ledger: Ledger) -> list[dict[str, Any]]:
     """One row a second and class, by the intended time."""
     rows: dict[tuple[int, int], dict[str, Any]] = {}
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -5,13 +5,14 @@
 from typing import Annotated, Any, Literal
 
 import numpy as np
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from pumicenotch.config.fleet import BudgetBlock
 from pumicenotch.config.schema import Schema
 
 Part = Annotated[float, Field(ge=0.0, le=1.0)]
 Positive = Annotated[float, Field(gt=0.0)]
+DAY_S = 86400.0
 EFFECTS = {"restartable": "repeatable", "fingerprinted": "by_key", "side-effecting": "once"}
 
 
@@ -62,7 +63,7 @@
     kind: Literal[
         "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
         "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone", "link",
-        "release", "kill_agent",
+        "release", "kill_agent", "lose", "cut_region", "replace",
     ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
@@ -71,7 +72,11 @@
     tenant: str = ""  # of a move or a flood
     cell: str = ""  # that it moves to
     pools: str | None = None  # of a reload: the file taken, "" for none
-    zone: str = ""  # that is cut off from the others
+    zone: str = ""  # that is cut off from the others, or loses hollow instances
+    region: str = ""  # that is cut off, as far as its instances are hollow
+    many: Annotated[int, Field(ge=0)] = 0  # hollow instances that are lost at once; 0: all of the zone
+    a_day: Positive = 2900.0  # replacements
+    label: Annotated[str, Field(pattern=r"^[a-z][a-z0-9_]{0,31}$")] | None = None  # begins its figures' names
     # of a link: names or zones; what each says to each of `others` meets the fault
     between: tuple[str, ...] = ()
     others: tuple[str, ...] = ()  # none: everybody else
@@ -83,6 +88,14 @@
     bytes_per_s: Positive | None = None
 
 
+class Hollow(Schema):
+    """Instances of a fleet with no requests behind them, many in a process."""
+
+    real: Annotated[int, Field(ge=1, le=100)] = 6  # of the servers; all others are hollow
+    instances: Annotated[int, Field(ge=0, le=20_000)] = 0  # follows from the world's servers
+    knows: bool = True  # each other at the start, as after a day in service; else they join as strangers
+
+
 class World(Schema):
     stage: tuple[Stage, ...]
     tenant: tuple[Tenant, ...] = (Tenant(name="all", share=1.0),)
@@ -93,7 +106,9 @@
     routers: Annotated[int, Field(ge=0, le=16)] = 0  # in front; with none, gateways send to the servers
     cells: Annotated[int, Field(ge=1, le=100)] = 1  # that the servers make, behind routers
     voters: Literal[0, 1, 3, 5, 7] = 0  # of a fleet that the servers are in
-    zones: Annotated[int, Field(ge=1, le=16)] = 1  # that servers and voters are spread over: z0, z1, ...
+    hollow: Hollow | None = None  # beside the real ones; `servers` then counts both
+    zones: Annotated[int, Field(ge=1, le=64)] = 1  # that servers and voters are spread over: z0, z1, ...
+    regions: Annotated[int, Field(ge=1, le=16)] = 1  # that the zones are spread over: g0, g1, ...
     budget: tuple[BudgetBlock, ...] = ()  # of the fleet
     agents: bool = False  # beside the servers, which then are started by them
     soak_ms: Positive = 2000.0  # of a release
@@ -111,6 +126,20 @@
     memory_mb: Positive = 192.0
     stop_ms: Positive = 3000.0
 
+    @model_validator(mode="before")
+    @classmethod
+    def count_hollow(cls, told: Any) -> Any:
+        """With a block `hollow`, `servers` is the whole fleet's number: the real ones of it stay servers."""
+        hollow = told.get("hollow") if isinstance(told, dict) else None
+        if not isinstance(hollow, dict) or "instances" in hollow:
+            return told
+        real, servers = hollow.get("real", Hollow.model_fields["real"].default), told.get("servers")
+        if type(real) is not int or type(servers) is not int:
+            return told
+        if servers <= real:
+            raise ValueError(f"servers: {servers}, of which {real} are real: more are wanted")
+        return {**told, "servers": real, "hollow": {**hollow, "instances": servers - real}}
+
     def mean_work(self) -> float:
         whole = sum(stage.share for stage in self.stage)
         return sum(stage.share * stage.work_ms for stage in self.stage) / whole
@@ -158,6 +187,15 @@
         return spans
 
 
+def zone_of(number: int, zones: int) -> str:
+    """Of the member of that number: zones in turn."""
+    return f"z{number % zones}"
+
+
+def region_of(number: int, zones: int, regions: int) -> str:
+    return f"g{number % zones % regions}"
+
+
 class Arrival:
     """One task as a client wants it: nothing that happens later changes it."""
 
