--- a/experiments/fleet-scale.hcl
+++ b/experiments/fleet-scale.hcl
@@ -4,7 +4,7 @@
 # replaced all the while at the rate of an ordinary day.
 about    = "real voters and servers in a fleet of hollow ones: detection, traffic and cost at size"
 servers  = 400
-length_s = 156
+length_s = 176
 warm_s   = 6
 load     = 0.5
 cores    = 2
@@ -45,8 +45,8 @@
 fault {
   kind  = "lose"
   label = "rack"
-  at_s  = 24
-  for_s = 22
+  at_s  = 18
+  for_s = 30
   zone  = "z12"
   many  = 40
 }
@@ -54,31 +54,31 @@
   kind  = "lose"
   label = "zone"
   at_s  = 50
-  for_s = 22
+  for_s = 36
   zone  = "z19"
 }
 fault {
   kind   = "cut_region"
   label  = "region"
-  at_s   = 86
+  at_s   = 88
   for_s  = 60
   region = "g6"
 }
 fault {
   kind  = "kill_leader"
-  at_s  = 116
+  at_s  = 118
   for_s = 3
 }
 fault {
   kind  = "replace"
-  at_s  = 24
-  for_s = 130
+  at_s  = 18
+  for_s = 150
   a_day = 2900
 }
 
 arm "without" {
   hollow   = false
-  length_s = 24
+  length_s = 18
 }
 arm "with" {}
 
--- a/pumicenotch/lab/hollow_judge.py
+++ b/pumicenotch/lab/hollow_judge.py
@@ -27,7 +27,6 @@
     spread_at: float = 0.0  # nearly all think all dead
     agreed_at: float = 0.0  # the voters' majority counts all as out
     well_at: float = 0.0  # the voters' majority counts none of them as out any more
-    out_before: int = 0  # counted as out already, for other reasons
     dead: int = 0  # pairs of observer and victim
 
     def figures(self) -> dict[str, float]:
@@ -68,7 +67,6 @@
         self.last: dict[int, Report] = {}  # by process
         self.usage: list[Usage] = []
         self.losses: list[Loss] = []
-        self.out_now = 0
         self.cut_until = 0.0  # no death is held against the fleet before
         self.meant_to_end: set[int] = set()  # killed or replaced by the runner
         self.false_deaths: Counter[str] = Counter()  # by name: how many thought so
@@ -84,13 +82,13 @@
     def lose(self, name: str, numbers: list[int], at: float) -> Loss:
         victims = {self.places[number].name: self.life(number) for number in numbers}
         self.meant_to_end.update(numbers)
-        self.losses.append(Loss(name, victims, at, out_before=self.out_now))
+        self.losses.append(Loss(name, victims, at))
         return self.losses[-1]
 
     def cut(self, name: str, numbers: list[int], at: float) -> Loss:
         victims = {self.places[number].name: self.life(number) for number in numbers}
         self.cut_until = float("inf")
-        self.losses.append(Loss(name, victims, at, out_before=self.out_now))
+        self.losses.append(Loss(name, victims, at))
         return self.losses[-1]
 
     def healed(self, at: float) -> None:
@@ -158,16 +156,18 @@
         ))  # fmt: skip
         if report.longest_cpu_ms > self.longest_cpu_ms:
             self.longest_cpu_ms, self.longest_input = report.longest_cpu_ms, report.longest_input
+            self.note(report.at, "longest_step", {"input": self.longest_input, "ms": self.longest_cpu_ms})
         self.longest_wall_ms = max(self.longest_wall_ms, report.longest_wall_ms)
 
-    def out(self, at: float, out: int) -> None:
-        """How many members the leader says are out, counted by a majority."""
-        self.out_now = out
+    def out(self, at: float, many: int, names: set[str]) -> None:
+        """How many members the leader says are out, counted by a majority, and the names it lists: all of
+        them, unless they are too many for an answer."""
         for loss in self.losses:
-            more = out - loss.out_before
-            if not loss.agreed_at and not loss.back_at and more >= len(loss.victims):
+            listed = len(names & loss.victims.keys())
+            all_out = listed == len(loss.victims) or (many > len(names) and many >= len(loss.victims))
+            if not loss.agreed_at and not loss.back_at and all_out:
                 loss.agreed_at = at
-            if loss.back_at and at > loss.back_at and not loss.well_at and more <= 0:
+            if loss.back_at and at > loss.back_at and not loss.well_at and not listed and many == len(names):
                 loss.well_at = at
 
     # Figures
--- a/pumicenotch/lab/hollow_run.py
+++ b/pumicenotch/lab/hollow_run.py
@@ -32,7 +32,7 @@
     """A voter's processor time and bytes, from outside, look by look."""
 
     def __init__(self) -> None:
-        self.looks: list[tuple[float, float, int, int]] = []  # at, cpu s, read, written
+        self.looks: list[tuple[float, int, float, int, int]] = []  # at, pid, cpu s, read, written
 
     def look(self, pid: int) -> None:
         try:
@@ -41,18 +41,18 @@
         except (OSError, ValueError):
             return
         cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_A_S
-        if self.looks and cpu_s < self.looks[-1][1]:
-            self.looks.clear()  # another process in its place
-        self.looks.append((time.monotonic(), cpu_s, int(io["rchar"]), int(io["wchar"])))
+        self.looks.append((time.monotonic(), pid, cpu_s, int(io["rchar"]), int(io["wchar"])))
 
     def over(self, begin: float, end: float) -> tuple[float, float, float]:
-        """Part of a core, bytes read and written a second, over that time."""
+        """Part of a core, bytes read and written a second, over that time, of its last process in it."""
         some = [look for look in self.looks if begin <= look[0] <= end]
+        some = [look for look in some if look[1] == some[-1][1]]
         if len(some) < 2 or some[-1][0] - some[0][0] < 1.0:
             return 0.0, 0.0, 0.0
         first, last = some[0], some[-1]
         lasted = last[0] - first[0]
-        return ((last[1] - first[1]) / lasted, (last[2] - first[2]) / lasted, (last[3] - first[3]) / lasted)
+        cpu, read, written = ((last[at] - first[at]) / lasted for at in (2, 3, 4))
+        return cpu, read, written
 
 
 class HollowRun:
@@ -115,7 +115,7 @@
                 now = time.monotonic()
                 self.note(now, "status", {"leader": status["leader"], "out": status["out"]})
                 self.led.append((now, status["leader"]))
-                self.judge.out(now, status["out"])
+                self.judge.out(now, status["out"], {row["name"] for row in status["rows"]})
             await asyncio.sleep(STATUS_S)
 
     async def agreements(self) -> None:
