--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -12,16 +12,16 @@
 
 from pumicenotch.config.hcl import BadFile
 from pumicenotch.lab import experiment as lab_
-from pumicenotch.lab.guard import MachineTooSmall
+from pumicenotch.lab.guard import MachineTooSmall, RunFailed
 
 lab = App(name="lab", help="Real servers with an emulated world round them: experiments and their results.")
 Json = Annotated[bool, Parameter(name="--json", negative="")]
 Sets = Annotated[list[str] | None, Parameter(name="--set", negative="", consume_multiple=False)]
 
 
-def wrong(error: Exception) -> None:
+def wrong(error: Exception, status: int = 2) -> None:
     print(error, file=sys.stderr)
-    sys.exit(2)
+    sys.exit(status)
 
 
 @lab.command(name="list")
@@ -85,8 +85,8 @@
         whole = False
         signal.signal(signal.SIGTERM, signal.SIG_IGN)  # what runs is ending already
         print("stopped: what had ended is kept and marked", file=sys.stderr)
-    except MachineTooSmall as error:
-        wrong(error)
+    except RunFailed as error:
+        wrong(error, error.status)
     summary = lab_.summary(told, path.stem, sets, found, whole)
     try:
         if out is not None:
--- a/pumicenotch/lab/guard.py
+++ b/pumicenotch/lab/guard.py
@@ -18,8 +18,16 @@
 OTHERS_MB = 60.0  # each
 
 
-class MachineTooSmall(Exception):
-    """A run needs, or has come to hold, more than it may have of this machine: one line."""
+class RunFailed(Exception):
+    """A run that could not be carried out: one line."""
+
+    status = 1  # that the command ends with
+
+
+class MachineTooSmall(RunFailed):
+    """A run needs, or has come to hold, more than it may have of this machine."""
+
+    status = 2
 
 
 class Machine(NamedTuple):
--- a/pumicenotch/lab/hollow.py
+++ b/pumicenotch/lab/hollow.py
@@ -18,10 +18,13 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from pumicenotch.lab.hollow_instance import Cut, Instance, Meter, packed, usage
+from pumicenotch.lab.hollow_instance import Instance, Meter, Partition, packed, usage
 from pumicenotch.lab.hollow_messages import Command, Place, Report, Spec
 
 REPORT_S = 0.5
+# Whole collections of garbage look through what all instances hold, which no process with one instance pays
+# for, and stop them all meanwhile: the young alone are collected.
+GARBAGE_THRESHOLDS = (2000, 20, 1_000_000)
 LINE_MOST = 4 * 1024 * 1024  # of a command: names of a whole region
 
 
@@ -30,7 +33,7 @@
         self.spec, self.group = spec, group
         self.directory = [Place(*each) for each in json.loads(Path(spec.directory).read_text())]
         self.meter = Meter(spec.voters)
-        self.cut = Cut(self.directory)
+        self.partition = Partition(self.directory)
         self.known = packed(spec, self.directory)
         self.instances: dict[int, Instance] = {}
         self.generation: Counter[int] = Counter()
@@ -56,7 +59,6 @@
                 gap = command.within_s / max(1, len(command.numbers))
                 for at, number in enumerate(command.numbers):
                     self.group.start_soon(self.start, number, at * gap)
-                self.group.start_soon(self.freeze, command.within_s + 1.0)
             case "kill":
                 for number in command.numbers:
                     if number in self.instances:
@@ -65,9 +67,9 @@
                 for number in command.numbers:
                     self.group.start_soon(self.replace, number)
             case "cut":
-                self.cut.cut(command.names)
+                self.partition.cut(command.names)
             case "heal":
-                self.cut.heal()
+                self.partition.heal()
             case _:
                 logger.error("hollow: unknown command {!r}", command.do)
 
@@ -75,7 +77,7 @@
         await anyio.sleep(after_s)
         generation = self.generation[number]
         self.generation[number] += 1
-        instance = Instance(self.spec, self.directory[number], number, generation, self.meter, self.cut)
+        instance = Instance(self.spec, self.directory[number], number, generation, self.meter, self.partition)
         self.instances[number] = instance
         self.lives.append([number, generation, True])
         try:
@@ -97,14 +99,6 @@
                 await anyio.sleep(0.02)
             await self.start(number, 0.0)
 
-    @staticmethod
-    async def freeze(after_s: float) -> None:
-        """What all instances know from their start is no garbage: to look through it again and again would
-        cost what no process with one instance pays."""
-        await anyio.sleep(after_s)
-        gc.collect()
-        gc.freeze()
-
     # Reports
 
     async def reports(self) -> None:
@@ -137,6 +131,7 @@
     logger.remove()
     logger.add(sys.stderr, level="WARNING", format="{time:HH:mm:ss.SSS} {level} {message}", diagnose=False)
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # a terminal's goes to all: the runner ends this process
+    gc.set_threshold(*GARBAGE_THRESHOLDS)
     spec = Spec.load(Path(sys.argv[1]).read_text())
     anyio.run(serve, spec, backend_options={"use_uvloop": True})
 
--- a/pumicenotch/lab/hollow_fleet.py
+++ b/pumicenotch/lab/hollow_fleet.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from pumicenotch.lab.crew import FLEET, Crew
-from pumicenotch.lab.guard import processes_for
+from pumicenotch.lab.guard import MachineTooSmall, RunFailed, processes_for
 from pumicenotch.lab.hollow_messages import Command, Place, Report, Spec
 from pumicenotch.lab.world import Hollow, region_of, zone_of
 
@@ -20,10 +20,6 @@
 A_NETWORK = 250  # addresses of one /24 that are used
 
 
-class Trouble(Exception):
-    """Hollow instances that do not come up, or a process of theirs that has ended by itself."""
-
-
 class HollowProcess:
     """One process, as its runner has it."""
 
@@ -77,7 +73,7 @@
     # Start
 
     async def start(self, others: list[Place], within_s: float) -> None:
-        """Raises Trouble. `others` are the real members."""
+        """Raises RunFailed. `others` are the real members."""
         directory = self.folder / "directory.json"
         directory.write_text(json.dumps([*self.places, *others]))
         voters = [self.crew.shown(name) for name in self.crew.voters]
@@ -112,10 +108,10 @@
         until = time.monotonic() + within_s
         while (serving := sum(each.latest.serving for each in self.processes)) < self.hollow.instances:
             if self.ended_by_themselves:
-                raise Trouble(f"{self.ended_by_themselves[0]}: see {self.folder}")
+                raise RunFailed(f"{self.ended_by_themselves[0]}: see {self.folder}")
             if time.monotonic() > until:
-                raise Trouble(
-                    f"{serving} of {self.hollow.instances} hollow instances are in service after"
+                raise MachineTooSmall(
+                    f"time: {serving} of {self.hollow.instances} hollow instances are in service after"
                     f" {within_s:.0f} s: the machine is too slow for so many just now (--set servers=N)"
                 )
             await asyncio.sleep(0.1)
--- a/pumicenotch/lab/hollow_instance.py
+++ b/pumicenotch/lab/hollow_instance.py
@@ -12,12 +12,12 @@
 
 from pumicenotch import start
 from pumicenotch.fleet import effects
-from pumicenotch.fleet.mate import Mate
-from pumicenotch.fleet.side import Side
+from pumicenotch.fleet.member_node import MemberNode
+from pumicenotch.fleet.settings import FleetSettings
 from pumicenotch.lab.hollow_messages import FIRST_BEGAN_MS, STEP_BUCKET_MS, Place, Report, Spec, life_of
 from pumicenotch.members.messages import News, Opinion, Standing, Who
 from pumicenotch.net.fleet import FRAME_MOST, LOOK_S, links
-from pumicenotch.net.mates import Alarm, Mates, begin, listening
+from pumicenotch.net.peers import PeerHub, ResettableTimer, open_listener, run_hub
 
 SOCKETS = 1024  # descriptors that the platform gives a server: the fleet's part follows from it
 GONE_S = 3.0  # for an orderly end to be agreed, before the instance stops all the same
@@ -65,7 +65,7 @@
         self.fresh()
 
 
-class Cut:
+class Partition:
     """Which members are cut off from all others."""
 
     def __init__(self, directory: list[Place]) -> None:
@@ -82,7 +82,7 @@
         return bool(self.inside) and (one in self.inside) is not (other in self.inside)
 
 
-class HollowMember(Mate):
+class HollowMember(MemberNode):
     """The real one, with its opinions watched."""
 
     def __init__(self, meter: Meter, **rest: Any) -> None:
@@ -121,17 +121,17 @@
         self.holds_dead.clear()
 
 
-class HollowHub(Mates):
+class HollowHub(PeerHub):
     """The real one; counts what it carries, and carries nothing over a cut."""
 
-    def __init__(self, meter: Meter, cut: Cut, *rest: Any) -> None:
+    def __init__(self, meter: Meter, partition: Partition, *rest: Any) -> None:
         super().__init__(*rest)
-        self.meter, self.cut, self.address = meter, cut, self.hello[3]
+        self.meter, self.partition, self.address = meter, partition, self.hello[3]
 
     def put(self, name: str, *details: Any) -> None:
         if name == "told":
             sender = details[0][2]
-            if self.cut.between(self.address, sender):
+            if self.partition.between(self.address, sender):
                 self.meter.dropped += 1
                 return
             self.meter.received[self.meter.role(sender)] += 1
@@ -142,12 +142,12 @@
         taken = (time.thread_time() - cpu) * 1000.0
         self.meter.step(name, taken, (time.perf_counter() - wall) * 1000.0)
 
-    def tell(self, address: str, message: tuple[Any, ...]) -> None:
-        if self.cut.between(self.address, address):
+    def send(self, address: str, message: tuple[Any, ...]) -> None:
+        if self.partition.between(self.address, address):
             self.meter.dropped += 1
             return
         self.meter.sent[self.meter.role(address)] += 1
-        super().tell(address, message)
+        super().send(address, message)
 
     def carry_out(self, effect: Any) -> None:
         if not isinstance(effect, effects.Log):  # many instances' lines would fill the disk
@@ -158,10 +158,10 @@
     """From its start to its end; started again it is another life."""
 
     def __init__(
-        self, spec: Spec, place: Place, number: int, generation: int, meter: Meter, cut: Cut
+        self, spec: Spec, place: Place, number: int, generation: int, meter: Meter, partition: Partition
     ) -> None:
         self.spec, self.place, self.number, self.generation = spec, place, number, generation
-        self.meter, self.cut = meter, cut
+        self.meter, self.partition = meter, partition
         self.stopped = anyio.Event()
         self.hub: HollowHub | None = None
         self.member: HollowMember | None = None
@@ -169,11 +169,11 @@
     async def run(self, known: bytes) -> None:
         """Until it is stopped: abruptly, as a process that is killed. `known` are those that it knows at its
         start, packed; none for a cold one."""
-        listener = await listening(start.address(self.place.address))
+        listener = await open_listener(start.address(self.place.address))
         try:
             async with anyio.create_task_group() as group:
                 self.member, self.hub = self.made(group, known)
-                begin(self.hub, listener)
+                run_hub(self.hub, listener)
                 group.start_soon(self.serve, self.hub)
                 await self.stopped.wait()
                 group.cancel_scope.cancel()
@@ -183,21 +183,21 @@
             await listener.aclose()
 
     def made(self, group: Any, known: bytes) -> tuple[HollowMember, HollowHub]:
-        place, alarm = self.place, Alarm()
+        place, timer = self.place, ResettableTimer()
         life = life_of(self.number, self.generation)
         began = int(time.time() * 1000) if self.generation else FIRST_BEGAN_MS
-        side = Side(self.spec.fleet, place.name, place.address, tuple(self.spec.voters),
+        settings = FleetSettings(self.spec.fleet, place.name, place.address, tuple(self.spec.voters),
                     zone=place.zone, region=place.region)  # fmt: skip
         chance = random.Random(self.spec.seed * 1_000_003 + self.number * 101 + self.generation)
         member = HollowMember(
-            self.meter, fleet=self.spec.fleet, member=side.member(life), voters=side.voters,
+            self.meter, fleet=self.spec.fleet, member=settings.member(life), voters=settings.voters,
             me=Who(place.name, place.address, life, began, place.zone, place.region),
-            seeds=side.voters, now=alarm.now(), seed=chance.getrandbits(32),
+            seeds=settings.voters, now=timer.now(), seed=chance.getrandbits(32),
         )  # fmt: skip
         if known:
             member.know(known, chance)
         hub = HollowHub(
-            self.meter, self.cut, member, alarm, group, lambda _: None, FRAME_MOST, links(SOCKETS)
+            self.meter, self.partition, member, timer, group, lambda _: None, FRAME_MOST, links(SOCKETS)
         )
         return member, hub
 
@@ -214,7 +214,7 @@
             await anyio.sleep(DRAIN_S)
             self.hub.put("left")
             with anyio.move_on_after(GONE_S):
-                while not self.member.gone_told:
+                while not self.member.gone_sent:
                     await anyio.sleep(0.05)
         self.stopped.set()
 
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from functools import partial
@@ -309,8 +310,9 @@
     async def run(self, progress: Callable[["Loopback"], None] | None = None) -> "Loopback":
         self.loop = asyncio.get_running_loop()
         self.main = asyncio.current_task()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            self.loop.add_signal_handler(number, self.fail, KeyboardInterrupt())
+        if threading.current_thread() is threading.main_thread():
+            for number in (signal.SIGINT, signal.SIGTERM):
+                self.loop.add_signal_handler(number, self.fail, KeyboardInterrupt())
         self.began = self.loop.time() * 1000.0
         self.clients = Clients(self.world, self.seed, self, self.ledger)
         self.dials: set[asyncio.Task[None]] = set()
