--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -252,11 +252,11 @@
             task.cancel()
         await asyncio.gather(*self.watching, *self.dials, return_exceptions=True)
         try:
-            await super().stop()
+            if self.hollow is not None:  # first: with so many beside them servers end late
+                await self.hollow.stop()
         finally:
             try:
-                if self.hollow is not None:
-                    await self.hollow.stop()
+                await super().stop()
             finally:
                 await self.crew.stop()
 
--- a/pumicenotch/lab/hollow_run.py
+++ b/pumicenotch/lab/hollow_run.py
@@ -55,6 +55,12 @@
         return cpu, read, written
 
 
+def machine_use() -> tuple[float, float, float]:
+    """When, and the processor time of all cores that was used and that there was, by whomever."""
+    fields = [int(each) / TICKS_A_S for each in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
+    return time.monotonic(), sum(fields) - fields[3] - fields[4], sum(fields)
+
+
 class HollowRun:
     def __init__(self, world: World, seed: int, folder: Path, crew: Crew, watch: Watch, spawn: Spawn) -> None:
         assert world.hollow is not None
@@ -67,7 +73,8 @@
         self.voters = {name: VoterUse() for name in crew.voters}
         self.led: list[tuple[float, str]] = []  # who led, by look
         self.agreed_ms: list[float] = []
-        self.began = self.quiet_until = self.ended = 0.0
+        self.began = self.quiet_from = self.quiet_until = self.ended = 0.0
+        self.machine: list[tuple[float, float, float]] = []  # at, busy and whole processor time, s
         self.start_s = 0.0
         self.others_pids: Callable[[], list[int]] = list
         self.fail: Callable[[MachineTooSmall], None] = lambda error: None
@@ -83,6 +90,7 @@
     def begin(self) -> None:
         """The load begins: from now on it is measured, up to the first fault as quiet."""
         self.began = time.monotonic()
+        self.quiet_from = self.began + self.world.warm_s
         first = min((fault.at_s for fault in self.world.fault), default=self.world.length_s)
         self.quiet_until = self.began + first
         for job in (self.statuses(), self.agreements()):
@@ -103,6 +111,7 @@
             except MachineTooSmall as error:
                 self.fail(error)
                 return
+            self.machine.append(machine_use())
             for name, voter in self.crew.voters.items():
                 if voter.process is not None and voter.up:
                     self.voters[name].look(voter.process.pid)
@@ -209,12 +218,21 @@
                 found[f"{role}_{figure}"] = round(float(np.mean([use[at] for use in some] or [0.0])), 4)
         return found
 
+    def machine_busy(self, begin: float, end: float) -> float:
+        """Part of all cores that everything on the machine has used."""
+        some = [look for look in self.machine if begin <= look[0] < end]
+        if len(some) < 2:
+            return -1.0
+        return (some[-1][1] - some[0][1]) / max(1e-9, some[-1][2] - some[0][2])
+
     def more(self) -> dict[str, float]:
         cpu, sent = self.leader_peak()
         times = self.agreed_ms or [-1.0]
         found = {
             "hollow_instances": float(len(self.fleet.places)),
             "hollow_processes": float(len(self.fleet.processes)), "start_s": round(self.start_s, 2),
+            "machine_busy_quiet": round(self.machine_busy(self.quiet_from, self.quiet_until), 3),
+            "machine_busy": round(self.machine_busy(self.began, self.ended or time.monotonic()), 3),
             "run_memory_mb": round(self.guard.most_mb, 0),
             "run_processes": float(self.guard.most_processes),
             "run_s": round((self.ended or time.monotonic()) - self.started, 1),
@@ -225,8 +243,8 @@
             "hollow_processes_fallen": float(len(self.fleet.ended_by_themselves)),
         }  # fmt: skip
         ended = self.ended or time.monotonic()
-        found |= self.judge.each("quiet", self.began, self.quiet_until)
+        found |= self.judge.each("quiet", self.quiet_from, self.quiet_until)
         found |= self.judge.each("control", self.began, ended)
         found |= {f"quiet_{name}": value for name, value in
-                  self.mean_use(self.began, self.quiet_until).items()}  # fmt: skip
+                  self.mean_use(self.quiet_from, self.quiet_until).items()}  # fmt: skip
         return found | self.judge.figures()
