A run that fails or is interrupted ends the runs beside it

Cause: where one arm failed while another was under way, the command waited for that one's whole length, and a SIGTERM meanwhile ended nothing (seen with a folder removed under a run). Change: workers are ended by a signal of their own upon any end, and waited for.

--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -318,17 +318,27 @@
     """Every arm with every seed, in that order; `done` hears of each as it ends."""
     seeds = range(told.seed, told.seed + told.seeds)
     jobs = [(told, path, arm.name, seed, folder) for seed in seeds for arm in told.arm]
-    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
-        try:
-            for one in pool.map(worked, jobs):
-                done(one)
-                yield one
-        except (KeyboardInterrupt, BrokenProcessPool):
-            for process in list((pool._processes or {}).values()):  # a signal to this process alone goes on
-                if process.is_alive():
-                    process.terminate()
-            pool.shutdown(wait=False, cancel_futures=True)
-            raise KeyboardInterrupt from None
+    pool = ProcessPoolExecutor(workers, mp_context=get_context("spawn"))
+    try:
+        for one in pool.map(worked, jobs):
+            done(one)
+            yield one
+    except (KeyboardInterrupt, BrokenProcessPool):
+        end_workers(pool)
+        raise KeyboardInterrupt from None
+    except BaseException:
+        end_workers(pool)
+        raise
+    finally:
+        pool.shutdown(cancel_futures=True)
+
+
+def end_workers(pool: ProcessPoolExecutor) -> None:
+    """By a signal of their own, upon which each stops what it has started: one sent to this process alone, or
+    another run's failure, would leave them at work to their end."""
+    for process in list((pool._processes or {}).values()):
+        if process.is_alive():
+            process.terminate()
 
 
 def limit_s(told: Experiment, arm: Arm) -> float:
--- a/pumicenotch/lab/hollow_instance.py
+++ b/pumicenotch/lab/hollow_instance.py
@@ -205,7 +205,7 @@
         if known:
             member.know(known, after_s * 1000.0, chance)
         hub = HollowHub(
-            self.meter, self.partition, member, timer, group, lambda _: None, FRAME_MOST, links(SOCKETS)
+            self.meter, self.partition, member, timer, group, lambda _: None, FRAME_MOST, links(SOCKETS, None)
         )
         return member, hub
 
