A failed probe of one's own confirms a suspicion: a death is known to all sooner

Cause: a member whose probe of a suspect failed said nothing of it, so that most suspicions ran their longest time: hollow fleets of 60 to 1,000 took over 30 s to agree on lost instances. Lifeguard (4.2) counts independent suspicions as confirmations. Change: members.unanswered raises its own suspicion of a suspect too; a test that fails without it.

--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -43,6 +43,7 @@
     drains: Literal["none", "alone", "agreed"] = "agreed"  # of a fleet: what becomes of its `drain_all`
     releases: Literal["none", "good", "bad-class", "crash-loop", "kills-below"] = "none"
     hollow: bool = True  # whether the world's hollow instances are there
+    configuration: Literal["none", "changes"] = "none"  # how they get what the world publishes
     length_s: Annotated[float, Field(gt=1.0)] | None = None  # where it ends sooner than the others
 
 
@@ -129,28 +130,35 @@
                 raise ValueError(f"fault {fault.kind}: needs voters")
             if fault.kind == "move" and not self.routers:
                 raise ValueError("fault move: needs routers")
-            if fault.kind in ("lose", "cut_region", "replace") and self.hollow is None:
+            if fault.kind in ("lose", "cut_region", "replace", "kill_relays") and self.hollow is None:
                 raise ValueError(f"fault {fault.kind}: needs a block hollow")
-            if fault.kind in ("cut_zone", "link") and self.hollow is not None:
+            if fault.kind == "link" and self.hollow is not None:
                 raise ValueError(f"fault {fault.kind}: no relay carries a fleet with hollow instances")
         if self.hollow is not None and (not self.voters or self.agents):
             raise ValueError("hollow: needs voters, and servers without agents")
-        self.check_places()
+        if self.hollow is not None:
+            self.check_places()
+        for arm in self.arm:
+            if arm.configuration != "none" and (self.configuration is None or self.hollow is None):
+                raise ValueError(f"arm {arm.name}: configuration: needs blocks configuration and hollow")
         return self
 
     def check_places(self) -> None:
-        """What faults of hollow instances name is there; a region that is cut has no real member."""
+        """What faults of hollow instances name is there; a region or zone that is cut has no real member."""
         real = range(max(self.servers, self.voters))
-        taken = {region_of(at, self.zones, self.regions) for at in real}
-        free = sorted({region_of(at, self.zones, self.regions) for at in range(self.zones)} - taken)
+        zones = {zone_of(at, self.zones) for at in range(self.zones)}
+        regions = {region_of(at, self.zones, self.regions) for at in range(self.zones)}
+        free_zones = zones - {zone_of(at, self.zones) for at in real}
+        free_regions = sorted(regions - {region_of(at, self.zones, self.regions) for at in real})
         for fault in self.fault:
             place = f"fault at {fault.at_s:g} s"
-            if fault.kind == "lose" and fault.zone not in {
-                zone_of(at, self.zones) for at in range(self.zones)
-            }:
+            if fault.kind == "lose" and fault.zone not in zones:
                 raise ValueError(f"{place}: no zone {fault.zone!r}; zones: z0 to z{self.zones - 1}")
-            if fault.kind == "cut_region" and fault.region not in free:
-                allowed = ", ".join(free) or "none"
+            if fault.kind == "cut_zone" and fault.zone not in free_zones:
+                allowed = ", ".join(sorted(free_zones, key=lambda zone: int(zone[1:]))) or "none"
+                raise ValueError(f"{place}: zone {fault.zone!r}: zones without real members: {allowed}")
+            if fault.kind == "cut_region" and fault.region not in free_regions:
+                allowed = ", ".join(free_regions) or "none"
                 raise ValueError(f"{place}: region {fault.region!r}: regions without real members: {allowed}")
 
 
@@ -292,6 +300,7 @@
                 hollow=arm.hollow,
                 until_s=arm.length_s,
                 limit_s=limit_s(told, arm),
+                configuration=arm.configuration,
             )
             on_sockets = run(told, seed, launch, kept, carrier=made)
         else:
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -22,7 +22,7 @@
 from pumicenotch.lab.relay import OPEN, Way
 
 HOLLOW_FORMED_S = 100.0  # the same with hollow instances, many of them
-HOLLOW_FAULTS = ("lose", "cut_region", "replace")
+HOLLOW_FAULTS = ("lose", "cut_region", "replace", "kill_relays")
 LOOK_S = 0.02  # between looks at who is out: a tenth of the shortest time that a server is
 FORMED_S = 40.0  # for voters to found the fleet and all servers to be in it
 
@@ -38,6 +38,7 @@
     def __init__(
         self, world: world_.World, seed: int, launch: Launch, folder: Path, drains: str = "agreed",
         hollow: bool = True, until_s: float | None = None, limit_s: float = SEED_S,
+        configuration: str = "none",
     ) -> None:  # fmt: skip
         """`hollow` says whether the world's hollow instances are there, `limit_s` how long the run may last
         with them. A run that ends sooner, at `until_s`, has the same arrivals up to then."""
@@ -49,12 +50,14 @@
             self.tasks = [task for task in self.tasks if task.at < until_s * 1000.0]
         self.drains = drains
         budgets = "\n".join(map(block, world.budget))
+        if configuration != "none":
+            budgets += "\ndistribution {}\n"
         direct = world.hollow is not None
         self.crew = Crew(folder, seed, world.voters, world.zones, budgets, world.regions, direct)
         self.hollow: HollowRun | None = None
         if direct and hollow:
             watch = Watch(Machine.here(), limit_s)
-            self.hollow = HollowRun(world, seed, folder, self.crew, watch, self.spawn_task)
+            self.hollow = HollowRun(world, seed, folder, self.crew, watch, self.spawn_task, configuration)
             self.hollow.others_pids = self.pids
             self.hollow.fail = self.fail
         self.zone = {node.number: f"z{node.number % world.zones}" for node in self.nodes}
@@ -89,6 +92,8 @@
         if self.hollow is not None:
             self.hollow.begin()
         await super().load(progress)
+        if self.hollow is not None:
+            await self.hollow.finish()
 
     def real_places(self) -> list[Place]:
         return [Place(name, self.crew.shown(name), zone, self.crew.region(zone))
@@ -187,7 +192,7 @@
     # Faults
 
     def fault(self, fault: world_.Fault, now: float) -> None:
-        if fault.kind in HOLLOW_FAULTS:
+        if fault.kind in HOLLOW_FAULTS or (fault.kind == "cut_zone" and self.world.hollow is not None):
             if self.hollow is not None:
                 self.hollow.fault(fault)
             return
--- a/pumicenotch/lab/hollow.py
+++ b/pumicenotch/lab/hollow.py
@@ -18,10 +18,12 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from pumicenotch.lab.configuration_observer import Observer
 from pumicenotch.lab.hollow_instance import Instance, Meter, Partition, packed, usage
 from pumicenotch.lab.hollow_messages import Command, Place, Report, Spec
 
 REPORT_S = 0.5
+OBSERVE_S = 0.05  # between looks at what is served: the least that a delay is told by
 PROCESSES_START_S = 1.5  # between the first process of hollow instances and the last
 # Whole collections of garbage look through what all instances hold, which no process with one instance pays
 # for, and stop them all meanwhile: the young alone are collected.
@@ -39,6 +41,8 @@
         self.instances: dict[int, Instance] = {}
         self.generation: Counter[int] = Counter()
         self.lives: list[list[Any]] = []  # changes since the last report
+        self.verified: list[list[Any]] = []
+        self.observer = Observer(Path(spec.journal)) if spec.configuration is not None else None
         self.counts: Counter[str] = Counter()  # of instances that have ended
 
     # Commands
@@ -71,6 +75,8 @@
                 self.partition.cut(command.names)
             case "heal":
                 self.partition.heal()
+            case "verify":
+                self.verify()
             case _:
                 logger.error("hollow: unknown command {!r}", command.do)
 
@@ -81,14 +87,14 @@
         self.generation[number] += 1
         instance = Instance(self.spec, self.directory[number], number, generation, self.meter, self.partition)
         self.instances[number] = instance
-        self.lives.append([number, generation, True])
+        self.lives.append([number, generation, True, time.monotonic()])
         try:
             known = self.known if generation == 0 else b""
             await instance.run(known, others_s + PROCESSES_START_S)
         except* OSError as error:
             logger.error("hollow: {} cannot run: {}", instance.place.name, error.exceptions[0])
         finally:
-            self.lives.append([number, generation, False])
+            self.lives.append([number, generation, False, time.monotonic()])
             if self.instances.get(number) is instance:
                 del self.instances[number]
             if instance.member is not None:
@@ -102,6 +108,22 @@
                 await anyio.sleep(0.02)
             await self.start(number, 0.0, 0.0)
 
+    # What is served
+
+    async def observe(self, observer: Observer) -> None:
+        while True:
+            await anyio.sleep(OBSERVE_S)
+            for instance in list(self.instances.values()):
+                if instance.configuration is not None:
+                    observer.look(instance.configuration.watched, instance.configuration.view)
+            observer.check()
+
+    def verify(self) -> None:
+        for number, instance in self.instances.items():
+            if self.observer is not None and instance.configuration is not None:
+                good = self.observer.verify(instance.configuration.watched)
+                self.verified.append([number, good])
+
     # Reports
 
     async def reports(self) -> None:
@@ -118,16 +140,29 @@
                 report.serving += instance.member.agreed_serving
                 counts.update(instance.member.counts)
         report.counts, report.lives, self.lives = dict(counts), self.lives, []
+        self.observed(report)
         report.descriptors = len(os.listdir("/proc/self/fd"))
         usage(report)
         return report
 
+    def observed(self, report: Report) -> None:
+        report.verified, self.verified = self.verified, []
+        if self.observer is None:
+            return
+        observer = self.observer
+        report.switches, report.mixed, report.backward = observer.switches, observer.mixed, observer.backward
+        report.checked, report.observer_cpu_s = observer.checked, observer.cpu_s
+        report.relays = [number for number, instance in self.instances.items() if instance.is_relay]
+        observer.begin()
+
 
 async def serve(spec: Spec) -> None:
     async with anyio.create_task_group() as group:
         process = HollowProcess(spec, group)
         group.start_soon(process.reports)
         group.start_soon(process.commands)
+        if process.observer is not None:
+            group.start_soon(process.observe, process.observer)
 
 
 def main() -> None:
--- a/pumicenotch/lab/hollow_fleet.py
+++ b/pumicenotch/lab/hollow_fleet.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from pumicenotch.lab.crew import FLEET, Crew
 from pumicenotch.lab.guard import MachineTooSmall, RunFailed, processes_for
@@ -57,6 +58,9 @@
     """All hollow instances of one run. `on_report` gets each report with the number of its process."""
 
     def __init__(self, hollow: Hollow, zones: int, regions: int, seed: int, folder: Path, crew: Crew) -> None:
+        self.zones = zones
+        self.configuration: dict[str, Any] | None = None
+        self.journal = ""
         self.hollow, self.seed, self.folder, self.crew = hollow, seed, folder, crew
         self.places = layout(hollow, zones, regions)
         many = processes_for(hollow.instances)
@@ -79,7 +83,8 @@
         voters = [self.crew.shown(name) for name in self.crew.voters]
         for each in self.processes:
             spec = Spec(FLEET, self.seed, voters, each.first, each.last, str(directory),
-                        self.hollow.instances, self.hollow.knows)  # fmt: skip
+                        self.hollow.instances, self.hollow.knows, self.zones, self.configuration,
+                        self.journal)  # fmt: skip
             each.spec.write_text(spec.dump())
             await self.spawn(each)
         takes_s = self.hollow.instances / START_A_S
@@ -133,6 +138,10 @@
         for each in self.processes:
             each.tell(Command("heal"))
 
+    def verify(self) -> None:
+        for each in self.processes:
+            each.tell(Command("verify"))
+
     def in_zone(self, zone: str, most: int = 0) -> list[int]:
         found = [number for number, place in enumerate(self.places) if place.zone == zone]
         return found[:most] if most else found
--- a/pumicenotch/lab/hollow_instance.py
+++ b/pumicenotch/lab/hollow_instance.py
@@ -11,11 +11,17 @@
 import msgpack
 
 from pumicenotch import start
+from pumicenotch.distribution.events import Ticked
+from pumicenotch.distribution.instance_settings import InstanceSettings, ScopesOfTable
 from pumicenotch.fleet import effects
 from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.settings import FleetSettings
+from pumicenotch.lab.configuration_observer import Watched
 from pumicenotch.lab.hollow_messages import FIRST_BEGAN_MS, STEP_BUCKET_MS, Place, Report, Spec, life_of
+from pumicenotch.lab.published import Dataset
+from pumicenotch.lab.world import Configuration
 from pumicenotch.members.messages import News, Opinion, Standing, Who
+from pumicenotch.net.configuration import InstanceCarrier
 from pumicenotch.net.fleet import FRAME_MOST, LOOK_S, links
 from pumicenotch.net.peers import PeerHub, ResettableTimer, open_listener, run_hub
 
@@ -162,6 +168,25 @@
             super().carry_out(effect)
 
 
+class HollowConfiguration(InstanceCarrier):
+    """The real carrier of the configuration's reducer; the timer's steps are measured as the hub's are."""
+
+    def __init__(self, watched: Watched, hub: HollowHub, *rest: Any) -> None:
+        super().__init__(hub, *rest)
+        self.watched, self.meter = watched, hub.meter
+
+    def put(self, event: Any) -> None:
+        if not isinstance(event, Ticked):
+            super().put(event)
+            return
+        sampled = self.meter.next_is_sampled()
+        wall, cpu = time.perf_counter(), time.thread_time() if sampled else 0.0
+        super().put(event)
+        if sampled:
+            self.meter.step("configuration", (time.thread_time() - cpu) * 1000.0)
+        self.meter.longest_wall_ms = max(self.meter.longest_wall_ms, (time.perf_counter() - wall) * 1000.0)
+
+
 class Instance:
     """From its start to its end; started again it is another life."""
 
@@ -173,6 +198,11 @@
         self.stopped = anyio.Event()
         self.hub: HollowHub | None = None
         self.member: HollowMember | None = None
+        self.configuration: HollowConfiguration | None = None
+
+    @property
+    def is_relay(self) -> bool:
+        return self.configuration is not None and self.configuration.node.relay
 
     async def run(self, known: bytes, after_s: float) -> None:
         """Until it is stopped: abruptly, as a process that is killed. `known` are those that it knows at its
@@ -182,6 +212,9 @@
             async with anyio.create_task_group() as group:
                 self.member, self.hub = self.made(group, known, after_s)
                 run_hub(self.hub, listener)
+                if self.spec.configuration is not None:
+                    self.configuration = self.configured(self.hub)
+                    self.configuration.run()
                 group.start_soon(self.serve, self.hub)
                 await self.stopped.wait()
                 group.cancel_scope.cancel()
@@ -205,10 +238,29 @@
         if known:
             member.know(known, after_s * 1000.0, chance)
         hub = HollowHub(
-            self.meter, self.partition, member, timer, group, lambda _: None, FRAME_MOST, links(SOCKETS, None)
+            self.meter,
+            self.partition,
+            member,
+            timer,
+            group,
+            lambda _: None,
+            FRAME_MOST,
+            links(SOCKETS, InstanceSettings() if self.spec.configuration is not None else None),
         )
         return member, hub
 
+    def configured(self, hub: HollowHub) -> "HollowConfiguration":
+        """What it needs of the configuration, and the reducer that gets it."""
+        assert self.spec.configuration is not None
+        dataset = Dataset(Configuration(**self.spec.configuration), self.spec.zones)
+        wanted = dataset.subscription(self.number)
+        settings = InstanceSettings(
+            tuple(ScopesOfTable(table, tuple(scopes)) for table, scopes in wanted.items())
+        )
+        seed = self.spec.seed * 1_000_003 + self.number * 101 + self.generation
+        watched = Watched(self.number, self.generation, wanted)
+        return HollowConfiguration(watched, hub, settings, tuple(self.spec.voters), seed)
+
     async def serve(self, hub: HollowHub) -> None:
         """What a server's watch tells its member, of one that is well."""
         while True:
--- a/pumicenotch/lab/hollow_judge.py
+++ b/pumicenotch/lab/hollow_judge.py
@@ -101,11 +101,11 @@
     # What is reported
 
     def report(self, process: int, report: Report) -> None:
-        for number, generation, up in report.lives:
+        for number, generation, up, at in report.lives:
             if up:
-                self.generation[number], self.since[number] = generation, report.at
+                self.generation[number], self.since[number] = generation, at
                 self.meant_to_end.discard(number)
-            self.note(report.at, "up" if up else "down", {"number": number, "generation": generation})
+            self.note(at, "up" if up else "down", {"number": number, "generation": generation})
         before = self.last.get(process)
         self.last[process] = report
         for name, life, more in report.dead:
@@ -152,7 +152,8 @@
     def use(self, before: Report, report: Report) -> None:
         lasted = report.at - before.at
         self.usage.append(Usage(
-            report.at, lasted * report.up, report.cpu_s - before.cpu_s,
+            report.at, lasted * report.up,
+            report.cpu_s - before.cpu_s - (report.observer_cpu_s - before.observer_cpu_s),
             report.read_bytes - before.read_bytes, report.written_bytes - before.written_bytes,
             Counter(report.sent), Counter(report.received), Counter(report.steps),
         ))  # fmt: skip
--- a/pumicenotch/lab/hollow_messages.py
+++ b/pumicenotch/lab/hollow_messages.py
@@ -35,6 +35,9 @@
     directory: str  # path of a file of places, hollow ones first
     hollow: int  # how many of the directory are hollow
     knows: bool  # whether instances know each other at their first start, as after a day in service
+    zones: int = 1
+    configuration: dict[str, Any] | None = None  # what is published, if instances are to take it
+    journal: str = ""  # path of the record of what was published
 
     def dump(self) -> str:
         return json.dumps(asdict(self))
@@ -47,7 +50,8 @@
 @dataclass(frozen=True)
 class Command:
     """`start` and `kill` and `replace` take numbers of instances; `cut` a set of members by their names,
-    that hears and reaches nobody else; `heal` ends all cuts; `end` ends the process."""
+    that hears and reaches nobody else; `heal` ends all cuts; `verify` has all that is served looked at once
+    more; `end` ends the process."""
 
     do: str
     numbers: list[int] = field(default_factory=list)
@@ -81,9 +85,17 @@
     longest_wall_ms: float = 0.0
     longest_input: str = ""
     dead: list[list[Any]] = field(default_factory=list)  # name, life, how many more think it dead
-    lives: list[list[Any]] = field(default_factory=list)  # number, generation, up or not
+    lives: list[list[Any]] = field(default_factory=list)  # number, generation, up or not, when
     counts: dict[str, int] = field(default_factory=dict)  # of the members and their hubs
     descriptors: int = 0
+    # Of the configuration: by the observer, never by what instances say of themselves.
+    switches: list[list[Any]] = field(default_factory=list)  # number, generation, version, when
+    mixed: list[list[Any]] = field(default_factory=list)  # number, version, table, scope
+    backward: list[list[Any]] = field(default_factory=list)  # number, from, to
+    checked: int = 0  # scopes, against the record
+    observer_cpu_s: float = 0.0  # of the process's, since its start
+    relays: list[int] = field(default_factory=list)  # numbers of those that serve others now
+    verified: list[list[Any]] = field(default_factory=list)  # number, whether all it serves is the newest
 
     def dump(self) -> str:
         return json.dumps(asdict(self))
--- a/pumicenotch/lab/hollow_run.py
+++ b/pumicenotch/lab/hollow_run.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import secrets
 import time
 from collections.abc import Callable, Coroutine
@@ -12,69 +11,48 @@
 
 import numpy as np
 
+from pumicenotch.lab.configuration_run import ConfigurationRun
 from pumicenotch.lab.crew import Crew, Refused
 from pumicenotch.lab.guard import MachineTooSmall, Watch
 from pumicenotch.lab.hollow_fleet import HollowFleet
 from pumicenotch.lab.hollow_judge import HollowJudge, Loss
-from pumicenotch.lab.hollow_messages import Place
+from pumicenotch.lab.hollow_messages import Place, Report
+from pumicenotch.lab.usage import MachineUse, VoterUse
 from pumicenotch.lab.world import DAY_S, Fault, World
 
 STATUS_S = 0.5  # between looks at what is agreed
 AGREE_S = 1.0  # between entries proposed to see how long agreement takes
 LOOK_S = 0.5  # between looks of the guard, and at the voters' use
 VOTER_WINDOW_S = 5.0  # over which a voter's use is taken
-TICKS_A_S = os.sysconf("SC_CLK_TCK")  # the kernel's unit of processor time
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
-class VoterUse:
-    """A voter's processor time and bytes, from outside, look by look."""
-
-    def __init__(self) -> None:
-        self.looks: list[tuple[float, int, float, int, int]] = []  # at, pid, cpu s, read, written
-
-    def look(self, pid: int) -> None:
-        try:
-            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-            io = dict(line.split(": ") for line in Path(f"/proc/{pid}/io").read_text().splitlines())
-        except (OSError, ValueError):
-            return
-        cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_A_S
-        self.looks.append((time.monotonic(), pid, cpu_s, int(io["rchar"]), int(io["wchar"])))
-
-    def over(self, begin: float, end: float) -> tuple[float, float, float]:
-        """Part of a core, bytes read and written a second, over that time, of its last process in it."""
-        some = [look for look in self.looks if begin <= look[0] <= end]
-        some = [look for look in some if look[1] == some[-1][1]]
-        if len(some) < 2 or some[-1][0] - some[0][0] < 1.0:
-            return 0.0, 0.0, 0.0
-        first, last = some[0], some[-1]
-        lasted = last[0] - first[0]
-        cpu, read, written = ((last[at] - first[at]) / lasted for at in (2, 3, 4))
-        return cpu, read, written
-
-
-def machine_use() -> tuple[float, float, float]:
-    """When, and the processor time of all cores that was used and that there was, by whomever."""
-    fields = [int(each) / TICKS_A_S for each in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
-    return time.monotonic(), sum(fields) - fields[3] - fields[4], sum(fields)
-
-
 class HollowRun:
-    def __init__(self, world: World, seed: int, folder: Path, crew: Crew, watch: Watch, spawn: Spawn) -> None:
+    def __init__(
+        self, world: World, seed: int, folder: Path, crew: Crew, watch: Watch, spawn: Spawn,
+        configuration: str = "none",
+    ) -> None:  # fmt: skip
+        """`configuration` says how instances get what is published, if anything is."""
         assert world.hollow is not None
         self.world, self.crew, self.guard, self.spawn = world, crew, watch, spawn
         self.fleet = HollowFleet(world.hollow, world.zones, world.regions, seed, folder, crew)
         self.judge = HollowJudge(self.fleet.places)
-        self.fleet.on_report = self.judge.report
+        self.fleet.on_report = self.report
         self.events = (folder / "hollow-events.jsonl").open("w")
         self.judge.note = self.note
+        self.configuration: ConfigurationRun | None = None
+        if world.configuration is not None and configuration != "none":
+            self.configuration = ConfigurationRun(
+                world.configuration, world.zones, seed, folder, crew, self.note
+            )
+            self.fleet.configuration = world.configuration.model_dump()
+            self.fleet.journal = str(self.configuration.journal)
         self.voters = {name: VoterUse() for name in crew.voters}
         self.led: list[tuple[float, str]] = []  # who led, by look
         self.agreed_ms: list[float] = []
         self.began = self.quiet_from = self.quiet_until = self.ended = 0.0
-        self.machine: list[tuple[float, float, float]] = []  # at, busy and whole processor time, s
+        self.machine = MachineUse()
         self.start_s = 0.0
         self.others_pids: Callable[[], list[int]] = list
         self.fail: Callable[[MachineTooSmall], None] = lambda error: None
@@ -83,9 +61,18 @@
     # Start
 
     async def start(self, others: list[Place], within_s: float) -> None:
+        if self.configuration is not None:
+            await self.configuration.load()
         began = time.monotonic()
         await self.fleet.start(others, within_s)
         self.start_s = time.monotonic() - began
+        if self.configuration is not None:
+            await self.configuration.current(len(self.fleet.places), within_s)
+
+    def report(self, process: int, report: Report) -> None:
+        self.judge.report(process, report)
+        if self.configuration is not None:
+            self.configuration.report(process, report)
 
     def begin(self) -> None:
         """The load begins: from now on it is measured, up to the first fault as quiet."""
@@ -95,6 +82,13 @@
         self.quiet_until = self.began + first
         for job in (self.statuses(), self.agreements()):
             self.spawn(job)
+        if self.configuration is not None:
+            self.spawn(self.configuration.publish(self.world.length_s))
+
+    async def finish(self) -> None:
+        """After the load, with all still there."""
+        if self.configuration is not None:
+            await self.configuration.verify(self.fleet, len(self.judge.generation))
 
     def note(self, at: float, what: str, more: dict[str, Any]) -> None:
         """A line of the run's log, by its own time."""
@@ -111,7 +105,7 @@
             except MachineTooSmall as error:
                 self.fail(error)
                 return
-            self.machine.append(machine_use())
+            self.machine.look()
             for name, voter in self.crew.voters.items():
                 if voter.process is not None and voter.up:
                     self.voters[name].look(voter.process.pid)
@@ -149,10 +143,12 @@
                 self.fleet.tell("kill", numbers)
                 if fault.for_s:
                     self.spawn(self.back(loss, numbers, fault.for_s))
-            case "cut_region":
+            case "cut_region" | "cut_zone":
                 self.spawn(self.cut(fault))
             case "replace":
                 self.spawn(self.replace(fault))
+            case "kill_relays":
+                self.kill_relays(fault)
             case _:
                 return False
         return True
@@ -163,16 +159,32 @@
         loss.back_at = time.monotonic()
         self.fleet.tell("start", numbers)
 
+    def kill_relays(self, fault: Fault) -> None:
+        """One of each region."""
+        if self.configuration is None:
+            return
+        numbers = self.configuration.relays_by_region(self.fleet, self.judge.meant_to_end)
+        loss = self.judge.lose(fault.label or "relays", numbers, time.monotonic())
+        self.fleet.tell("kill", numbers)
+        self.spawn(self.back(loss, numbers, fault.for_s))
+
     async def cut(self, fault: Fault) -> None:
         places = self.fleet.places
-        numbers = [number for number, place in enumerate(places) if place.region == fault.region]
-        loss = self.judge.cut(fault.label or "region", numbers, time.monotonic())
+        numbers = [
+            number for number, place in enumerate(places)
+            if (place.region == fault.region if fault.region else place.zone == fault.zone)
+        ]  # fmt: skip
+        loss = self.judge.cut(fault.label or fault.kind.removeprefix("cut_"), numbers, time.monotonic())
+        if self.configuration is not None:
+            self.configuration.judge.cut(numbers, loss.at)
         self.fleet.cut([places[number].name for number in numbers])
         await asyncio.sleep(fault.for_s)
         self.fleet.heal()
-        self.note(time.monotonic(), "healed", {"region": fault.region})
+        self.note(time.monotonic(), "healed", {"names": len(numbers)})
         loss.back_at = time.monotonic()
         self.judge.healed(loss.back_at)
+        if self.configuration is not None:
+            self.configuration.judge.healed(loss.back_at)
 
     async def replace(self, fault: Fault) -> None:
         """One after another at the day's rate, each an orderly end and another life."""
@@ -218,21 +230,14 @@
                 found[f"{role}_{figure}"] = round(float(np.mean([use[at] for use in some] or [0.0])), 4)
         return found
 
-    def machine_busy(self, begin: float, end: float) -> float:
-        """Part of all cores that everything on the machine has used."""
-        some = [look for look in self.machine if begin <= look[0] < end]
-        if len(some) < 2:
-            return -1.0
-        return (some[-1][1] - some[0][1]) / max(1e-9, some[-1][2] - some[0][2])
-
     def more(self) -> dict[str, float]:
         cpu, sent = self.leader_peak()
         times = self.agreed_ms or [-1.0]
         found = {
             "hollow_instances": float(len(self.fleet.places)),
             "hollow_processes": float(len(self.fleet.processes)), "start_s": round(self.start_s, 2),
-            "machine_busy_quiet": round(self.machine_busy(self.quiet_from, self.quiet_until), 3),
-            "machine_busy": round(self.machine_busy(self.began, self.ended or time.monotonic()), 3),
+            "machine_busy_quiet": round(self.machine.busy(self.quiet_from, self.quiet_until), 3),
+            "machine_busy": round(self.machine.busy(self.began, self.ended or time.monotonic()), 3),
             "run_memory_mb": round(self.guard.most_mb, 0),
             "run_processes": float(self.guard.most_processes),
             "run_s": round((self.ended or time.monotonic()) - self.started, 1),
@@ -247,4 +252,6 @@
         found |= self.judge.each("control", self.began, ended)
         found |= {f"quiet_{name}": value for name, value in
                   self.mean_use(self.quiet_from, self.quiet_until).items()}  # fmt: skip
+        if self.configuration is not None:
+            found |= self.configuration.figures(ended)
         return found | self.judge.figures()
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -63,7 +63,7 @@
     kind: Literal[
         "slow_cores", "hang_pool", "cut_pool", "stall", "slow_database", "drain", "reload", "kill",
         "move", "kill_router", "flood", "drain_all", "kill_leader", "cut_zone", "link",
-        "release", "kill_agent", "lose", "cut_region", "replace",
+        "release", "kill_agent", "lose", "cut_region", "replace", "kill_relays",
     ]  # fmt: skip
     at_s: Annotated[float, Field(ge=0.0)]
     for_s: Annotated[float, Field(ge=0.0)] = 1.0
@@ -96,6 +96,20 @@
     knows: bool = True  # each other at the start, as after a day in service; else they join as strangers
 
 
+class Configuration(Schema):
+    """What is published to a fleet while it runs, and who needs which part of it."""
+
+    tenants: Annotated[int, Field(ge=1, le=100_000)] = 54_000
+    routes: Annotated[int, Field(ge=1, le=100_000)] = 40_000
+    cells: Annotated[int, Field(ge=1, le=999)] = 60  # scopes of tenants: an instance needs one of its zone
+    services: Annotated[int, Field(ge=1, le=9999)] = 1200  # scopes of routes
+    services_each: Annotated[int, Field(ge=1, le=100)] = 8  # that an instance needs
+    a_day: Positive = 16_000.0  # publications
+    burst: Annotated[int, Field(ge=1, le=1000)] = 50  # at once, now and then
+    burst_every_s: Positive = 30.0
+    settle_s: Positive = 12.0  # at the end without any, before all that is served is looked at
+
+
 class World(Schema):
     stage: tuple[Stage, ...]
     tenant: tuple[Tenant, ...] = (Tenant(name="all", share=1.0),)
@@ -106,6 +120,7 @@
     routers: Annotated[int, Field(ge=0, le=16)] = 0  # in front; with none, gateways send to the servers
     cells: Annotated[int, Field(ge=1, le=100)] = 1  # that the servers make, behind routers
     voters: Literal[0, 1, 3, 5, 7] = 0  # of a fleet that the servers are in
+    configuration: Configuration | None = None  # that hollow instances take from the voters and each other
     hollow: Hollow | None = None  # beside the real ones; `servers` then counts both
     zones: Annotated[int, Field(ge=1, le=64)] = 1  # that servers and voters are spread over: z0, z1, ...
     regions: Annotated[int, Field(ge=1, le=16)] = 1  # that the zones are spread over: g0, g1, ...
--- a/pumicenotch/members/members.py
+++ b/pumicenotch/members/members.py
@@ -197,7 +197,8 @@
         self.slower(self.nacks if self.helped else 1)
         self.probe = None
         news = self.news.get(name)
-        if news is not None and news.opinion is Opinion.ALIVE:
+        if news is not None and news.opinion is not Opinion.DEAD:
+            # Of one that is suspected already it confirms the suspicion (Lifeguard, 4.2).
             self.heard(news._replace(opinion=Opinion.SUSPECT, by=self.me.name))
 
     def slower(self, by: int) -> None:
--- a/tests/fleet/test_hollow.py
+++ b/tests/fleet/test_hollow.py
@@ -234,7 +234,7 @@
 
 def judged() -> HollowJudge:
     judge = HollowJudge(PLACES)
-    judge.report(0, Report(0.0, up=4, lives=[[number, 0, True] for number in range(4)]))
+    judge.report(0, Report(0.0, up=4, lives=[[number, 0, True, 0.0] for number in range(4)]))
     return judge
 
 
@@ -258,7 +258,7 @@
 def test_a_former_life_may_be_thought_dead() -> None:
     judge = judged()
     judge.lose("rack", [2], 40.0)
-    judge.report(0, Report(41.0, up=4, lives=[[2, 0, False], [2, 1, True]]))
+    judge.report(0, Report(41.0, up=4, lives=[[2, 0, False, 41.0], [2, 1, True, 41.0]]))
     judge.report(0, up(60.0, ("h00002", life_of(2, 0), 1)))
     assert judge.figures()["false_deaths"] == 0
     judge.report(0, up(61.0, ("h00002", life_of(2, 1), 1)))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -176,3 +176,19 @@
     ):
         with pytest.raises(BadMessage):
             message_of(wrong)
+
+
+def test_a_probe_of_ones_own_that_fails_confirms_a_suspicion() -> None:
+    me = made()
+    others = tuple(news(Who(f"o{at}", f"o{at}:1", "1", 1, "", "")) for at in range(8))
+    me.step(1.0, "message", "x", Whole(others, False))
+    me.step(1.0, "message", "x", Ping(1, (news(opinion=Opinion.SUSPECT),), ()))
+    alone = me.suspicions["n"].due
+    now = 1.0
+    while len(me.suspicions["n"].by) == 1 and now < alone:  # somebody else's, until the probe is in vain
+        now = me.due()
+        for effect in me.step(now, "time"):
+            if isinstance(effect, Send) and isinstance(effect.message, Ping) and effect.address[0] == "o":
+                me.step(now, "message", effect.address, Ack(effect.message.number, (), ()))
+    assert me.suspicions["n"].by == {ME.name, "x"}
+    assert me.suspicions["n"].due < alone
