--- a/experiments/config-spread.hcl
+++ b/experiments/config-spread.hcl
@@ -29,12 +29,12 @@
 fault {
   kind  = "kill_relays"
   label = "relays"
-  at_s  = 24
+  at_s  = 20.2
   for_s = 6
 }
 fault {
   kind  = "kill_leader"
-  at_s  = 41
+  at_s  = 40.2
   for_s = 3
 }
 fault {
--- a/pumicenotch/lab/publisher.py
+++ b/pumicenotch/lab/publisher.py
@@ -39,7 +39,6 @@
         self.published: list[Published] = []
         self.initial = 0  # the last version of the whole
         self.note: Callable[[float, str, dict[str, Any]], None] = lambda at, what, more: None
-        self.stopped = False
 
     async def load(self) -> None:
         """The whole, once the fleet understands publications."""
@@ -69,19 +68,27 @@
         self.published.append(Published(self.version, asked_at, time.monotonic()))
 
     async def run(self, seconds: float) -> None:
-        """Changes for so long."""
+        """Changes for so long: one after another at the day's rate, and bursts at their times."""
         configuration, began = self.dataset.configuration, time.monotonic()
-        gap, burst_at = DAY_S / configuration.a_day, began + configuration.burst_every_s
-        while not self.stopped and time.monotonic() - began < seconds:
-            await asyncio.sleep(gap * self.chance.uniform(0.5, 1.5))
-            many = 1
-            if time.monotonic() >= burst_at:
+        gap, until = DAY_S / configuration.a_day, began + seconds
+        next_at, burst_at = began + gap, began + configuration.burst_every_s
+        while (due := min(next_at, burst_at)) < until:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            if burst_at <= next_at:
                 burst_at += configuration.burst_every_s
-                many = configuration.burst
-            for _ in range(many):
-                if time.monotonic() - began >= seconds:
-                    break
-                self.serial += 1
-                await self.publish(self.dataset.change(self.chance, self.serial))
-            if many > 1:
-                self.note(time.monotonic(), "burst", {"to": self.version})
+                await self.burst(configuration.burst, until)
+            else:
+                next_at += gap * self.chance.uniform(0.5, 1.5)
+                await self.publish_next()
+
+    async def burst(self, many: int, until: float) -> None:
+        """So many, each asked for as soon as the one before it is agreed."""
+        for _ in range(many):
+            if time.monotonic() >= until:
+                return
+            await self.publish_next()
+        self.note(time.monotonic(), "burst", {"to": self.version})
+
+    async def publish_next(self) -> None:
+        self.serial += 1
+        await self.publish(self.dataset.change(self.chance, self.serial))
