--- a/experiments/config-spread.hcl
+++ b/experiments/config-spread.hcl
@@ -52,6 +52,13 @@
   zone  = "z19"
 }
 
+# Each publication whole from the voters, as with files: a tenth of the records, since a whole of 94,000 for each of some hundred
+# instances and publications is more than one machine carries.
+arm "whole" {
+  configuration = "whole"
+  records       = 0.1
+  length_s      = 50
+}
 arm "changes" {
   configuration = "changes"
 }
--- a/pumicenotch/lab/configuration_run.py
+++ b/pumicenotch/lab/configuration_run.py
@@ -16,6 +16,7 @@
 from pumicenotch.lab.publisher import Publisher
 from pumicenotch.lab.world import Configuration
 
+SLOW_S = 3.0  # returns that take longer are logged
 VERIFIED_S = 10.0  # for all instances to be looked at once more
 
 Note = Callable[[float, str, dict[str, Any]], None]
@@ -83,9 +84,14 @@
         while len(self.judge.verified) < many and time.monotonic() < until:
             await asyncio.sleep(0.1)
 
-    def figures(self, ended: float) -> dict[str, float]:
+    def figures(self) -> dict[str, float]:
         self.publisher.writer.close()
+        for number, generation, took in self.judge.slow_returns(self.publisher.published, SLOW_S):
+            self.note(
+                time.monotonic(), "slow_return", {"number": number, "generation": generation, "took": took}
+            )
         return {
+            "records": float(self.configuration.tenants + self.configuration.routes),
             "initial_load_s": round(self.load_s, 2), "initial_current_s": round(self.current_s, 2),
-            **self.judge.figures(self.publisher.published, ended),
+            **self.judge.figures(self.publisher.published),
         }  # fmt: skip
--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -43,7 +43,8 @@
     drains: Literal["none", "alone", "agreed"] = "agreed"  # of a fleet: what becomes of its `drain_all`
     releases: Literal["none", "good", "bad-class", "crash-loop", "kills-below"] = "none"
     hollow: bool = True  # whether the world's hollow instances are there
-    configuration: Literal["none", "changes"] = "none"  # how they get what the world publishes
+    configuration: Literal["none", "changes", "whole"] = "none"  # how they get what the world publishes
+    records: Annotated[float, Field(gt=0.0, le=1.0)] = 1.0  # part of the world's tenants and routes
     length_s: Annotated[float, Field(gt=1.0)] | None = None  # where it ends sooner than the others
 
 
@@ -294,6 +295,7 @@
         elif told.voters:
             from pumicenotch.lab.fleetrun import FleetRun
 
+            told = part_of_records(told, arm.records)
             made = partial(
                 FleetRun,
                 drains=arm.drains,
@@ -350,6 +352,15 @@
             process.terminate()
 
 
+def part_of_records(told: Experiment, part: float) -> Experiment:
+    """A smaller configuration, for an arm that cannot bear the whole one."""
+    if told.configuration is None or part == 1.0:
+        return told
+    tenants, routes = (round(part * many) for many in (told.configuration.tenants, told.configuration.routes))
+    smaller = told.configuration.model_copy(update={"tenants": max(1, tenants), "routes": max(1, routes)})
+    return told.model_copy(update={"configuration": smaller})
+
+
 def limit_s(told: Experiment, arm: Arm) -> float:
     """How long a run of it may last, so that the seed's other arms fit beside it."""
     others = [each for each in told.arm if each.name != arm.name]
--- a/pumicenotch/lab/hollow.py
+++ b/pumicenotch/lab/hollow.py
@@ -19,8 +19,9 @@
 from loguru import logger
 
 from pumicenotch.lab.configuration_observer import Observer
-from pumicenotch.lab.hollow_instance import Instance, Meter, Partition, packed, usage
+from pumicenotch.lab.hollow_instance import Instance, Partition, packed, usage
 from pumicenotch.lab.hollow_messages import Command, Place, Report, Spec
+from pumicenotch.lab.hollow_meter import Meter
 
 REPORT_S = 0.5
 OBSERVE_S = 0.05  # between looks at what is served: the least that a delay is told by
--- a/pumicenotch/lab/hollow_fleet.py
+++ b/pumicenotch/lab/hollow_fleet.py
@@ -60,7 +60,7 @@
     def __init__(self, hollow: Hollow, zones: int, regions: int, seed: int, folder: Path, crew: Crew) -> None:
         self.zones = zones
         self.configuration: dict[str, Any] | None = None
-        self.journal = ""
+        self.whole, self.journal = False, ""
         self.hollow, self.seed, self.folder, self.crew = hollow, seed, folder, crew
         self.places = layout(hollow, zones, regions)
         many = processes_for(hollow.instances)
@@ -84,7 +84,7 @@
         for each in self.processes:
             spec = Spec(FLEET, self.seed, voters, each.first, each.last, str(directory),
                         self.hollow.instances, self.hollow.knows, self.zones, self.configuration,
-                        self.journal)  # fmt: skip
+                        self.whole, self.journal)  # fmt: skip
             each.spec.write_text(spec.dump())
             await self.spawn(each)
         takes_s = self.hollow.instances / START_A_S
--- a/pumicenotch/lab/hollow_messages.py
+++ b/pumicenotch/lab/hollow_messages.py
@@ -37,6 +37,7 @@
     knows: bool  # whether instances know each other at their first start, as after a day in service
     zones: int = 1
     configuration: dict[str, Any] | None = None  # what is published, if instances are to take it
+    whole: bool = False  # each publication whole from the voters, in place of changes
     journal: str = ""  # path of the record of what was published
 
     def dump(self) -> str:
--- a/pumicenotch/lab/hollow_run.py
+++ b/pumicenotch/lab/hollow_run.py
@@ -47,6 +47,7 @@
                 world.configuration, world.zones, seed, folder, crew, self.note
             )
             self.fleet.configuration = world.configuration.model_dump()
+            self.fleet.whole = configuration == "whole"
             self.fleet.journal = str(self.configuration.journal)
         self.voters = {name: VoterUse() for name in crew.voters}
         self.led: list[tuple[float, str]] = []  # who led, by look
@@ -209,7 +210,6 @@
     async def stop(self) -> None:
         self.ended = time.monotonic()
         await self.fleet.stop()
-        self.events.close()
 
     def leader_peak(self) -> tuple[float, float]:
         """The most that whoever led has used over a window: part of a core, bytes sent a second."""
@@ -253,5 +253,6 @@
         found |= {f"quiet_{name}": value for name, value in
                   self.mean_use(self.quiet_from, self.quiet_until).items()}  # fmt: skip
         if self.configuration is not None:
-            found |= self.configuration.figures(ended)
+            found |= self.configuration.figures()
+        self.events.close()
         return found | self.judge.figures()
--- a/pumicenotch/lab/published.py
+++ b/pumicenotch/lab/published.py
@@ -66,6 +66,13 @@
             found[key] = Change(table, key, None if chance.random() < DELETED_PART else value)
         return list(found.values()) or [Change("tenants", self.tenant_key(0), tenant_value(0, serial))]
 
+    def everything(self) -> dict[str, list[str]]:
+        """All scopes that records are published in."""
+        return {
+            "tenants": [f"c{at:03d}" for at in range(self.configuration.cells)],
+            "routes": [f"s{at:04d}" for at in range(self.configuration.services)],
+        }
+
     def subscription(self, number: int) -> dict[str, list[str]]:
         """Of an instance: its cell of its zone, its services."""
         zone = number % self.zones
