--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 
 from pumicenotch.config.hcl import BadFile
-from pumicenotch.lab import experiment as lab_
+from pumicenotch.lab import experiment, experiment_file, experiment_results
 from pumicenotch.lab.guard import MachineTooSmall, RunFailed
 
 lab = App(name="lab", help="Real servers with an emulated world round them: experiments and their results.")
@@ -28,9 +28,9 @@
 def list_(*, as_json: Json = False) -> None:
     """The project's experiments, one line each."""
     found = []
-    for path in sorted(lab_.FOLDER.glob("*.hcl")):
+    for path in sorted(experiment_file.FOLDER.glob("*.hcl")):
         try:
-            told, _ = lab_.read(str(path))
+            told, _ = experiment_file.read(str(path))
         except BadFile:
             continue  # a file of pools beside them
         found.append({"name": path.stem, "carrier": told.carrier, "about": told.about})
@@ -67,18 +67,18 @@
     sets += [f"seed={seed}"] if seed is not None else []
     sets += [f"seeds={seeds}"] if seeds is not None else []
     try:
-        told, path = lab_.read(name, sets)
+        told, path = experiment_file.read(name, sets)
         if out is not None and (out / "summary.json").exists():
             raise BadFile(f"{out}: holds a result already: name another folder, or remove it first")
-        lab_.check_machine(told)
+        experiment.check_machine(told)
     except (BadFile, MachineTooSmall) as error:
         wrong(error)
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # as Ctrl-C: what runs is ended
-    found: list[lab_.Run] = []
+    found: list[experiment.Run] = []
     whole = True
     logs = str(out) if out is not None else ""
     try:
-        for _ in lab_.runs(told, path, logs, lab_.workers(told), found.append):
+        for _ in experiment.runs(told, path, logs, experiment.workers(told), found.append):
             ran = found[-1]
             print(f"{ran.arm} seed {ran.seed}: utility {ran.figures['utility']:.3f}", file=sys.stderr)
     except KeyboardInterrupt:
@@ -87,10 +87,10 @@
         print("stopped: what had ended is kept and marked", file=sys.stderr)
     except RunFailed as error:
         wrong(error, error.status)
-    summary = lab_.summary(told, path.stem, sets, found, whole)
+    summary = experiment_results.summary(told, path.stem, sets, found, whole)
     try:
         if out is not None:
-            lab_.keep(out, summary, found)
+            experiment_results.keep(out, summary, found)
     except OSError as error:
         print(f"{out}: cannot be kept: {error.strerror}", file=sys.stderr)
         whole = False
@@ -127,7 +127,7 @@
 def show(folder: Path, /, *, as_json: Json = False) -> None:
     """A kept result's tables again."""
     try:
-        shown(lab_.kept_summary(folder), as_json)
+        shown(experiment_results.kept_summary(folder), as_json)
     except BadFile as error:
         wrong(error)
 
@@ -147,7 +147,7 @@
 
     sets = [*(set_ or []), f"length_s={seconds or 3600.0}"]
     try:
-        told, path = lab_.read("up", sets)
+        told, path = experiment_file.read("up", sets)
     except BadFile as error:
         wrong(error)
     sys.exit(watch(told, path))
--- a/pumicenotch/lab/up.py
+++ b/pumicenotch/lab/up.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from pathlib import Path
 
-from pumicenotch.lab.experiment import Experiment
+from pumicenotch.lab.experiment_file import Experiment
 from pumicenotch.lab.loopback import Launch, Loopback, run
 from pumicenotch.lab.measure import in_time
 
--- a/tests/fleet/test_config_spread.py
+++ b/tests/fleet/test_config_spread.py
@@ -14,9 +14,9 @@
 from pumicenotch.distribution.records import Change
 from pumicenotch.distribution.tables import TABLES, check_change
 from pumicenotch.distribution.view import Builder, View
-from pumicenotch.lab import experiment as lab_
 from pumicenotch.lab.configuration_judge import SETTLED_S, WINDOW_S, ConfigurationJudge, newest
 from pumicenotch.lab.configuration_observer import Observer, Watched
+from pumicenotch.lab.experiment_file import FOLDER, read
 from pumicenotch.lab.published import Dataset, Reader, Writer, digest_of
 from pumicenotch.lab.publisher import Published
 from pumicenotch.lab.world import Configuration
@@ -33,12 +33,12 @@
 def test_changes_spread_over_a_small_fleet(tmp_path: Path) -> None:
     path = tmp_path / "spread.hcl"
     path.write_text(
-        f'like = "{os.path.relpath(lab_.FOLDER, tmp_path)}/config-spread.hcl"\nset = {json.dumps(SETS)}\n'
+        f'like = "{os.path.relpath(FOLDER, tmp_path)}/config-spread.hcl"\nset = {json.dumps(SETS)}\n'
         'arm "changes" { configuration = "changes" }\n'
         'fault {\n  kind  = "kill_relays"\n  label = "relays"\n  at_s  = 4.1\n  for_s = 1\n}\n'
         'bound {\n  figure = "mixed"\n  arm = "changes"\n  most = 0\n}\n'
     )
-    told, _ = lab_.read(str(path))
+    told, _ = read(str(path))
     assert told.hollow is not None and told.hollow.instances == 16
     command = [sys.executable, "-m", "pumicenotch.cli", "lab", "run", str(path), "--json"]
     ended = subprocess.run(command, capture_output=True, text=True, timeout=90)
@@ -215,4 +215,4 @@
 
 def test_a_configuration_needs_hollow_instances() -> None:
     with pytest.raises(BadFile, match="needs blocks configuration and hollow"):
-        lab_.read("fleet-scale", ["arm.with.configuration=changes"])
+        read("fleet-scale", ["arm.with.configuration=changes"])
--- a/tests/fleet/test_hollow.py
+++ b/tests/fleet/test_hollow.py
@@ -14,7 +14,7 @@
 import pytest
 
 from pumicenotch.config.hcl import BadFile
-from pumicenotch.lab import experiment as lab_
+from pumicenotch.lab.experiment_file import FOLDER, read
 from pumicenotch.lab.guard import (
     PROCESSES_MOST,
     Machine,
@@ -72,7 +72,7 @@
 
 def small(folder: Path, **changes: str) -> Path:
     path = folder / "small.hcl"
-    text = SMALL.format(base=os.path.relpath(lab_.FOLDER / "fleet-scale.hcl", folder))
+    text = SMALL.format(base=os.path.relpath(FOLDER / "fleet-scale.hcl", folder))
     for old, new in changes.items():
         text = re.sub(rf"(?m)^{old}( *)=.*$", f"{old} = {new}", text)
     path.write_text(text)
@@ -205,18 +205,18 @@
 )
 def test_sizes_that_make_no_sense_are_refused(sets: list[str], text: str) -> None:
     with pytest.raises(BadFile, match=re.escape(text)):
-        lab_.read("fleet-scale", sets)
+        read("fleet-scale", sets)
 
 
 def test_servers_counts_the_whole_fleet() -> None:
-    told, _ = lab_.read("fleet-scale", ["servers=2500"])
+    told, _ = read("fleet-scale", ["servers=2500"])
     assert told.hollow is not None
     assert (told.servers, told.hollow.instances, told.voters) == (6, 2494, 5)
 
 
 def test_seconds_scales_the_faults() -> None:
-    whole, _ = lab_.read("fleet-scale")
-    half, _ = lab_.read("fleet-scale", [f"seconds={whole.length_s / 2}"])
+    whole, _ = read("fleet-scale")
+    half, _ = read("fleet-scale", [f"seconds={whole.length_s / 2}"])
     assert half.length_s == whole.length_s / 2
     assert [fault.at_s for fault in half.fault] == [fault.at_s / 2 for fault in whole.fault]
     assert [fault.for_s for fault in half.fault] == [fault.for_s / 2 for fault in whole.fault]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from pumicenotch.lab import experiment as lab_
 from pumicenotch.lab.attempt import Attempt
 from pumicenotch.lab.cores import Cores, Work, result
+from pumicenotch.lab.experiment_file import FOLDER, plan, read
 from pumicenotch.lab.ledger import Ledger
 from pumicenotch.lab.measure import figures
 from pumicenotch.lab.simulate import Simulation, pools_of
@@ -136,11 +136,11 @@
 
 
 def test_a_simulated_run_repeats_to_the_byte() -> None:
-    told, path = lab_.read("pools", ["carrier=simulated", "length_s=12", "warm_s=2"])
-    plan = lab_.plan(told.arm[3], path)
+    told, path = read("pools", ["carrier=simulated", "length_s=12", "warm_s=2"])
+    pools = plan(told.arm[3], path)
 
     def run() -> tuple[Any, ...]:
-        carried = Simulation(told, 5, pools_of(plan)).run()
+        carried = Simulation(told, 5, pools_of(pools)).run()
         return figures(told, carried.ledger, 0.0, 1), [(end.at, end.kind) for end in carried.ledger.ends]
 
     assert run() == run()
@@ -195,7 +195,7 @@
 
 def test_a_bound_that_is_not_kept_is_told_by_the_status(tmp_path: Path) -> None:
     file = tmp_path / "short.hcl"
-    base = (lab_.FOLDER / "pools.hcl").read_text().partition('arm "plain"')[0]
+    base = (FOLDER / "pools.hcl").read_text().partition('arm "plain"')[0]
     file.write_text(base + 'arm "off" {}\nbound {\n  figure = "utility"\n  arm = "off"\n  least = 0.99\n}\n')
     told, _ = lab("lab", "run", str(file), *QUICK, "--json", status=1)
     assert [row["kept"] for row in json.loads(told)["verdict"]][-1] is False
@@ -281,8 +281,11 @@
     """The last reload is still being read when the notice to leave comes: it must not hold that up."""
     file, out = tmp_path / "reality.hcl", tmp_path / "kept"
     file.write_text(
-        REALITY.format(base=lab_.FOLDER / "pools-reload.hcl", static=lab_.FOLDER / "files" / "static.hcl")
-        + f'arm "pools" {{\n  pools = "{lab_.FOLDER.parent / "deploy" / "pools.hcl"}"\n}}\n'
+        REALITY.format(
+            base=FOLDER / "pools-reload.hcl",
+            static=FOLDER / "files" / "static.hcl",
+        )
+        + f'arm "pools" {{\n  pools = "{FOLDER.parent / "deploy" / "pools.hcl"}"\n}}\n'
     )
     told, _ = lab("lab", "run", str(file), "--json", "--out", str(out), status=None)
     summary = json.loads(told)
--- a/tests/test_pools_hard.py
+++ b/tests/test_pools_hard.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pumicenotch.config.file import plan_of
-from pumicenotch.lab.experiment import Experiment, read
+from pumicenotch.lab.experiment_file import Experiment, read
 from pumicenotch.lab.measure import figures
 from pumicenotch.lab.simulate import Simulation, pools_of
 from pumicenotch.pools import Plan, Pool
