--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -1,6 +1,7 @@
 """`pumicenotch lab`: experiments, their results, and a world to look at."""
 
 import json
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated, Any
@@ -10,25 +11,26 @@
 from rich.table import Table
 
 from pumicenotch.config.hcl import BadFile
-from pumicenotch.lab import experiment as lab_
+from pumicenotch.lab import experiment, experiment_file, experiment_results
+from pumicenotch.lab.guard import MachineTooSmall, RunFailed
 
 lab = App(name="lab", help="Real servers with an emulated world round them: experiments and their results.")
 Json = Annotated[bool, Parameter(name="--json", negative="")]
 Sets = Annotated[list[str] | None, Parameter(name="--set", negative="", consume_multiple=False)]
 
 
-def wrong(error: Exception) -> None:
+def wrong(error: Exception, status: int = 2) -> None:
     print(error, file=sys.stderr)
-    sys.exit(2)
+    sys.exit(status)
 
 
 @lab.command(name="list")
 def list_(*, as_json: Json = False) -> None:
     """The project's experiments, one line each."""
     found = []
-    for path in sorted(lab_.FOLDER.glob("*.hcl")):
+    for path in sorted(experiment_file.FOLDER.glob("*.hcl")):
         try:
-            told, _ = lab_.read(str(path))
+            told, _ = experiment_file.read(str(path))
         except BadFile:
             continue  # a file of pools beside them
         found.append({"name": path.stem, "carrier": told.carrier, "about": told.about})
@@ -65,25 +67,30 @@
     sets += [f"seed={seed}"] if seed is not None else []
     sets += [f"seeds={seeds}"] if seeds is not None else []
     try:
-        told, path = lab_.read(name, sets)
+        told, path = experiment_file.read(name, sets)
         if out is not None and (out / "summary.json").exists():
             raise BadFile(f"{out}: holds a result already: name another folder, or remove it first")
-    except BadFile as error:
+        experiment.check_machine(told)
+    except (BadFile, MachineTooSmall) as error:
         wrong(error)
-    found: list[lab_.Run] = []
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # as Ctrl-C: what runs is ended
+    found: list[experiment.Run] = []
     whole = True
     logs = str(out) if out is not None else ""
     try:
-        for _ in lab_.runs(told, path, logs, lab_.workers(told), found.append):
+        for _ in experiment.runs(told, path, logs, experiment.workers(told), found.append):
             ran = found[-1]
             print(f"{ran.arm} seed {ran.seed}: utility {ran.figures['utility']:.3f}", file=sys.stderr)
     except KeyboardInterrupt:
         whole = False
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)  # what runs is ending already
         print("stopped: what had ended is kept and marked", file=sys.stderr)
-    summary = lab_.summary(told, path.stem, sets, found, whole)
+    except RunFailed as error:
+        wrong(error, error.status)
+    summary = experiment_results.summary(told, path.stem, sets, found, whole)
     try:
         if out is not None:
-            lab_.keep(out, summary, found)
+            experiment_results.keep(out, summary, found)
     except OSError as error:
         print(f"{out}: cannot be kept: {error.strerror}", file=sys.stderr)
         whole = False
@@ -101,7 +108,7 @@
     arms = summary["arms"]
     for arm in arms:
         table.add_column(arm, justify="right")
-    for figure in next(iter(arms.values()), {}):
+    for figure in dict.fromkeys(figure for arm in arms.values() for figure in arm):
         table.add_row(figure, *(f"{arms[arm].get(figure, float('nan')):.4g}" for arm in arms))
     console.print(table)
     bounds = Table(title="bounds" if summary["whole"] else "bounds (stopped before the end)")
@@ -120,7 +127,7 @@
 def show(folder: Path, /, *, as_json: Json = False) -> None:
     """A kept result's tables again."""
     try:
-        shown(lab_.kept_summary(folder), as_json)
+        shown(experiment_results.kept_summary(folder), as_json)
     except BadFile as error:
         wrong(error)
 
@@ -140,7 +147,7 @@
 
     sets = [*(set_ or []), f"length_s={seconds or 3600.0}"]
     try:
-        told, path = lab_.read("up", sets)
+        told, path = experiment_file.read("up", sets)
     except BadFile as error:
         wrong(error)
     sys.exit(watch(told, path))
