Stage smaller slices; keep gateways away from a server that the test stops

The test of a stopped server failed once in four runs: requests that waited at it were past their limit, which is the stop's doing, not the server's; gateways stay away now while it is stopped, and what it had is answered before, so that the ledger judges as before.

--- a/pumicenotch/distribution/settings.py
+++ b/pumicenotch/distribution/settings.py
@@ -57,7 +57,7 @@
     log_bytes_most: int = BYTES_MOST
 
     # Work in one step
-    slice_changes: int = 64
+    slice_changes: int = 32  # read, hashed and staged in half a millisecond
     slice_bytes: int = 32 * 1024
     slice_children: int = 32  # that a delta is pushed to
     slice_audit: int = 300  # records whose digests are made anew
--- /dev/null
+++ b/tests/distribution/test_eligibility.py
@@ -0,0 +1,22 @@
+"""Which instances of a zone may be its relays."""
+
+from pumicenotch.distribution.events import Peer
+from pumicenotch.distribution.zone import Zone
+
+
+def peer(name: str) -> Peer:
+    return Peer(name, "z", "r", f"{name}:1", "life")
+
+
+def test_one_that_is_not_eligible_is_no_relay_even_alone() -> None:
+    zone = Zone(peer("n0"), 3, eligible=False)
+    assert not zone.makes_me_relay() and zone.relays() == []
+    zone.changed(peer("n1"))
+    assert not zone.makes_me_relay() and zone.relays() == ["n1:1"]
+
+
+def test_it_takes_no_place_among_the_relays_that_it_counts_itself() -> None:
+    zone = Zone(peer("n0"), 2, eligible=False)
+    for name in ("n1", "n2", "n3"):
+        zone.changed(peer(name))
+    assert len(zone.relays()) == 2 and "n0:1" not in zone.relays()
--- a/tests/fleet/configured.py
+++ b/tests/fleet/configured.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import secrets
+import signal
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
@@ -80,6 +81,23 @@
     def servers(self) -> list[str]:
         return [f"n{node.number}" for node in self.nodes]
 
+    async def pause(self, name: str) -> None:
+        """Stops its process for longer than requests may take: gateways stay away first, as they would from
+        one that fails its health checks, and what it has is answered."""
+        number = int(name[1:])
+        self.keep_away(number, float("inf"))
+        await self.until(lambda: all(sent.server != number for sent in self.ledger.open.values()))
+        self.node(name, signal.SIGSTOP)
+
+    def unpause(self, name: str) -> None:
+        self.node(name, signal.SIGCONT)
+        self.keep_away(int(name[1:]), 0.0)
+
+    def keep_away(self, number: int, until: float) -> None:
+        for gateway in self.clients.gateways:
+            gateway.heeds = True
+            gateway.away[number] = until
+
     # Publishing
 
     def session(self) -> Session:
