--- a/experiments/fleet-scale.hcl
+++ b/experiments/fleet-scale.hcl
@@ -14,7 +14,8 @@
 stop_ms  = 2500
 
 hollow {
-  real = 6
+  real    = 6
+  callers = 600
 }
 
 stage "preview" {
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -14,6 +14,7 @@
 from pumicenotch.lab import world as world_
 from pumicenotch.lab.crew import Crew
 from pumicenotch.lab.guard import SEED_S, Machine, Watch
+from pumicenotch.lab.hollow_callers import HollowCallers
 from pumicenotch.lab.hollow_messages import Place
 from pumicenotch.lab.hollow_run import HollowRun
 from pumicenotch.lab.loopback import UP_S, Launch, Loopback, Node
@@ -55,6 +56,8 @@
         direct = world.hollow is not None
         self.crew = Crew(folder, seed, world.voters, world.zones, budgets, world.regions, direct)
         self.hollow: HollowRun | None = None
+        callers = world.hollow.callers if world.hollow is not None else 0
+        self.callers = HollowCallers(callers, lambda: [node.address for node in self.nodes])
         if direct and hollow:
             watch = Watch(Machine.here(), limit_s)
             self.hollow = HollowRun(world, seed, folder, self.crew, watch, self.spawn_task, configuration)
@@ -91,6 +94,7 @@
     async def load(self, progress: Any) -> None:
         if self.hollow is not None:
             self.hollow.begin()
+        self.callers.start()
         await super().load(progress)
         if self.hollow is not None:
             await self.hollow.finish()
@@ -246,13 +250,14 @@
         }  # fmt: skip
         if self.world.hollow is not None:
             first_s = min((fault.at_s for fault in self.world.fault), default=self.world.length_s)
-            found |= added(self.world, self.ledger, first_s)
+            found |= added(self.world, self.ledger, first_s) | self.callers.figures()
         if self.hollow is not None:
             found |= self.hollow.more()
         return found
 
     async def stop(self) -> None:
         self.stopped = True
+        await self.callers.stop()
         for task in (*self.watching, *self.dials):
             task.cancel()
         await asyncio.gather(*self.watching, *self.dials, return_exceptions=True)
--- a/pumicenotch/lab/world.py
+++ b/pumicenotch/lab/world.py
@@ -93,6 +93,7 @@
 
     real: Annotated[int, Field(ge=1, le=100)] = 6  # of the servers; all others are hollow
     instances: Annotated[int, Field(ge=0, le=20_000)] = 0  # follows from the world's servers
+    callers: Annotated[int, Field(ge=0, le=20_000)] = 0  # idle connections to the real servers, over all
     knows: bool = True  # each other at the start, as after a day in service; else they join as strangers
 
 
--- a/tests/fleet/test_hollow.py
+++ b/tests/fleet/test_hollow.py
@@ -43,7 +43,8 @@
 regions  = 1
 
 hollow {{
-  real = 2
+  real    = 2
+  callers = 40
 }}
 
 fault {{
@@ -96,6 +97,8 @@
     assert found["control_cpu_percent"] > 0.0 and 0.0 < found["instance_memory_mb"] < 128.0
     assert found["control_sent_to_voters_per_s"] > 0.5 and found["control_sent_to_servers_per_s"] > 0.5
     assert found["agree_p50_ms"] > 0.0
+    assert found["hollow_callers"] == found["hollow_callers_least_open"] == 40
+    assert found["hollow_callers_answered"] > 100 and found["hollow_callers_ended"] == 0
     assert left_behind(out) == []
     events = [json.loads(line) for line in (out / "with-3" / "hollow-events.jsonl").read_text().splitlines()]
     assert {event["what"] for event in events} >= {"up", "down", "dead", "fault", "status"}
