--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -86,7 +86,10 @@
         signal.signal(signal.SIGTERM, signal.SIG_IGN)  # what runs is ending already
         print("stopped: what had ended is kept and marked", file=sys.stderr)
     except RunFailed as error:
-        wrong(error, error.status)
+        if not found:
+            wrong(error, error.status)
+        whole = False
+        print(f"{error}; what had ended is kept and marked", file=sys.stderr)
     summary = experiment_results.summary(told, path.stem, sets, found, whole)
     try:
         if out is not None:
