--- /dev/null
+++ b/benchmarks/capacity/mechanisms.py
@@ -0,0 +1,81 @@
+"""What carries each cost at the size: a file and a name, or what is missing."""
+
+from typing import NamedTuple
+
+MISSING = "missing"
+FORMER = {  # roles as they were before a mechanism, and the commit that they were measured on
+    "server.decisions.before": "ff3e199",
+}
+
+
+class Mechanism(NamedTuple):
+    """Of the rows of a role, by what grows and measure; an empty text stands for any."""
+
+    role: str
+    by: str
+    measure: str
+    text: str
+
+
+MECHANISMS = (
+    Mechanism(
+        "server.decisions", "tenants_known", "",
+        "`control.py` `Lines`, `Caps`: a tenant costs from its first request on",
+    ),
+    Mechanism(
+        "server.decisions", "tenants_seen", "longest_step",
+        f"{MISSING}: `control.py` `Caps.split` adds up all tenants' weights where a cap has changed",
+    ),
+    Mechanism("server.decisions", "", "", "`control.py` `Queues.sample`: only active tenants are gone over"),
+    Mechanism("server.decisions.before", "", "", "replaced: the sample went over all known tenants"),
+    Mechanism("server.connections", "", "", "`server/callers.py` `Callers.close_idle`, four times a second"),
+    Mechanism(
+        "server.configuration", "", "start", "`cells/map.py` `load`, before the server serves"
+    ),
+    Mechanism("server.configuration", "", "state", "`cells/map.py` `CellMap`: the whole fleet's map"),
+    Mechanism("server.configuration", "", "text", "`cells/map.py` `dump`"),
+    Mechanism(
+        "server.configuration", "", "",
+        "`distribution/node.py` `Node` in its place, with a block `distribution`; whole files else",
+    ),
+    Mechanism("distribution.replica", "", "", "`distribution/replica.py` `Replica`, by its subscription"),
+    Mechanism("distribution.relay", "", "", "`distribution/source.py` `Source`, three relays a zone"),
+    Mechanism("distribution.voter", "", "", "`distribution/voter_source.py`, `distribution/publications.py`"),
+    Mechanism("server.process", "", "", "the parts below, held together"),
+    Mechanism(
+        "server.membership", "servers", "traffic",
+        f"{MISSING}: `members/members.py` `Members.exchange` sends and gets everything each 15 s",
+    ),
+    Mechanism(
+        "server.membership", "servers", "longest_step",
+        f"{MISSING}: `members/members.py` `probe_next` and `exchange` sort and send all in one step",
+    ),
+    Mechanism(
+        "server.membership", "", "traffic",
+        f"{MISSING}: `members/members.py` `Members.exchange`, at 640 servers",
+    ),
+    Mechanism("server.membership", "", "", "`members/members.py` `Members.gossip`: 12 news a message"),
+    Mechanism("server.agreement", "", "", "`fleet/voter_node.py` `VoterNode.heartbeat_interval_ms`"),
+    Mechanism("voter.leader", "servers", "traffic", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.follower", "servers", "", "`members/members.py` `Members.exchange`: as n squared"),
+    Mechanism("voter.leader", "", "", "`fleet/voter_node.py` `heartbeat_interval_ms`; `agree/voter.py`"),
+    Mechanism("voter.follower", "", "", "`agree/voter.py` `Voter.take`; `fleet/state.py` `State.apply`"),
+    Mechanism("agent", "", "", "`fleet/agent.py` `Agent.hear`: at the pace that the leader names"),
+    Mechanism("router", "tenants_known", "start", "`cells/map.py` `load`, before the router serves"),
+    Mechanism(
+        "router.configuration", "", "",
+        f"{MISSING}: whole files, read in one piece in the event loop (`route/__main__.py` `maps`)",
+    ),
+    Mechanism(
+        "router.dials", "", "",
+        f"{MISSING}: `route/__main__.py` `address_of` goes over all nodes and tenants for each dial",
+    ),
+    Mechanism("router", "", "", "`route/decide.py` `Router.onward`; `cells/place.py` `unit`, remembered"),
+)  # fmt: skip
+
+
+def mechanism(role: str, by: str, measure: str) -> str:
+    for each in MECHANISMS:
+        if each.role == role and each.by in ("", by) and each.measure in ("", measure):
+            return each.text
+    return MISSING
