--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -47,7 +47,8 @@
         carried = Simulation(told, seed, pools_of(plan(arm, path)), decides).run()
         cpu, ledger, late = sum(node.cpu_ms for node in carried.nodes), carried.ledger, [0.0]
     else:
-        from pumicenotch.lab.loopback import Launch, run
+        from pumicenotch.lab.loopback import run
+        from pumicenotch.lab.server_process import Launch
 
         config = str(path.parent / arm.pools) if arm.pools else ""
         launch = Launch("pumicenotch.lab.plain" if arm.decides == "plain" else "pumicenotch", config)
--- a/pumicenotch/lab/fleetrun.py
+++ b/pumicenotch/lab/fleetrun.py
@@ -17,10 +17,11 @@
 from pumicenotch.lab.hollow_callers import HollowCallers
 from pumicenotch.lab.hollow_messages import Place
 from pumicenotch.lab.hollow_run import HollowRun
-from pumicenotch.lab.loopback import UP_S, Launch, Loopback, Node
+from pumicenotch.lab.loopback import UP_S, Loopback
 from pumicenotch.lab.measure import added
 from pumicenotch.lab.peers import GatewayPeer
 from pumicenotch.lab.relay import OPEN, Way
+from pumicenotch.lab.server_process import Launch, Node
 
 HOLLOW_FORMED_S = 100.0  # the same with hollow instances, many of them
 HOLLOW_FAULTS = ("lose", "cut_region", "replace", "kill_relays")
--- a/pumicenotch/lab/releaserun.py
+++ b/pumicenotch/lab/releaserun.py
@@ -22,8 +22,8 @@
 from pumicenotch.lab import world as world_
 from pumicenotch.lab.crew import FLEET, Crew, Refused
 from pumicenotch.lab.fleetrun import FORMED_S, LOOK_S, FleetRun
-from pumicenotch.lab.loopback import Launch, Node
 from pumicenotch.lab.peers import GatewayPeer
+from pumicenotch.lab.server_process import Launch, Node
 from pumicenotch.net.agent import ticks
 
 OLD = "old"
--- a/pumicenotch/lab/up.py
+++ b/pumicenotch/lab/up.py
@@ -5,8 +5,9 @@
 from pathlib import Path
 
 from pumicenotch.lab.experiment_file import Experiment
-from pumicenotch.lab.loopback import Launch, Loopback, run
+from pumicenotch.lab.loopback import Loopback, run
 from pumicenotch.lab.measure import in_time
+from pumicenotch.lab.server_process import Launch
 
 
 class Lines:
--- a/tests/fleet/configured.py
+++ b/tests/fleet/configured.py
@@ -15,7 +15,7 @@
 from pumicenotch.distribution.tables import canonical
 from pumicenotch.distribution.uploads import entries_of
 from pumicenotch.lab.crew import FLEET
-from pumicenotch.lab.loopback import Launch, Node
+from pumicenotch.lab.server_process import Launch, Node
 from pumicenotch.lab.world import World
 from tests.fleet.harness import Scripted, played
 from tests.histories.configuration import Key, Published, Recorder, Value, faults
--- a/tests/fleet/harness.py
+++ b/tests/fleet/harness.py
@@ -14,8 +14,8 @@
 
 from pumicenotch.config.fleet import BudgetBlock
 from pumicenotch.lab.fleetrun import FleetRun
-from pumicenotch.lab.loopback import Launch
 from pumicenotch.lab.releaserun import ReleaseRun
+from pumicenotch.lab.server_process import Launch
 from pumicenotch.lab.world import Gateways, Stage, World
 
 WAIT_S = 120.0  # far above what any of it takes: reached only where something is wrong
