--- a/benchmarks/capacity/connections.py
+++ b/benchmarks/capacity/connections.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from benchmarks.capacity.assumptions import CORES, SOCKETS
+from benchmarks.capacity.core_driver import CoreDriver, step_readings
 from benchmarks.capacity.decisions import GAUGES, STAGES
-from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
+from benchmarks.capacity.meter import least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.interface import Tenant
 from pumicenotch.server.core import Server
@@ -21,36 +22,24 @@
 CODEC_BODY = b"x" * 200
 
 
-class Driver:
-    """The pool answers at once; callers are numbered from 1."""
+class Driver(CoreDriver):
+    """The pool answers at once."""
 
     def __init__(self, callers: int, seed: int) -> None:
         keywords: dict[str, Any] = {
             "stages": STAGES, "tenants": [Tenant(1.0, None)], "gauges": GAUGES, "cores": int(CORES.value),
             "run_factor": 2.0, "crowd_multiple": 8.0,
         }  # fmt: skip
-        self.core = Server(
+        core = Server(
             keywords=keywords, stages={STAGE: 0}, tenants={TENANT: 0}, seed=seed, stop_ms=5000.0, below=False,
             memory_mb=512.0, sockets=int(SOCKETS.value),
         )  # fmt: skip
-        self.meter, self.now = StepMeter(), 0.0
-        self.messages, self.serials = count(1), count(1)
-        self.callers = callers
-        self.waiting: list[tuple[str, tuple[Any, ...]]] = []
+        super().__init__(core, callers)
+        self.serials = count(1)
         self.put("start")
         self.put("linked", "pool")
         self.put("bound", "ready", 60_000.0)
-        for conn in range(1, callers + 1):
-            self.put("opened", conn)
-            self.put("alive", conn, next(self.messages))
-        self.meter = StepMeter()
-
-    def put(self, name: str, *details: Any) -> None:
-        self.waiting.append((name, details))
-        while self.waiting:
-            kind, more = self.waiting.pop(0)
-            for effect in self.meter.run(kind, self.core.step, self.now, kind, *more):
-                self.react(effect)
+        self.connect_callers()
 
     def react(self, effect: Any) -> None:
         match effect:
@@ -85,11 +74,7 @@
 
 def measured(callers: int, requests_per_s: float, seed: int) -> list[Reading]:
     played = [Driver(callers, seed).play(requests_per_s) for _ in range(REPEATS)]
-    return readings(
-        ROLE,
-        processor=min(each.meter.share(SPAN_MS) for each in played),
-        longest_step=min(each.meter.longest_ms for each in played),
-    )
+    return step_readings(ROLE, [each.meter for each in played], SPAN_MS)
 
 
 def by_callers(size: float, seed: int) -> list[Reading]:
--- a/benchmarks/capacity/decisions.py
+++ b/benchmarks/capacity/decisions.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from benchmarks.capacity.assumptions import CORES, RUN
+from benchmarks.capacity.core_driver import step_readings
 from benchmarks.capacity.meter import StepMeter, frozen_heap, least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.control import Control
@@ -85,11 +86,7 @@
 
 def measured(known: int, active: int, requests_per_s: float, seed: int) -> list[Reading]:
     played = [Driver(seed, known).play(active, requests_per_s) for _ in range(REPEATS)]
-    return readings(
-        ROLE,
-        processor=min(each.meter.share(SPAN_MS) for each in played),
-        longest_step=min(each.meter.longest_ms for each in played),
-    )
+    return step_readings(ROLE, [each.meter for each in played], SPAN_MS)
 
 
 def by_known(size: float, seed: int) -> list[Reading]:
--- a/benchmarks/capacity/router.py
+++ b/benchmarks/capacity/router.py
@@ -6,8 +6,9 @@
 
 from benchmarks.capacity.assumptions import SOCKETS
 from benchmarks.capacity.configuration import cell_map
+from benchmarks.capacity.core_driver import CoreDriver, step_readings
 from benchmarks.capacity.decisions import STAGES
-from benchmarks.capacity.meter import StepMeter, least_ms, state_bytes
+from benchmarks.capacity.meter import least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.cells.map import CellMap, dump, load
 from pumicenotch.route.decide import Router
@@ -24,30 +25,21 @@
 BODY = b"x" * 200
 
 
-class Driver:
-    """Callers are numbered from 1 and keep one connection each; requests go round tenants and callers."""
+class Driver(CoreDriver):
+    """Requests go round tenants and callers."""
+
+    core: Router
 
     def __init__(self, cells: CellMap, callers: int, seed: int) -> None:
-        self.core = Router(
+        core = Router(
             cells=cells, confirmed=UNIX_MS, stages=STAGES, numbers={STAGE: 0}, seed=seed, stop_ms=5000.0,
             sockets=int(SOCKETS.value),
         )  # fmt: skip
-        self.meter, self.now, self.callers = StepMeter(), 0.0, callers
+        super().__init__(core, callers)
         self.tenants = list(cells.tenants)
-        self.messages, self.asked = count(1), count()
-        self.waiting: list[tuple[str, tuple[Any, ...]]] = []
+        self.asked = count()
         self.put("start")
-        for conn in range(1, callers + 1):
-            self.put("opened", conn)
-            self.put("alive", conn, next(self.messages))
-        self.meter = StepMeter()
-
-    def put(self, name: str, *details: Any) -> None:
-        self.waiting.append((name, details))
-        while self.waiting:
-            kind, more = self.waiting.pop(0)
-            for effect in self.meter.run(kind, self.core.step, self.now, kind, *more):
-                self.react(effect)
+        self.connect_callers()
 
     def react(self, effect: Any) -> None:
         match effect:
@@ -77,11 +69,7 @@
 def measured(cells: CellMap, callers: int, requests_per_s: float, seed: int) -> list[Reading]:
     played = [Driver(cells, callers, seed).play(requests_per_s) for _ in range(REPEATS)]
     assert played[0].core.counters.counts["answered_served"] > 0, played[0].core.counters.text()
-    return readings(
-        ROLE,
-        processor=min(each.meter.share(SPAN_MS) for each in played),
-        longest_step=min(each.meter.longest_ms for each in played),
-    )
+    return step_readings(ROLE, [each.meter for each in played], SPAN_MS)
 
 
 def with_map(tenants: int, servers: int, seed: int) -> list[Reading]:
--- a/benchmarks/capacity/spread.py
+++ b/benchmarks/capacity/spread.py
@@ -2,7 +2,6 @@
 replicas of one zone, all of them the real code. Other zones have relays alone, each subscribed to what their
 servers would need."""
 
-import heapq
 import random
 from collections.abc import Callable, Iterable
 from functools import lru_cache
@@ -25,6 +24,7 @@
 from pumicenotch.distribution.tables import canonical
 from pumicenotch.distribution.uploads import entries_of
 from pumicenotch.distribution.voter_source import VoterSource
+from pumicenotch.lab.simulated_time import SimulatedTime
 
 RELAYS = DEFAULTS.relays
 DELAY_MS = 1.0
@@ -93,13 +93,13 @@
         self.up = True
 
 
-class Spread:
+class Spread(SimulatedTime):
     """`children` replicas beside the relays of one zone; `zones` in all."""
 
     def __init__(self, seed: int, load: Load, *, children: int, zones: int, cold: bool = False) -> None:
+        super().__init__()
         self.random = random.Random(seed)
-        self.load, self.now, self.order = load, 0.0, count()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.load = load
         self.processes: dict[str, Process] = {}
         self.meters: dict[str, Meter] = {}
         self.in_force: dict[str, float] = {}  # when the newest version was, by replica
@@ -152,16 +152,6 @@
 
     # Running
 
-    def at(self, when: float, do: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (when, next(self.order), do))
-
-    def run(self, for_ms: float) -> None:
-        until = self.now + for_ms
-        while self.events and self.events[0][0] <= until:
-            self.now, _, do = heapq.heappop(self.events)
-            do()
-        self.now = until
-
     def until(self, met: Callable[[], bool], within_ms: float) -> float:
         began = self.now
         while not met():
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -2,7 +2,6 @@
 delays, loses, doubles and cuts, processes that stop, die and come back. One seed replays a day to the
 byte."""
 
-import heapq
 import random
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
@@ -15,6 +14,7 @@
 from pumicenotch.fleet.budgets import Budget, Member
 from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.voter_node import VoterNode
+from pumicenotch.lab.simulated_time import SimulatedTime
 from pumicenotch.members.messages import Who
 
 DRAIN_MS, RESTART_MS = 2000.0, 1000.0  # from the begin of a drain to its end, and to the next life's service
@@ -46,12 +46,12 @@
         return self.core is not None
 
 
-class Day:
+class Day(SimulatedTime):
     """Addresses are names; `now` is the time that all processes' clocks show."""
 
     def __init__(self, seed: int, *, delay_ms: float = 1.0, loss: float = 0.0, measure: bool = False) -> None:
+        super().__init__()
         self.chance = random.Random(seed)
-        self.now, self.events, self.count = 0.0, list[tuple[float, int, Callable[[], None]]](), 0
         self.processes: dict[str, Process] = {}
         self.delay_ms, self.loss, self.measure = delay_ms, loss, measure
         self.cut: set[tuple[str, str]] = set()  # from, to
@@ -106,17 +106,6 @@
 
     # Running
 
-    def at(self, when: float, do: Callable[[], None]) -> None:
-        self.count += 1
-        heapq.heappush(self.events, (when, self.count, do))
-
-    def run(self, for_ms: float) -> None:
-        until = self.now + for_ms
-        while self.events and self.events[0][0] <= until:
-            self.now, _, do = heapq.heappop(self.events)
-            do()
-        self.now = until
-
     def until(self, met: Callable[[], bool], within_ms: float = 60_000.0, step_ms: float = 50.0) -> float:
         """How long it took."""
         began = self.now
--- a/tests/test_letter8.py
+++ b/tests/test_letter8.py
@@ -1,16 +1,16 @@
 """Decisions that lindach-moebel and utrecht-centraal brought."""
 
 from itertools import pairwise
-from typing import Any
 
 from pumicenotch import start
-from pumicenotch.control import TICK_MS, Control
+from pumicenotch.control import TICK_MS
 from pumicenotch.interface import Effect, Signal, Stage
+from tests.controls import IgnoredActions, control
 
 STAGE = Stage(1000.0, 0.0, 3000.0, Effect.RESTARTABLE, 0.0, 1.0, 0.0, 0.0)
 
 
-class Heard:
+class Heard(IgnoredActions):
     """Keeps each health answer that was set, with its time; every other action is taken and forgotten."""
 
     def __init__(self) -> None:
@@ -20,33 +20,18 @@
     def health(self, good: bool, stored: bool) -> None:
         self.answers.append((self.now, good))
 
-    def __getattr__(self, name: str) -> Any:
-        return lambda *_, **__: None
-
 
 def late_for(listed: bool, until_s: float, then_s: float) -> list[tuple[float, bool]]:
     """Three tasks a tick are read after nine tenths of their time, then fresh ones."""
     heard, ident = Heard(), 0
-    control = Control(
-        heard,
-        0.0,
-        seed=1,
-        stages=[STAGE],
-        tenants=[],
-        gauges=[],
-        cores=2,
-        memory_kb=1e6,
-        crowd_multiple=5.0,
-        signal=Signal.WEIGHT,
-        listed_by_health=listed,
-    )
+    server = control(heard, STAGE, memory_kb=1e6, signal=Signal.WEIGHT, listed_by_health=listed)
     while heard.now < 1000.0 * (until_s + then_s):
         heard.now += TICK_MS
         for _ in range(3):
             ident += 1
             waited = 900.0 if heard.now < 1000.0 * until_s else 0.0
-            control.task(heard.now, ident, 0, 0, waited, None, None, 1.0, None)
-        control.tick(heard.now, ())
+            server.task(heard.now, ident, 0, 0, waited, None, None, 1.0, None)
+        server.tick(heard.now, ())
     return heard.answers
 
 
@@ -69,22 +54,11 @@
 
 def test_a_server_that_leaves_stays_out_of_the_list() -> None:
     heard = Heard()
-    control = Control(
-        heard,
-        0.0,
-        seed=1,
-        stages=[STAGE],
-        tenants=[],
-        gauges=[],
-        cores=2,
-        memory_kb=1e6,
-        crowd_multiple=5.0,
-        listed_by_health=True,
-    )
-    control.leave(0.0, 60_000.0)
+    server = control(heard, STAGE, memory_kb=1e6, listed_by_health=True)
+    server.leave(0.0, 60_000.0)
     while heard.now < 20_000.0:
         heard.now += TICK_MS
-        control.tick(heard.now, ())
+        server.tick(heard.now, ())
     assert [good for _, good in heard.answers] == [True, False]
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -3,13 +3,14 @@
 from pathlib import Path
 from typing import Any, cast
 
-from pumicenotch.control import SAMPLE_MS, TICK_MS, Control
+from pumicenotch.control import SAMPLE_MS, TICK_MS
 from pumicenotch.interface import Effect, Signal, Stage
+from tests.controls import IgnoredActions, control
 
 STAGE = Stage(1600.0, 0.0, 5400.0, Effect.RESTARTABLE, 0.0, 1.0, 0.2, 0.0)
 
 
-class Told:
+class Told(IgnoredActions):
     """Keeps what callers were told; every other action is taken and forgotten."""
 
     def __init__(self) -> None:
@@ -18,30 +19,16 @@
     def say(self, value: float) -> None:
         self.said.append(value)
 
-    def __getattr__(self, name: str) -> Any:
-        return lambda *_, **__: None
-
 
 def test_a_credit_covers_what_the_server_gets_through_by_the_due_time_not_two_tasks_a_core() -> None:
     """With 180 gateways and two cores, two tasks a core gave each gateway 0.022, which most of them settle
     as no room at all; the credit is now what the limit and a queue get through by the due time."""
     told = Told()
-    control = Control(
-        told,
-        0.0,
-        seed=1,
-        stages=[STAGE],
-        tenants=[],
-        gauges=[],
-        cores=2,
-        callers=180,
-        signal=Signal.CREDIT,
-        crowd_multiple=5.0,
-    )
+    server = control(told, STAGE, callers=180, signal=Signal.CREDIT)
     now = 0.0
     while now <= SAMPLE_MS:
         now += TICK_MS
-        control.tick(now, ())
+        server.tick(now, ())
     assert told.said[0] == 2.0 * 2 / 180
     assert told.said[-1] > 2.0 * (2.0 * 2 / 180)
 
