A worker whose run has ended takes signals again: a failed last arm ends the command

Cause: uvloop's closed loop leaves handlers of signals that do nothing, so a worker that had run an arm ignored the signal to end, and the command waited for it for ever (seen with 2,500 servers: ended by hand after 30 s). Change: handlers are put back after each run; a worker not ended after 40 s is killed. A test that hangs without it.

--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -18,6 +18,7 @@
 from pumicenotch.lab.measure import figures, windows
 
 ROUND_S = 15.0  # for a run's start and end beside its length, without hollow instances
+ENDED_S = 40.0  # for a worker to stop what it has started
 AGAIN_S = 0.5  # between signals to a worker that is to end
 CORES_A_RUN = 1  # a loopback run has a server and a world, some tenths of a core together
 CORES_A_FLEET = 2  # and a fleet has a dozen servers, voters and a relay, maybe agents
@@ -114,9 +115,10 @@
     another run's failure, would leave them at work to their end. Again and again: one that comes between two
     runs of a worker may be lost, and within a run only the first counts."""
     processes = list((pool._processes or {}).values())
+    until = time.monotonic() + ENDED_S
     while alive := [process for process in processes if process.is_alive()]:
         for process in alive:
-            process.terminate()
+            process.terminate() if time.monotonic() < until else process.kill()
         time.sleep(AGAIN_S)
 
 
--- a/pumicenotch/lab/loopback.py
+++ b/pumicenotch/lab/loopback.py
@@ -28,6 +28,7 @@
 from pumicenotch.lab.world import World, arrivals
 
 UP_S = 20.0  # for a server to listen and its pool to be bound: a second on a quiet machine
+ENDING = (signal.SIGINT, signal.SIGTERM)  # signals that end a run
 AFTER_S = 15.0  # beyond the run's length for the last answers: the longest time limit and some
 FIRST_MS = 50.0  # from the servers' start to the begin of the load
 END_S = 1.0  # beyond its notice that a process may take to end; then it is killed
@@ -88,7 +89,7 @@
         self.clock.start()
         self.main = asyncio.current_task()
         if threading.current_thread() is threading.main_thread():
-            for number in (signal.SIGINT, signal.SIGTERM):
+            for number in ENDING:
                 self.loop.add_signal_handler(number, self.fail, KeyboardInterrupt())
         self.clients = Clients(self.world, self.seed, self.connections, self.ledger)
         self.connections.clients = self.clients
@@ -288,9 +289,14 @@
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         folder.mkdir(parents=True, exist_ok=True)
         made = carrier(world, seed, launch, folder)
+        before = {number: signal.getsignal(number) for number in ENDING}
         try:
             return uvloop.run(made.run(progress))
         except asyncio.CancelledError:
             if made.failure is None:
                 raise
             raise made.failure from None
+        finally:
+            if threading.current_thread() is threading.main_thread():
+                for number, handler in before.items():  # the closed loop leaves handlers that do nothing
+                    signal.signal(number, handler)
--- a/tests/fleet/test_hollow.py
+++ b/tests/fleet/test_hollow.py
@@ -133,6 +133,27 @@
     assert left_behind(out) == []
 
 
+def test_a_last_arm_that_fails_ends_the_command_and_keeps_the_first(tmp_path: Path) -> None:
+    path, out = small(tmp_path, length_s="4"), tmp_path / "out"
+    arms = 'arm "without" {\n  hollow = false\n  length_s = 3\n}\narm "with" {}'
+    text = path.read_text().replace('arm "with" {}', arms)
+    path.write_text(text.replace("at_s  = 0.5", "at_s  = 3"))
+    code = (
+        "from pumicenotch.lab import hollow_fleet\nfrom pumicenotch.lab.guard import RunFailed\n"
+        "async def start(self, others, within_s):\n    raise RunFailed('nobody comes')\n"
+        "hollow_fleet.HollowFleet.start = start\n"
+    )
+    (tmp_path / "sitecustomize.py").write_text(code)
+    environment = {**os.environ, "PYTHONPATH": str(tmp_path)}
+    ended = subprocess.run([*COMMAND, str(path), "--out", str(out), "--json"], capture_output=True, text=True,
+                           timeout=60, env=environment)  # fmt: skip
+    assert ended.returncode == 1
+    assert "nobody comes; what had ended is kept and marked" in ended.stderr
+    summary = json.loads(ended.stdout)
+    assert summary["whole"] is False and list(summary["arms"]) == ["without"]
+    assert left_behind(out) == []
+
+
 def wait(met: Callable[[], bool], within_s: float) -> None:
     until = time.monotonic() + within_s
     while not met():
