--- a/pumicenotch/lab/experiment.py
+++ b/pumicenotch/lab/experiment.py
@@ -18,6 +18,7 @@
 from pumicenotch.lab.measure import figures, windows
 
 ROUND_S = 15.0  # for a run's start and end beside its length, without hollow instances
+ENDED_S = 40.0  # for a worker to stop what it has started
 AGAIN_S = 0.5  # between signals to a worker that is to end
 CORES_A_RUN = 1  # a loopback run has a server and a world, some tenths of a core together
 CORES_A_FLEET = 2  # and a fleet has a dozen servers, voters and a relay, maybe agents
@@ -47,7 +48,8 @@
         carried = Simulation(told, seed, pools_of(plan(arm, path)), decides).run()
         cpu, ledger, late = sum(node.cpu_ms for node in carried.nodes), carried.ledger, [0.0]
     else:
-        from pumicenotch.lab.loopback import Launch, run
+        from pumicenotch.lab.loopback import run
+        from pumicenotch.lab.server_process import Launch
 
         config = str(path.parent / arm.pools) if arm.pools else ""
         launch = Launch("pumicenotch.lab.plain" if arm.decides == "plain" else "pumicenotch", config)
@@ -113,9 +115,10 @@
     another run's failure, would leave them at work to their end. Again and again: one that comes between two
     runs of a worker may be lost, and within a run only the first counts."""
     processes = list((pool._processes or {}).values())
+    until = time.monotonic() + ENDED_S
     while alive := [process for process in processes if process.is_alive()]:
         for process in alive:
-            process.terminate()
+            process.terminate() if time.monotonic() < until else process.kill()
         time.sleep(AGAIN_S)
 
 
@@ -123,8 +126,9 @@
     """A smaller configuration, for an arm that cannot bear the whole one."""
     if told.configuration is None or part == 1.0:
         return told
-    tenants, routes = (round(part * many) for many in (told.configuration.tenants, told.configuration.routes))
-    smaller = told.configuration.model_copy(update={"tenants": max(1, tenants), "routes": max(1, routes)})
+    kinds = ("tenants", "routes", "cells", "services")
+    many = {kind: max(1, round(part * getattr(told.configuration, kind))) for kind in kinds}
+    smaller = told.configuration.model_copy(update=many)
     return told.model_copy(update={"configuration": smaller})
 
 
