Type the hello and the sender of a message among instances

Cause: net/peers.py handed both on as bare tuples, read by index in three modules; the distribution had a Sender of its own for the same three fields.

Change: Hello and Sender are NamedTuples. Sender has a module of its own, used by peers, members, voters and the distribution alike, so nothing is converted on the way. Wire form and the words of a refusal are as before; nodes still unpack, so that tests which give plain tuples hold as they stand.

--- a/pumicenotch/distribution/events.py
+++ b/pumicenotch/distribution/events.py
@@ -4,14 +4,7 @@
 
 from pumicenotch.distribution.messages import Message
 from pumicenotch.distribution.subscription import Subscription
-
-
-class Sender(NamedTuple):
-    """Whose message it is. `life` is of its process, drawn at its start."""
-
-    name: str
-    life: str
-    address: str
+from pumicenotch.sender import Sender as Sender
 
 
 class Peer(NamedTuple):
--- a/pumicenotch/fleet/member_node.py
+++ b/pumicenotch/fleet/member_node.py
@@ -14,6 +14,7 @@
 from pumicenotch.members import messages
 from pumicenotch.members.members import Members
 from pumicenotch.members.messages import Changed, Opinion, Refused, Send, Standing, Who
+from pumicenotch.sender import Sender
 
 HALT = "halt"  # the key under which members hand a halt on
 
@@ -94,18 +95,20 @@
         if news.opinion is not Opinion.ALIVE:
             self.log(f"{news.who.name} is thought {news.opinion.name.lower()} by {news.by}")
 
-    def told(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def told(self, sender: Sender, method: str, params: Any) -> None:
         """A notification of another process of this fleet."""
         try:
             self.receive(sender, method, params)
         except ValueError as error:
             self.counts["notices_unreadable"] += 1
-            self.log(f"{sender[0]}: {method}: {error}")
+            name, _, _ = sender
+            self.log(f"{name}: {method}: {error}")
 
-    def receive(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def receive(self, sender: Sender, method: str, params: Any) -> None:
+        _, _, address = sender
         match method:
             case "members":
-                self.of_members("message", sender[2], messages.message_of(params))
+                self.of_members("message", address, messages.message_of(params))
             case "permitted" if params and type(params[0]) is int:
                 self.permit = max(self.permit, params[0])
                 self.request_at = min(
--- a/pumicenotch/fleet/replica_node.py
+++ b/pumicenotch/fleet/replica_node.py
@@ -15,6 +15,7 @@
 from pumicenotch.fleet.entries import Said
 from pumicenotch.fleet.member_node import MemberNode
 from pumicenotch.fleet.state import State
+from pumicenotch.sender import Sender
 
 NOTHING_SAID = Said(False, "")  # of an entry that is the log's own
 
@@ -90,7 +91,7 @@
             if each.to in self.names:
                 self.post(self.names[each.to], "found", *each.told)
 
-    def receive(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def receive(self, sender: Sender, method: str, params: Any) -> None:
         name, life, _ = sender
         match method:
             case "agree" | "found" if name not in self.names:
--- a/pumicenotch/fleet/voter_node.py
+++ b/pumicenotch/fleet/voter_node.py
@@ -27,6 +27,7 @@
 from pumicenotch.fleet.state import error_code
 from pumicenotch.fleet.voter_client import NO_MAJORITY, NOT_LEADER, REFUSED, UNKNOWN
 from pumicenotch.fleet.watch import Watch, memory_of, rows_of
+from pumicenotch.sender import Sender
 
 # Entries that only a leader makes.
 LEADER_ENTRIES = frozenset(("begin", "against", "level", "word", "usual", "soaked", "harm"))
@@ -93,7 +94,7 @@
             self.leave_at = float("inf")
             self.effects.append(Exit())
 
-    def receive(self, sender: tuple[str, str, str], method: str, params: Any) -> None:
+    def receive(self, sender: Sender, method: str, params: Any) -> None:
         name, life, _ = sender
         match method:
             case "sees" if name not in self.names:
--- a/pumicenotch/lab/fleets.py
+++ b/pumicenotch/lab/fleets.py
@@ -16,6 +16,7 @@
 from pumicenotch.fleet.voter_node import VoterNode
 from pumicenotch.lab.simulated_time import SimulatedTime
 from pumicenotch.members.messages import Who
+from pumicenotch.sender import Sender
 
 DRAIN_MS, RESTART_MS = 2000.0, 1000.0  # from the begin of a drain to its end, and to the next life's service
 
@@ -134,7 +135,7 @@
             case effects.Post(address, method, params):
                 core = process.core
                 assert core is not None
-                sender = (name, core.me.life, process.address)
+                sender = Sender(name, core.me.life, process.address)
                 self.send(process, address, "told", sender, method, self.wire(process, params))
             case effects.Ask(address, number, verb, args):
                 self.count += 1
--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -29,6 +29,7 @@
 from pumicenotch.fleet.voter_client import NO_MAJORITY, NOT_LEADER, REFUSED
 from pumicenotch.members.messages import News, Opinion, Standing, Who
 from pumicenotch.net.peers import PeerHub, ResettableTimer
+from pumicenotch.sender import Sender
 
 LOOKUP, STATUS = "lookup", "configuration"
 VERBS = (LOOKUP, STATUS)
@@ -109,15 +110,15 @@
             except Exception as error:
                 self.hub.fault(f"configuration {type(effect).__name__}", error)
 
-    def notice(self, sender: tuple[str, str, str], method: str, params: Any) -> bool:
+    def notice(self, sender: Sender, method: str, params: Any) -> bool:
         """Whether the notice was one of the distribution's."""
         if method != METHOD:
             return False
         with self.step_times.measured():
-            self.receive(events.Sender(*sender), params)
+            self.receive(sender, params)
         return True
 
-    def receive(self, sender: events.Sender, params: Any) -> None:
+    def receive(self, sender: Sender, params: Any) -> None:
         try:
             message = message_of(params)
         except MalformedMessage as error:
@@ -172,13 +173,13 @@
         if not self.holds(table, scope):
             raise NotHeld(
                 f"record {table}:{key}",
-                f"{self.hub.hello[1]} does not hold the scope {scope}",
+                f"{self.hub.hello.name} does not hold the scope {scope}",
                 "ask a process that subscribes to it, or a voter; one that has just started: ask again",
             )
         value = self.view.lookup(table, key)
         return {
-            "instance": self.hub.hello[1],
-            "life": self.hub.hello[2],
+            "instance": self.hub.hello.name,
+            "life": self.hub.hello.life,
             "version": self.view.version,
             "value": None if value is None else json.loads(value),
             "age_ms": finite(self.age_ms()),
--- a/pumicenotch/net/peers.py
+++ b/pumicenotch/net/peers.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 import anyio
 import msgpack
@@ -23,6 +23,7 @@
 from pumicenotch.net.dial import Links, Put
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.link import Frame
+from pumicenotch.sender import Sender
 
 PARTY = "peer"
 FRAME_MOST = 2 * 1024 * 1024  # among voters: 16 entries of the log at their largest, and as much again
@@ -45,7 +46,15 @@
     "error": lambda message, error: pack([1, message, error, None]),
     "refused": lambda why: pack([2, "refused", [why]]),
 }
-Hello = tuple[str, str, str, str]  # fleet, name, life, address; an operator's command has only the fleet
+
+
+class Hello(NamedTuple):
+    """What one that dials says first; an operator's command has only the fleet."""
+
+    fleet: str
+    name: str
+    life: str
+    address: str
 
 
 class Unpacker:
@@ -82,7 +91,7 @@
 
     def __init__(self, hub: "PeerHub", conn: int) -> None:
         self.hub, self.conn, self.unpacker = hub, conn, Unpacker(hub.frame_most)
-        self.sender: tuple[str, str, str] | None = None
+        self.sender: Sender | None = None
 
     def feed(self, data: bytes) -> None:
         for frame, size in self.unpacker.frames(data):
@@ -91,8 +100,8 @@
     def frame(self, frame: Any, size: int) -> None:
         match frame:
             case [2, "hello", [str(fleet), str(name), str(life), str(address)]] if self.sender is None:
-                self.sender = (name, life, address)
-                self.hub.check_hello(self.conn, (fleet, name, life, address))
+                self.sender = Sender(name, life, address)
+                self.hub.check_hello(self.conn, Hello(fleet, name, life, address))
             case _ if self.sender is None:
                 raise ValueError("no hello first")
             case [0, int(message), "alive", [*_]]:
@@ -102,7 +111,7 @@
             case [0, int(message), str(verb), _]:
                 error = ("Refused", f"{verb}: {size} bytes: {REQUEST_MOST} are allowed", None)
                 self.hub.write(self.conn, ("error", message, error))
-            case [2, str(method), [*params]] if self.sender[0]:
+            case [2, str(method), [*params]] if self.sender.name:
                 self.hub.put("told", self.sender, method, tuple(params))
             case _:
                 raise ValueError("no message among instances")
@@ -166,7 +175,7 @@
 class Extension(Protocol):
     """A subsystem beside the node, whose notices and requests come by the same links."""
 
-    def notice(self, sender: tuple[str, str, str], method: str, params: Any) -> bool:
+    def notice(self, sender: Sender, method: str, params: Any) -> bool:
         """Whether it was one of its own."""
 
     def request(self, conn: int, message: int, verb: str, args: Any) -> bool:
@@ -191,7 +200,7 @@
         self.frame_most, self.unread = frame_most, UNREAD_FRAMES * frame_most
         self.links_most = max(2, links_most // 2)
         self.node, self.group, self.leave = core, group, leave
-        self.hello: Hello = (core.fleet, core.me.name, core.me.life, core.me.address)
+        self.hello = Hello(core.fleet, core.me.name, core.me.life, core.me.address)
         self.peer_links: dict[str, PeerLink] = {}  # by link, which is "peer-ADDRESS"
         self.conns = 0
         self.idle_at = 0.0
@@ -259,12 +268,12 @@
     def check_hello(self, conn: int, hello: Hello) -> None:
         fleet, name, life, address = hello
         why = ""
-        if fleet != self.hello[0]:
-            why = f"this is a process of the fleet {self.hello[0]!r}, not of {fleet!r}"
-        elif name == self.hello[1] and life != self.hello[2]:
+        if fleet != self.hello.fleet:
+            why = f"this is a process of the fleet {self.hello.fleet!r}, not of {fleet!r}"
+        elif name == self.hello.name and life != self.hello.life:
             why = f"this process has the name {name!r} itself"
         elif len(name) > 64 or len(life) > 64 or (name and ":" not in address):
-            why = f"no name, life and address of a member: {hello!r:.120}"
+            why = f"no name, life and address of a member: {tuple(hello)!r:.120}"
         if why:
             self.count_trouble("mates_refused", f"a peer is refused: {why}")
             self.write(conn, ("refused", why))
@@ -397,4 +406,4 @@
     hub.put("start")
     hub.group.start_soon(hub.clock.run, lambda: hub.put("time"))
     bound = "{}:{}".format(*listener.extra(SocketAttribute.local_address)[:2])
-    logger.info("fleet: {} of {} is listening among instances on {}", hub.hello[1], hub.hello[0], bound)
+    logger.info("fleet: {} of {} is listening among instances on {}", hub.hello.name, hub.hello.fleet, bound)
