Tell a member that pings what is thought of it, so that one held dead refutes it at once

Change: the answer to a ping carries the news of its sender, where it is held suspect or dead. Test: fails without the change for both opinions.

--- a/pumicenotch/members/members.py
+++ b/pumicenotch/members/members.py
@@ -211,7 +211,7 @@
         match message:
             case Ping(number, news, extra):
                 self.all_heard(news, extra)
-                self.send(address, Ack(number, self.gossip(""), self.handed()))
+                self.send(address, Ack(number, self.gossip(sender_of(news)), self.handed()))
             case Ack(number, news, extra):
                 self.all_heard(news, extra)
                 self.acked(number)
@@ -316,7 +316,7 @@
             (times, name) for name, times in self.spread.items() if times < limit and name != to
         )  # fmt: skip
         found = [self.mine()]
-        if to in self.suspicions:
+        if to in self.news and self.news[to].opinion is not Opinion.ALIVE:
             found.append(self.news[to])
         for times, name in fresh[: 12 - len(found)]:  # some hundred bytes each: a packet or two
             self.spread[name] = times + 1
@@ -360,3 +360,8 @@
 
     def table(self) -> Mapping[str, News]:
         return {self.me.name: self.mine(), **self.news}
+
+
+def sender_of(news: tuple[News, ...]) -> str:
+    """Whose gossip it is: each begins with what its sender says of itself. Empty if there is none."""
+    return news[0].who.name if news else ""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -135,6 +135,22 @@
     assert isinstance(ack, Ack) and ack.news[0].incarnation == 4
 
 
+@pytest.mark.parametrize("opinion", [Opinion.SUSPECT, Opinion.DEAD])
+def test_one_that_pings_hears_in_the_answer_what_is_thought_of_it(opinion: Opinion) -> None:
+    """A member held for dead is pinged by nobody: its own pings are the first occasion to tell it."""
+    me = made()
+    me.step(1.0, "message", "z", Ping(1, (news(opinion=opinion),), ()))
+    for number in range(2, 40):  # until it is no longer handed on to everybody
+        me.step(1.0, "message", "z", Ping(number, (), ()))
+    effects = me.step(2.0, "message", "n", Ping(40, (news(),), ()))
+    ack = next(each.message for each in effects if isinstance(each, Send))
+    assert isinstance(ack, Ack) and [each.opinion for each in ack.news if each.who.name == "n"] == [opinion]
+    again = me.step(3.0, "message", "n", Ping(41, (news(incarnation=2),), ()))
+    ack = next(each.message for each in again if isinstance(each, Send))
+    assert me.opinion("n") is Opinion.ALIVE
+    assert isinstance(ack, Ack) and all(each.opinion is Opinion.ALIVE for each in ack.news)
+
+
 def test_a_former_life_of_mine_that_is_gone_gives_way_though_the_clock_was_set_back() -> None:
     me = made()
     me.step(1.0, "message", "x", Ping(1, (news(ME._replace(life="0", began=9000), 1, Opinion.DEAD),), ()))
