Say once in the capacity benchmark what a metered process spent of its core and bytes

Cause: read once more; bad hours, distribution and members each made the same sum of a meter's steps, codec and bytes. Change: Meter.processor and measured_day.spending, which all three call; same readings, same order. No test touched.

--- a/benchmarks/capacity/bad_hours.py
+++ b/benchmarks/capacity/bad_hours.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from benchmarks.capacity import assumptions
-from benchmarks.capacity.measured_day import MeasuredDay, Meter, fleet_budgets, founded, zone_name
-from benchmarks.capacity.meter import NS_PER_MS, frozen_heap
+from benchmarks.capacity.measured_day import MeasuredDay, fleet_budgets, founded, spending, zone_name
+from benchmarks.capacity.meter import frozen_heap
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.members.messages import Opinion
 
@@ -108,16 +108,6 @@
         return found + readings(MEMBERSHIP, false_deaths=len(self.false))
 
 
-def spending(role: str, meter: Meter, span_ms: float) -> list[Reading]:
-    return readings(
-        role,
-        processor=(meter.total_ns + meter.codec_ns) / NS_PER_MS / span_ms,
-        longest_step=meter.longest_ms,
-        sent=sum(meter.sent.values()) / span_ms * 1000.0,
-        received=sum(meter.received.values()) / span_ms * 1000.0,
-    )
-
-
 def detected(fleet: RealFleet, gone: list[str]) -> list[Reading]:
     """Until the first thinks one of them dead, until all think all dead, until the voters have agreed so."""
     left = fleet.others(gone)
--- a/benchmarks/capacity/distribution.py
+++ b/benchmarks/capacity/distribution.py
@@ -6,8 +6,8 @@
 from statistics import quantiles
 
 from benchmarks.capacity import assumptions
-from benchmarks.capacity.measured_day import Meter
-from benchmarks.capacity.meter import NS_PER_MS, frozen_heap, least_ms, state_bytes
+from benchmarks.capacity.measured_day import Meter, spending
+from benchmarks.capacity.meter import frozen_heap, least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from benchmarks.capacity.spread import RELAY, REPLICA, VOTER, Load, Spread, book_dump
 from pumicenotch.distribution.publications import Publications
@@ -21,13 +21,8 @@
 
 
 def spent(role: str, meter: Meter) -> list[Reading]:
-    """Steps and codec together; sockets are not in it."""
-    return readings(
+    return spending(role, meter, SPAN_MS) + readings(
         role,
-        processor=(meter.total_ns + meter.codec_ns) / NS_PER_MS / SPAN_MS,
-        longest_step=meter.longest_ms,
-        sent=sum(meter.sent.values()) / SPAN_MS * 1000.0,
-        received=sum(meter.received.values()) / SPAN_MS * 1000.0,
         sent_messages=sum(meter.sent_messages.values()) / SPAN_MS * 1000.0,
         received_messages=sum(meter.received_messages.values()) / SPAN_MS * 1000.0,
     )
--- a/benchmarks/capacity/measured_day.py
+++ b/benchmarks/capacity/measured_day.py
@@ -5,7 +5,8 @@
 
 import msgpack
 
-from benchmarks.capacity.meter import StepMeter, cpu_ns
+from benchmarks.capacity.meter import NS_PER_MS, StepMeter, cpu_ns
+from benchmarks.capacity.slope import Reading, readings
 from pumicenotch.fleet.budgets import Budget
 from pumicenotch.lab.fleets import Day, Process
 
@@ -34,6 +35,21 @@
         sizes[kind] = sizes.get(kind, 0) + size
         counts[kind] = counts.get(kind, 0) + 1
 
+    def processor(self, span_ms: float) -> float:
+        """Steps and codec together, as part of a core; sockets are not in it."""
+        return (self.total_ns + self.codec_ns) / NS_PER_MS / span_ms
+
+
+def spending(role: str, meter: Meter, span_ms: float) -> list[Reading]:
+    """What one process took of its core, and its bytes a second."""
+    return readings(
+        role,
+        processor=meter.processor(span_ms),
+        longest_step=meter.longest_ms,
+        sent=sum(meter.sent.values()) / span_ms * 1000.0,
+        received=sum(meter.received.values()) / span_ms * 1000.0,
+    )
+
 
 class MeasuredDay(Day):
     """A day whose watched processes are metered."""
--- a/benchmarks/capacity/members.py
+++ b/benchmarks/capacity/members.py
@@ -10,7 +10,7 @@
 from benchmarks.capacity import assumptions
 from benchmarks.capacity.hollow import HollowFleet
 from benchmarks.capacity.measured_day import Meter, fleet_budgets
-from benchmarks.capacity.meter import NS_PER_MS, least_ms, state_bytes
+from benchmarks.capacity.meter import least_ms, state_bytes
 from benchmarks.capacity.slope import Reading, Slope, readings
 from pumicenotch.fleet import snapshot
 from pumicenotch.members import messages
@@ -49,9 +49,7 @@
 
 
 def process(role: str, meter: Meter) -> list[Reading]:
-    """Steps and codec together; sockets are not in it."""
-    spent = (meter.total_ns + meter.codec_ns) / NS_PER_MS / SPAN_MS
-    return readings(role, processor=spent, longest_step=meter.longest_ms)
+    return readings(role, processor=meter.processor(SPAN_MS), longest_step=meter.longest_ms)
 
 
 def read_fleet(fleet: HollowFleet, windows: int = 1) -> list[Reading]:
