--- a/pumicenotch/cli/lab.py
+++ b/pumicenotch/cli/lab.py
@@ -13,6 +13,10 @@
 from pumicenotch.config.hcl import InvalidFileError
 from pumicenotch.lab import experiment, experiment_file, experiment_results
 from pumicenotch.lab.guard import MachineTooSmallError, RunFailedError
+from pumicenotch.lab.soak import report as soak_report
+from pumicenotch.lab.soak.run import SoakResult, SoakStartError
+from pumicenotch.lab.soak.series import MAX_BUSY
+from pumicenotch.lab.soak.series import soak as soak_series
 
 lab = App(
     name="lab",
@@ -142,6 +146,68 @@
         console.print(f"broken at {text}")
 
 
+@lab.command
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 50,
+    busy: int = 0,
+    out: Path | None = None,
+    as_json: Json = False,
+) -> None:
+    """Drain real servers under clients that never stop, up to the kill. Exit status 1: a rule was broken.
+
+    Parameters
+    ----------
+    seed
+        The first seed; a seed draws the whole run: load, signals, reloads, the moment of the notice.
+    seeds
+        How many runs, by seeds that follow each other.
+    busy
+        Processes that keep cores busy beside it.
+    out
+        A folder for summary.json and the servers' logs. It must not hold a result already.
+    as_json
+        The summary as JSON instead of a line a run.
+    """
+    check_soak_options(seed, seeds, busy, out)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # as Ctrl-C: what runs is ended
+    results: list[SoakResult] = []
+    whole = False
+    try:
+        for result in soak_series(seed, seeds, busy, out):
+            results.append(result)
+            print(soak_report.describe(result), file=sys.stderr)
+            if not soak_report.is_kept(result):
+                print(soak_report.describe_violations(result, busy), file=sys.stderr)
+        whole = True
+    except KeyboardInterrupt:
+        print("stopped: what had ended is kept and marked", file=sys.stderr)
+    except SoakStartError as error:
+        print(error, file=sys.stderr)
+    summary = soak_report.summarize(results, busy, whole)
+    if out is not None:
+        soak_report.write_summary(out, summary)
+    if as_json:
+        print(json.dumps(summary))
+    else:
+        for name, value in summary.items():
+            print(f"{name:<16} {value}")
+    sys.exit(0 if whole and not summary["broken_seeds"] else 1)
+
+
+def check_soak_options(seed: int, seeds: int, busy: int, out: Path | None) -> None:
+    """Ends the command with 2 where an option makes no sense."""
+    if seed < 0:
+        wrong(ValueError(f"--seed: {seed} is given, 0 or more is wanted"))
+    if seeds < 1:
+        wrong(ValueError(f"--seeds: {seeds} is given, 1 or more is wanted"))
+    if not 0 <= busy <= MAX_BUSY:
+        wrong(ValueError(f"--busy: {busy} is given, 0 to {MAX_BUSY} are wanted"))
+    if out is not None and (out / soak_report.SUMMARY_NAME).exists():
+        wrong(ValueError(f"--out: {out} holds a result already: name another, or remove it first"))
+
+
 @lab.command
 def show(folder: Path, /, *, as_json: Json = False) -> None:
     """A kept result's tables again."""
