Close connections before the stop, so that clients that never stop do not delay the end

Cause: all connections were closed at the stop alone, 100 ms before the kill. While such clients send there was no earlier end.

Fix: 250 ms before the stop connections close as soon as nothing is open on them, a request that comes later is rejected unless it repeats a run in hand, and the process ends once the last one has closed and the listener has settled. The load on the core ends with the connections, long before the stop. What runs is answered to the end, and a connection with it stays open until then.

--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -148,8 +148,7 @@
         self.connections.opened(
             self.now, event.connection_id, notify=self.lifecycle.listener_closed
         )
-        if self.lifecycle.exited:
-            self.connections.finish(event.connection_id)
+        self.connections.close_if_done(event.connection_id)
 
     def on_request(self, event: events.RequestReceived) -> None:
         """Checks a request, and has the controller decide on it."""
@@ -173,8 +172,8 @@
             return
         if self.lifecycle.exited:
             self._answer_after_exit(request, original_id)
-        elif self.controller is None:
-            # None is to arrive before the pool is up, and nothing of it has run.
+        elif self.controller is None or (self.lifecycle.rejects_requests and original_id is None):
+            # None is to arrive before the pool is up, or so late; and nothing of it has run.
             self.actions.reject(request.request_id, False, 0.0)
         else:
             self._admit(self.controller, request, waited_ms, original_id)
--- a/pumicenotch/server/gateway_connections.py
+++ b/pumicenotch/server/gateway_connections.py
@@ -56,6 +56,7 @@
         self.silent: dict[int, float] = {}
         self.closing_count = 0
         self.idle_timeout_ms = float("inf")  # until the controller sets one
+        self.closes_idle = False  # each one is closed as soon as nothing is open on it
 
     def opened(self, now: float, connection_id: int, notify: bool) -> None:
         """Adds a connection, closing one if there are too many; `notify` sends a drain notice."""
@@ -135,10 +136,20 @@
         return connection
 
     def close_if_done(self, connection_id: int) -> None:
-        """Closes a connection that the gateway has ended once all its requests are answered."""
+        """Closes a connection whose end has come, once all its requests are answered."""
         connection = self.by_id.get(connection_id)
-        if connection is not None and connection.ended and not connection.open_requests:
+        if connection is None or connection.open_requests:
+            return
+        if connection.ended:
             self.close(connection_id)
+        elif self.closes_idle:
+            self.finish(connection_id)
+
+    def finish_all(self) -> None:
+        """Closes each connection as soon as nothing is open on it, from now on."""
+        self.closes_idle = True
+        for connection_id in list(self.by_id):
+            self.close_if_done(connection_id)
 
     def finish(self, connection_id: int, counter: str = "") -> None:
         """Closes one that has nothing open, once everything received on it has been delivered."""
--- a/pumicenotch/server/lifecycle.py
+++ b/pumicenotch/server/lifecycle.py
@@ -14,6 +14,12 @@
 EXIT_MS = 40.0  # of that margin, for the process to end once the last answers are written
 # Before the stop the listener closes: enough for what crossed its close to be answered.
 LISTENER_CLOSE_MS = 300.0
+# Before the stop connections close as soon as nothing is open on them, so that gateways that go on
+# sending leave time for the end. Those told at the listener's close have heard it by then.
+CONNECTIONS_CLOSE_MS = 250.0
+# After the listener's close, until all that it had accepted is among the connections.
+LISTENER_SETTLE_MS = 100.0
+EXIT_CHECK_MS = 20.0  # between checks whether the last connection has closed
 
 
 class Lifecycle:
@@ -79,9 +85,7 @@
         self.next_sweep_at = now + SWEEP_INTERVAL_MS
         server.timers.schedule(self.next_sweep_at, self.sweep, None)
         server.database.close_idle(now)
-        # What the listener still holds is answered after its close.
-        if now >= self.listener_closed_until and not server.connections.by_id:
-            self.exit(now, None)
+        self.exit_if_done(now)
 
     def start_draining(self) -> None:
         """Tells gateways and registry, then answers what is in hand until the stop."""
@@ -92,7 +96,9 @@
         self.stop_at = server.now + max(0.0, self.shutdown_ms - STOP_MARGIN_MS)
         grace_ends_at = server.now + self.drain_grace_ms
         listener_closes_at = min(grace_ends_at, self.stop_at - LISTENER_CLOSE_MS)
+        connections_close_at = self.stop_at - CONNECTIONS_CLOSE_MS
         server.timers.schedule(listener_closes_at, self.close_listener, None)
+        server.timers.schedule(connections_close_at, self.close_connections, None)
         server.reporter.report(server.now, draining=True)
         server.connections.notify_all(server.now)
         if server.controller is not None:
@@ -101,10 +107,32 @@
 
     def close_listener(self, now: float, _: None) -> None:
         """Requests do not run from now on, and a refused connection proves it to the caller."""
-        self.listener_closed_until = now + SWEEP_INTERVAL_MS
+        self.listener_closed_until = now + LISTENER_SETTLE_MS
         self.server.connections.notify_all(now)
         self.server.effects.append(Close(LISTENER))
 
+    def close_connections(self, now: float, _: None) -> None:
+        """Closes each connection as soon as nothing is open on it, and exits after the last one."""
+        self.server.connections.finish_all()
+        self.check_exit(now, None)
+
+    def check_exit(self, now: float, _: None) -> None:
+        """Exits if nothing is left to answer, else checks again soon."""
+        self.exit_if_done(now)
+        if not self.exited:
+            self.server.timers.schedule(now + EXIT_CHECK_MS, self.check_exit, None)
+
+    def exit_if_done(self, now: float) -> None:
+        """Exits if the listener is closed and no connection is left."""
+        # What the listener still holds is answered after its close.
+        if now >= self.listener_closed_until and not self.server.connections.by_id:
+            self.exit(now, None)
+
+    @property
+    def rejects_requests(self) -> bool:
+        """Whether too little is left of the notice for a request to start."""
+        return self.server.connections.closes_idle
+
     @property
     def listener_closed(self) -> bool:
         """Whether no more connections are accepted, but for those that had connected before."""
@@ -121,11 +149,10 @@
             server.controller.on_tick(server.now, server.gauges)
         if not self.listener_closed:
             server.effects.append(Close(LISTENER))
-        for connection_id, connection in list(server.connections.by_id.items()):
+        for connection in list(server.connections.by_id.values()):
             for request in list(connection.open_requests.values()):  # none, but for a fault
                 server.fail_request(request)
-            if connection_id in server.connections.by_id:
-                server.connections.finish(connection_id)
+        server.connections.finish_all()
         self.log_counters()
         remaining_ms = self.stop_at + STOP_MARGIN_MS - EXIT_MS - server.now
         server.effects.append(Exit(max(EXIT_MS, remaining_ms)))
