An agent goes only by answers to requests sent since its server's last start or exit

Cause: the leader answers a report at once, from what is agreed before the report is. The first answer after the swap still names the step to the version that now stands in the slot; the permit of the process before is still in use and begun long ago, so the agent held its new server for one that does not drain and stopped it. By the same habit an answer's arrival counted as newer than the server's exit though its report was sent before, and a permission to move that came after the server had been started without the fleet put a version in place of a running one.

Fix: answers are told apart by their request's number: one that was sent before the server's last start or exit is only a sign of life, for hints, permits and moves; a step to what is in the slot is none; what is activated is what was asked for.

Shown: tests/fleet/test_agent_orders.py draws a thousand orders of reports, answers (late, twice, out of order), exits, swaps and permits over the shipped reducer.

--- a/pumicenotch/fleet/agent/agent.py
+++ b/pumicenotch/fleet/agent/agent.py
@@ -27,6 +27,7 @@
     SERVER_DOWN,
     SERVER_STARTING,
     STORAGE_PROBLEM,
+    Step,
 )
 from pumicenotch.fleet.replicated.fields import MAX_TEXT_LENGTH
 
@@ -104,7 +105,7 @@
         self.stored = list(setup.stored)
         # Not fetched again before then; NEVER_MS while a fetch is under way.
         self.fetch_at_ms: dict[str, float] = {}
-        self.is_activating = False
+        self.activating = NO_STEP  # while a version is put in its slot
         # Its server.
         self.has_server = setup.has_server
         self.has_served = setup.has_server  # since its start
@@ -113,10 +114,13 @@
         self.started_at_ms = setup.now_ms
         self.exited_at_ms = setup.now_ms - (self.ISOLATION_MS - self.FIRST_ISOLATION_MS)
         self.start_at_ms = setup.now_ms  # not before
+        # The last request before the server's last start or exit: its answer, and all before it,
+        # speak of the server as it was.
+        self.last_outdated_request = 0
         self.kill_at_ms = NEVER_MS  # set once it was told to stop
         # What the fleet said last.
         self.has_spoken = False
-        self.answered_at_ms = setup.now_ms
+        self.last_answered_report = 0  # the number of its request
         self.report_at_ms = setup.now_ms
         self.known_process_id = ""  # of its server
         self.process_id_before_start = ""
@@ -157,7 +161,7 @@
                 self.kill_at_ms = NEVER_MS
                 self.effects.append(StopServer(force=True))
             return
-        if self.is_activating or self.now_ms < self.start_at_ms:
+        if self.activating.slot or self.now_ms < self.start_at_ms:
             return
         slot, version = self.next_step
         moves_first = slot in RESTART_SLOTS and version in self.stored
@@ -166,14 +170,20 @@
             self.start_server()
 
     def has_answer_since_exit(self) -> bool:
-        """Tells whether the fleet has answered since the server exited."""
-        return self.has_spoken and self.answered_at_ms > self.exited_at_ms
+        """Tells whether the fleet has answered a report that was sent since the server exited."""
+        return self.last_answered_report > self.last_outdated_request
+
+    def _is_answer_outdated(self) -> bool:
+        """Tells whether the request that was answered is from before the server's start or exit."""
+        request = self.answered_request
+        return request is None or request.number <= self.last_outdated_request
 
     def start_server(self) -> None:
         """Starts the server from the versions in the slots."""
         self.has_server = True
         self.has_served = False
         self.started_at_ms = self.now_ms
+        self.last_outdated_request = self.last_request_number
         self.kill_at_ms = NEVER_MS
         self.process_id_before_start = self.known_process_id
         self.log(f"starts its server: {self.describe_versions()}")
@@ -185,6 +195,7 @@
         was_expected = self.kill_at_ms < NEVER_MS or exited_cleanly
         self.has_server = False
         self.exited_at_ms = self.now_ms
+        self.last_outdated_request = self.last_request_number
         self.kill_at_ms = NEVER_MS
         self.start_at_ms = self.now_ms
         if not was_expected:
@@ -245,13 +256,14 @@
 
     def on_activated(self, slot: str, problem: str) -> None:
         """Takes the end of an activation: the server is started, reloaded or left alone."""
-        self.is_activating = False
+        version = self.activating.version
+        self.activating = NO_STEP
         if problem:
-            self.report_problem(f"{STORAGE_PROBLEM} {self.next_step.version}: {problem}")
+            self.report_problem(f"{STORAGE_PROBLEM} {version}: {problem}")
             # The version that is in the slot is started.
             self.exited_at_ms = min(self.exited_at_ms, self.now_ms - self.ISOLATION_MS)
             return
-        self.versions[slot] = self.next_step.version
+        self.versions[slot] = version
         self.next_step = NO_STEP
         self.schedule_report()
         if slot == AGENT_SLOT:
@@ -278,7 +290,7 @@
         """Sends a report when one is due, else asks for the next step towards another version."""
         self.check_server()
         is_early = self.now_ms < self.next_request_at_ms
-        if self.request is not None or is_early or not self.voters or self.is_activating:
+        if self.request is not None or is_early or not self.voters or self.activating.slot:
             return
         slot, version = self.next_step
         is_restart = slot in RESTART_SLOTS
@@ -325,16 +337,24 @@
         match verb:
             case "agent":
                 self.on_hint(read_agent_hint(result))
-            case "move" if self.next_step.slot:
-                slot, version = self.next_step
-                self.log(f"moves to {slot} {version}")
-                self.is_activating = True
-                self.effects.append(ActivateVersion(slot, version))
-            case "began":
+            case "move":
+                self._on_move_allowed()
+            case "began" if not self._is_answer_outdated():
                 self.permit_started = True
                 self.permit_started_at_ms = self.now_ms
                 self.stop_server(self.drain_timeout_ms)
 
+    def _on_move_allowed(self) -> None:
+        """Puts the version in place that was asked for, unless a server runs again by now."""
+        assert self.answered_request is not None
+        *_, slot, version = self.answered_request.args
+        if slot in RESTART_SLOTS and (self.has_server or self._is_answer_outdated()):
+            self.log(f"does not move to {slot} {version}: its server was started since it asked")
+            return
+        self.log(f"moves to {slot} {version}")
+        self.activating = Step(slot, version)
+        self.effects.append(ActivateVersion(slot, version))
+
     def on_refusal(self, verb: str, text: str) -> None:
         """Takes the fleet's refusal of a request."""
         self.counters[f"{verb}_refused"] += 1
@@ -343,12 +363,23 @@
         self.report_at_ms = self.now_ms
 
     def on_hint(self, hint: AgentHint) -> None:
-        """Takes what the leader says of this node: no step rests on it alone."""
-        self.answered_at_ms = self.now_ms
+        """Takes what the leader says of this node: no step rests on it alone.
+
+        An answer to a report from before the server's last start or exit is only a sign of life. A
+        leader may answer before it has the report agreed: what it then names as the next step may
+        be in its slot already, and is none.
+        """
         if not self.has_spoken:
             self.has_spoken = True
             self.effects.append(ConfirmVersions((AGENT_SLOT,)))
-        self.next_step = hint.next_step
+        if self._is_answer_outdated():
+            self.counters["answers_outdated"] += 1
+            self.schedule_report()
+            return
+        assert self.answered_request is not None
+        self.last_answered_report = self.answered_request.number
+        is_taken = self.versions.get(hint.next_step.slot) == hint.next_step.version
+        self.next_step = NO_STEP if is_taken else hint.next_step
         self.halt_reason = hint.halt_reason
         self.known_process_id = hint.process_id
         if self.problem.startswith(AGENT_FAILED) and not self.next_step.slot:
--- a/pumicenotch/fleet/member/voter_client.py
+++ b/pumicenotch/fleet/member/voter_client.py
@@ -24,6 +24,7 @@
     number: int
     verb: str
     expires_at_ms: float
+    args: tuple[Any, ...] = ()
 
 
 class VoterClient(ABC):
@@ -45,6 +46,7 @@
         self.voter_index = self.rng.randrange(len(self.voters)) if self.voters else 0
         self.last_request_number = 0
         self.request: OutstandingRequest | None = None
+        self.answered_request: OutstandingRequest | None = None  # whose answer came last
         self.next_request_at_ms = now_ms
         self.failures = 0  # in a row
 
@@ -79,7 +81,7 @@
         self.last_request_number += 1
         number = self.last_request_number
         expires_at_ms = self.now_ms + self.REQUEST_TIMEOUT_MS
-        self.request = OutstandingRequest(number, verb, expires_at_ms)
+        self.request = OutstandingRequest(number, verb, expires_at_ms, args)
         self.effects.append(SendRequest(self.voters[self.voter_index], number, verb, args))
 
     def retry(self, leader: str = "") -> None:
@@ -105,6 +107,7 @@
         if request is None or request.number != number or self.now_ms >= request.expires_at_ms:
             self.counters["answers_late"] += 1
             return
+        self.answered_request = request
         if error is None:
             self.request = None
             self.failures = 0
