Close a router's connections before its stop, as a server's

What callers saw: nothing yet; the same fault as in the server, found by looking for it elsewhere. A router had one moment, 100 ms before the kill, at which all connections were closed, whatever its callers went on sending.

Fix: 250 ms before the stop connections close as soon as nothing is open on them. A first attempt without a key that comes later never went to a node and is rejected; a retry or a keyed one goes on as before, since it may have run.

--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -97,6 +97,7 @@
     TICK_MS = 25.0
     MARGIN_MS = 35.0  # before a task's time limit: as the server's
     UNHEARD_MS = 300.0  # before the stop the door closes
+    CONNECTIONS_CLOSE_MS = 250.0  # before the stop, those with nothing open: as the server's
     STOP_MARGIN_MS, END_MS = 100.0, 40.0  # as the server's
     RETRY, BURST = 0.2, 20.0  # further tries for each first one of a tenant, and saved up
     SPARE = 64  # descriptors beside those of callers and nodes
@@ -150,6 +151,7 @@
         stop = self.stop = self.now + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
         self.connections.notify_all(self.now)
         self.timers.schedule(max(self.now, stop - self.UNHEARD_MS), self.close_door, None)
+        self.timers.schedule(stop - self.CONNECTIONS_CLOSE_MS, self.close_connections, None)
         self.timers.schedule(stop - self.MARGIN_MS, self.give_all_up, None)
         self.timers.schedule(stop, self.exit, None)
         self.effects.append(
@@ -161,6 +163,12 @@
         self.connections.notify_all(now)
         self.effects.append(Close(LISTENER))
 
+    def close_connections(self, now: float, _: None) -> None:
+        """Closes each connection as soon as nothing is open on it: callers that never stop do not
+        hold up the end.
+        """
+        self.connections.finish_all()
+
     def give_all_up(self, now: float, _: None) -> None:
         for trip in list(self.trips.values()):
             self.too_late(now, trip)
@@ -170,8 +178,7 @@
             self.over = True
             self.give_all_up(now, None)
             self.effects += [] if self.quiet else [Close(LISTENER)]
-            for conn in list(self.connections.by_id):
-                self.connections.finish(conn)
+            self.connections.finish_all()
             self.log_counters()
             left = self.stop + self.STOP_MARGIN_MS - self.END_MS - self.now
             self.effects.append(Exit(max(self.END_MS, left)))
@@ -198,8 +205,7 @@
     def on_connection_opened(self, event: events.ConnectionOpened) -> None:
         self.counters.add("connections")
         self.connections.opened(self.now, event.connection_id, notify=self.leaving)
-        if self.over:
-            self.connections.finish(event.connection_id)
+        self.connections.close_if_done(event.connection_id)
 
     def on_health_check(self, event: events.HealthCheckReceived) -> None:
         if event.connection_id in self.connections.by_id:
@@ -223,6 +229,10 @@
             self.fail_request(held)  # it may have run on a node, which can't be asked any more
             self.requests.remove(held)
             return
+        if self.connections.closes_idle and not (held.idempotency_key or held.is_retry):
+            self.reject_request(held, 0.0, False)  # too late for a first attempt: it never ran
+            self.requests.remove(held)
+            return
         tenant = fields.get("acct", "")
         begun = walk(
             self.cells,
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -14,7 +14,7 @@
 from pumicenotch.interface import Idempotency, RequestClass
 from pumicenotch.route.decide import ForwardedCancel, ForwardedRequest, NodeAnswered, Router
 from pumicenotch.server import events
-from pumicenotch.server.effects import Close, Dial, Exit, Write
+from pumicenotch.server.effects import Close, Dial, Exit, FinishReading, Write
 from pumicenotch.server.events import ConnectionFailure, FailureReach
 from pumicenotch.server.messages import DrainNotice, RequestFailed, RequestRejected, RequestServed
 
@@ -278,3 +278,28 @@
     assert not play.core.trips and not play.core.requests.by_id
     sent = [(fields["rid"], link.rpartition("-")[2]) for link, _, fields in play.tasks()]
     assert len(set(sent)) == len(sent), "no node gets one try twice"
+
+
+def test_callers_that_never_stop_do_not_hold_up_the_end() -> None:
+    """Guards against a router that is killed while its callers go on sending until the stop."""
+    play = Played()
+    message = play.send()
+    link = play.link_last()
+    play.step(events.ConnectionOpened(2))
+    play.step(events.HealthCheckReceived(2, 1))
+    play.step(events.ShutdownRequested())
+    play.at(1400.0)
+    play.step(events.HealthCheckReceived(2, 2))
+    play.at(2640.0)
+    assert FinishReading(2) not in play.out
+    play.at(2700.0)
+    assert FinishReading(2) in play.out and FinishReading(1) not in play.out
+    play.step(events.ReadingFinished(2))
+    assert Close(2) in play.out
+    late = play.send()
+    assert play.kinds(late) == [RequestRejected] and len(play.tasks()) == 1
+    play.step(NodeAnswered(link, 1, "served", b"done", {}))
+    assert play.kinds(message) == [RequestServed] and FinishReading(1) in play.out
+    play.step(events.ReadingFinished(1))
+    play.at(2760.0)
+    assert any(isinstance(each, Exit) for each in play.out)
