Count a drain's limits from the signal's arrival, not from the loop's turn

With 120 connections a turn of the loop takes tens of ms on a shared core, and a signal needs one or two turns: the wakeup descriptor is read in the next turn, the receiver's task runs in the one after it.

Cause: grace, stop and kill were counted from when the loop came to the signal.

Fix: the interpreter runs a signal's handler between any two steps of the program; it now notes the time, and the notice carries how long it had waited. Server and router count from there, and so does a controller that is made while the server drains. A log line says how many connections close before the stop.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -53,13 +53,13 @@
 async def handle_signals(hub: Hub[Server], reloads: Reloads) -> None:
     """Turns signals into events until it is cancelled."""
     with receive_signals(SIGNALS) as received:
-        async for number in received:
+        async for number, waited_ms in received:
             if number == signal.SIGHUP:
                 reloads.request()
             elif number == signal.SIGUSR1:
                 hub.deliver(CountersRequested())
             else:
-                hub.deliver(ShutdownRequested())
+                hub.deliver(ShutdownRequested(waited_ms))
 
 
 async def listen(host: str, port: int, timeout_s: float) -> SocketListener:
--- a/pumicenotch/route/__main__.py
+++ b/pumicenotch/route/__main__.py
@@ -60,8 +60,11 @@
 
 async def signals(hub: Hub[Router]) -> None:
     with receive_signals(SIGNALS) as coming:
-        async for number in coming:
-            hub.deliver(CountersRequested() if number == signal.SIGUSR1 else ShutdownRequested())
+        async for number, waited_ms in coming:
+            if number == signal.SIGUSR1:
+                hub.deliver(CountersRequested())
+            else:
+                hub.deliver(ShutdownRequested(waited_ms))
 
 
 async def maps(hub: Hub[Router], core: Router, path: str) -> None:
--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -144,11 +144,12 @@
             self.exit(self.now, None)
         self.effects.append(Wake(self.TICK_MS))
 
-    def on_shutdown_requested(self, _: events.ShutdownRequested) -> None:
+    def on_shutdown_requested(self, event: events.ShutdownRequested) -> None:
         if self.leaving:
             return
         self.leaving = True
-        stop = self.stop = self.now + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
+        requested_at = self.now - event.waited_ms
+        stop = self.stop = requested_at + max(0.0, self.stop_ms - self.STOP_MARGIN_MS)
         self.connections.notify_all(self.now)
         self.timers.schedule(max(self.now, stop - self.UNHEARD_MS), self.close_door, None)
         self.timers.schedule(stop - self.CONNECTIONS_CLOSE_MS, self.close_connections, None)
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -96,9 +96,9 @@
         """Runs what is due."""
         self.lifecycle.on_timer()
 
-    def on_shutdown_requested(self, _: events.ShutdownRequested) -> None:
+    def on_shutdown_requested(self, event: events.ShutdownRequested) -> None:
         """Starts a graceful shutdown."""
-        self.lifecycle.start_draining()
+        self.lifecycle.start_draining(self.now - event.waited_ms)
 
     def on_counters_requested(self, _: events.CountersRequested) -> None:
         """Logs the counters."""
@@ -251,7 +251,7 @@
         if self.controller is None:
             self.controller = self._new_controller(event)
             if self.lifecycle.draining:
-                self.controller.start_draining(self.now, self.lifecycle.stop_at)
+                self.controller.start_draining(self.lifecycle.requested_at, self.lifecycle.stop_at)
         self.worker_pool.on_bound(self.now)
 
     def _new_controller(self, event: events.PoolBound) -> AdmissionController:
--- a/pumicenotch/server/events.py
+++ b/pumicenotch/server/events.py
@@ -36,7 +36,9 @@
 
 
 class ShutdownRequested(NamedTuple):
-    """The platform asks the program to drain and exit."""
+    """The platform asks the program to drain and exit; it asked so long before the event."""
+
+    waited_ms: float = 0.0
 
 
 class CountersRequested(NamedTuple):
--- a/pumicenotch/server/lifecycle.py
+++ b/pumicenotch/server/lifecycle.py
@@ -40,6 +40,7 @@
         self.tick_interval_ms = SWEEP_INTERVAL_MS
         self.draining = False
         self.exited = False
+        self.requested_at = float("inf")  # when the platform asked to drain
         self.stop_at = float("inf")  # when the last answers are sent
         self.listener_closed_until = float("inf")
 
@@ -87,14 +88,19 @@
         server.database.close_idle(now)
         self.exit_if_done(now)
 
-    def start_draining(self) -> None:
-        """Tells gateways and registry, then answers what is in hand until the stop."""
+    def start_draining(self, requested_at: float) -> None:
+        """Tells gateways and registry, then answers what is in hand until the stop.
+
+        Args:
+            requested_at: When the platform asked, from which its limits count.
+        """
         if self.draining:
             return
         server = self.server
         self.draining = True
-        self.stop_at = server.now + max(0.0, self.shutdown_ms - STOP_MARGIN_MS)
-        grace_ends_at = server.now + self.drain_grace_ms
+        self.requested_at = requested_at
+        self.stop_at = requested_at + max(0.0, self.shutdown_ms - STOP_MARGIN_MS)
+        grace_ends_at = requested_at + self.drain_grace_ms
         listener_closes_at = min(grace_ends_at, self.stop_at - LISTENER_CLOSE_MS)
         connections_close_at = self.stop_at - CONNECTIONS_CLOSE_MS
         server.timers.schedule(listener_closes_at, self.close_listener, None)
@@ -102,7 +108,7 @@
         server.reporter.report(server.now, draining=True)
         server.connections.notify_all(server.now)
         if server.controller is not None:
-            server.controller.start_draining(server.now, self.stop_at)
+            server.controller.start_draining(requested_at, self.stop_at)
         server.timers.schedule(self.stop_at, self.exit, None)
 
     def close_listener(self, now: float, _: None) -> None:
@@ -113,7 +119,11 @@
 
     def close_connections(self, now: float, _: None) -> None:
         """Closes each connection as soon as nothing is open on it, and exits after the last one."""
-        self.server.connections.finish_all()
+        connections = self.server.connections
+        in_use = sum(bool(each.open_requests) for each in connections.by_id.values())
+        text = f"drain: {len(connections.by_id)} connections close, {in_use} once they are answered"
+        self.server.effects.append(Log(text))
+        connections.finish_all()
         self.check_exit(now, None)
 
     def check_exit(self, now: float, _: None) -> None:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -30,8 +30,8 @@
     Server._answer_after_exit = lambda self, request, original_id: None
     from pumicenotch.server.lifecycle import Lifecycle
     start_draining = Lifecycle.start_draining
-    def drain_at_once(self):
-        start_draining(self)
+    def drain_at_once(self, requested_at):
+        start_draining(self, requested_at)
         self.exited = True
     Lifecycle.start_draining = drain_at_once
 """,
--- a/tests/net/test_crossing_events.py
+++ b/tests/net/test_crossing_events.py
@@ -215,6 +215,39 @@
         assert program.process.returncode == 0
 
 
+BUSY_LOOP = """\
+import sys
+if sys.orig_argv[-1:] == ["pumicenotch"]:
+    import time
+    from pumicenotch.server.core import Server
+    from pumicenotch.server.events import CountersRequested
+    def hold_the_loop(self, event):
+        for _ in range(800):
+            time.sleep(0.001)
+    Server.handlers[CountersRequested] = hold_the_loop
+"""
+
+
+def test_notice_counts_from_its_arrival_and_not_from_the_turn_of_a_busy_loop(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a drain that is planned beyond its kill: the loop is held for 0.8 s as SIGTERM comes."""
+    (tmp_path / "sitecustomize.py").write_text(BUSY_LOOP)
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    stop_s = 1.5
+    with Program(tmp_path, stop_ms=int(1000 * stop_s)) as program:
+        pool, gateway = program.bind(), Gateway(program.address)
+        gateway.task(1, "aa", b"")
+        assert pool.command("spawn")["call"] == "aa"  # it never ends: the drain goes up to its stop
+        program.process.send_signal(signal.SIGUSR1)
+        time.sleep(0.1)
+        program.process.send_signal(LEAVE)
+        sent = time.monotonic()
+        assert answers(gateway)[0][2][0] == "Failed"
+        assert time.monotonic() - sent < stop_s + 0.2  # of 0.7 s by which it would be too late
+        assert program.process.wait(WAIT_S) == 0
+
+
 @pytest.mark.parametrize(
     "change",
     [
