A test's pool that stood still takes the link that replaces its own

What was seen: test_cold_server_survives_all_gateways_at_once[bias] once failed with 'the pool's link ended'. A test process that stands still for over 1 s leaves a poll unanswered, the server replaces the pool's connection, and the stand-in did not take the new one.

Is the server wrong? The server stays as it is.

The stand-in was wrong: by the protocol a new link replaces the one before, missed notices follow the number in 'bind', and a spawn of what runs already does nothing. It does so now where it stood still itself for over a second, and there alone: any other end of its link fails the test as before, which a test shows.

--- a/tests/net/parties.py
+++ b/tests/net/parties.py
@@ -18,6 +18,8 @@
 
 from tests.request_ids import rid, short
 
+POLL_PATIENCE_S = 1.0  # of a server, until it replaces a link on which no poll is answered
+LISTENERS: dict[Any, socket.socket] = {}  # of parties, by their addresses
 WAIT_S = 20.0  # far above what anything here takes: reached only where something is wrong
 SETTINGS = {
     "classes": [
@@ -79,20 +81,88 @@
         self.sock = socket.create_server((host, int(port)))
         self.sock.settimeout(WAIT_S)
         self.address = "{}:{}".format(*self.sock.getsockname())
+        LISTENERS[self.sock.getsockname()] = self.sock
 
     def accept(self) -> Peer:
         return Peer(self.sock.accept()[0])
 
 
 class Pool(Peer):
+    """One link of a pool. A server replaces it where no poll is answered for a second: a stand-in that stood
+    still for so long itself takes the new link, as a pool does. The end of any other link fails the test.
+    """
+
     serial = 0
 
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock)
+        self.address = sock.getsockname()
+        self.attended_at = time.monotonic()
+        self.excused_until = 0.0  # it has stood still: its server replaces the link
+        self.notices: list[dict[str, Any]] = []  # of this link, for the next one
+        self.spawned: list[str] = []
+        self.running_already: set[str] = (
+            set()
+        )  # as a new link came: asked for again, nothing happens
+
+    def line(self) -> bytes:
+        self.note_attendance()
+        try:
+            line = super().line()
+        except ConnectionResetError:
+            line = b""
+        self.attended_at = time.monotonic()
+        return line
+
+    def send(self, data: bytes) -> None:
+        self.note_attendance()
+        try:
+            super().send(data)
+        except (BrokenPipeError, ConnectionResetError):
+            if not self.is_excused():
+                raise
+
+    def note_attendance(self) -> None:
+        now = time.monotonic()
+        if now - self.attended_at > POLL_PATIENCE_S:
+            self.excused_until = now + 2 * POLL_PATIENCE_S
+        self.attended_at = now
+
+    def is_excused(self) -> bool:
+        """It stood still for longer than a server waits for an answered poll, and just now."""
+        return time.monotonic() < self.excused_until
+
+    def take_new_link(self) -> None:
+        """Accepts the link that replaces this one, is bound anew and sends the missed notices again."""
+        with socket.socket(fileno=os.dup(LISTENERS[self.address].fileno())) as listener:
+            listener.settimeout(WAIT_S)
+            sock, _ = listener.accept()
+        self.close()
+        Peer.__init__(self, sock)
+        self.excused_until = 0.0
+        self.attended_at = time.monotonic()
+        self.running_already = set(self.spawned)
+        last = self.command("bind")["serial"]
+        self.say("bound", how="running", duration=50000)
+        for notice in self.notices:
+            if notice["serial"] > last:
+                self.say(**notice)
+
     def command(self, *wanted: str) -> dict[str, Any]:
         """The next command of those; every poll on the way is answered."""
-        while line := self.line():
+        while True:
+            if not (line := self.line()):
+                if not self.is_excused():
+                    break
+                self.take_new_link()
+                continue
             said: dict[str, Any] = json.loads(line)
             if said["msg"] == "poll":
                 self.say("polled", cookie=said["cookie"], stats=[0.1, 0.0])
+            if said["msg"] == "spawn":
+                if said["call"] in self.running_already:
+                    continue
+                self.spawned.append(said["call"])
             if said["msg"] in wanted:
                 if "call" in said:
                     said["call"] = short(said["call"])
@@ -106,6 +176,7 @@
         Pool.serial += 1
         if "call" in fields:
             fields["call"] = rid(fields["call"])
+        self.notices.append({"msg": msg, "serial": Pool.serial, **fields})
         self.say(msg, serial=Pool.serial, **fields)
 
     def finish(self, call: str, result: bytes) -> None:
--- a/tests/net/test_protocols.py
+++ b/tests/net/test_protocols.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import msgpack
@@ -348,3 +349,29 @@
     assert done.returncode == 1
     assert done.stderr.count("\n") == 1
     assert said in done.stderr
+
+
+def test_pool_that_stood_still_is_bound_anew_and_loses_no_run(tmp_path: Path) -> None:
+    """As long as a busy machine may hold a test process: the server takes the link for dead and dials again."""
+    with Program(tmp_path) as program:
+        pool, gateway = program.bind(), Gateway(program.address)
+        for message in (1, 2):
+            gateway.task(message, f"aa{message}", b"")
+            assert pool.command("spawn")["call"] == f"aa{message}"
+        time.sleep(1.3)
+        pool.finish("aa1", b"one")  # on a link that the server has closed
+        gateway.task(3, "aa3", b"")
+        assert pool.command("spawn")["call"] == "aa3"
+        pool.finish("aa2", b"two")
+        pool.finish("aa3", b"three")
+        found = {frame[1]: result(frame) for frame in (gateway.answer() for _ in range(3))}
+        assert found == {1: b"one", 2: b"two", 3: b"three"}
+
+
+def test_pool_whose_link_ends_though_it_attended_fails_its_test(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        pool = program.bind()
+        pool.command("poll")
+        program.process.kill()
+        with pytest.raises(AssertionError, match="link ended"):
+            pool.command("spawn")
