Shares of many uneven tenants stay numbers where the chain of ratios leaves the floats

The slots of tenants were NaN, against which every comparison is false.

Cause: ratios are multiplied one by one; a run of large ones overflows, the sum is infinite, and the split is infinite times 0.

Fix: where the sum is not finite, weights come from sums of logarithms, relative to the largest. Every other case has the same operations in the same order, to the last bit.

--- a/pumicenotch/control/slot_shares.py
+++ b/pumicenotch/control/slot_shares.py
@@ -1,9 +1,10 @@
 """How the slots are split among tenants (HWCS): the compensator of the paper's input."""
 
 from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterable
 from itertools import accumulate, chain, repeat
-from math import exp, log
-from operator import mul, sub
+from math import exp, isfinite, log
+from operator import add, mul, sub
 
 
 class SlotShares(dict[int, float]):
@@ -39,7 +40,8 @@
         if self.tenant_count > 1:
             widest = log((total_slots - (self.tenant_count - 1) * self.floor) / self.floor)
         outputs = range(-self.MAX_CONTROL_OUTPUT, self.MAX_CONTROL_OUTPUT + 1)
-        self._ratios = [exp(widest * output / self.MAX_CONTROL_OUTPUT) for output in outputs]
+        self._log_ratios = [widest * output / self.MAX_CONTROL_OUTPUT for output in outputs]
+        self._ratios = list(map(exp, self._log_ratios))
         self.clear()
 
     def set_control_output(self, tenant_index: int, control_output: float) -> None:
@@ -60,16 +62,24 @@
         is_dense = len(self._uneven) > self.DENSE_FRACTION * self.tenant_count
         self._first_of_weight = range(1, self.tenant_count) if is_dense else self._uneven
         rows = self._table_rows
-        steps = rows[1:] if is_dense else map(rows.__getitem__, self._uneven)
+        steps = rows[1:] if is_dense else bytes(map(rows.__getitem__, self._uneven))
         ratios = map(self._ratios.__getitem__, steps)
         self._weights = list(accumulate(ratios, mul, initial=1.0))
-        all_weights = iter(self._weights)
-        if not is_dense:
-            group_ends = chain(self._uneven, (self.tenant_count,))
-            group_sizes = map(sub, group_ends, chain((0,), self._uneven))
-            all_weights = chain.from_iterable(map(repeat, self._weights, group_sizes))
+        total_weight = self._total_weight(is_dense)
+        if not isfinite(total_weight):
+            # The product of so many ratios leaves the floats: its logarithm does not.
+            self._weights = _relative_weights(map(self._log_ratios.__getitem__, steps))
+            total_weight = self._total_weight(is_dense)
         unreserved = self.total_slots - self.tenant_count * self.floor
-        self._slots_per_weight = unreserved / sum(all_weights)
+        self._slots_per_weight = unreserved / total_weight
+
+    def _total_weight(self, is_dense: bool) -> float:
+        """Add up all tenants' weights: each weighs as much as the uneven one before it."""
+        if is_dense:
+            return sum(self._weights)
+        group_ends = chain(self._uneven, (self.tenant_count,))
+        group_sizes = map(sub, group_ends, chain((0,), self._uneven))
+        return sum(chain.from_iterable(map(repeat, self._weights, group_sizes)))
 
     def __missing__(self, tenant_index: int) -> float:
         if not self:
@@ -78,3 +88,10 @@
         slots = self.floor + self._slots_per_weight * weight
         self[tenant_index] = slots
         return slots
+
+
+def _relative_weights(log_ratios: Iterable[float]) -> list[float]:
+    """Return the weights that these ratios lead to, relative to the largest of them."""
+    logarithms = list(accumulate(log_ratios, add, initial=0.0))
+    largest = max(logarithms)
+    return [exp(logarithm - largest) for logarithm in logarithms]
