The lab's ledger counts what a leaving server left unanswered

The ledger took every request that was open when a connection of a leaving server ended for one that crossed the end, however long before it was written: a server that was killed at the end of its notice broke no rule. Now only what was written within 130 ms (the 50 ms of the protocol and the slack of limits) crosses it.

--- a/pumicenotch/lab/ledger.py
+++ b/pumicenotch/lab/ledger.py
@@ -7,6 +7,8 @@
 from pumicenotch.lab.world import Arrival, World
 
 SLACK_MS = 130.0  # the settings' 80 ms and the 50 ms that sockets may take
+# Written so shortly before its connection ended a request crosses the end, and is sent again.
+CROSSING_MS = 130.0
 
 
 class End:
@@ -66,7 +68,8 @@
             self.open.pop(sent.rid, None)
             return
         if kind == "lost":
-            if self.open.pop(sent.rid, None) is not None and sent.server not in self.leaving:
+            crosses = sent.server in self.leaving and now - sent.sent <= CROSSING_MS
+            if self.open.pop(sent.rid, None) is not None and not crosses:
                 self.breaks("lost", now, f"{sent.rid}: the connection ended without an answer")
             return
         self.answers[sent.rid] += 1
