Close connections soon after the listener where the grace ends early

Evidence: its log, 'drain: 115 connections close, 1 once they are answered' 1,188 ms after the notice, the last counters 227 ms later, the kill 74 ms after those. 120 clients offer more than the server can read on its part of a core, so a connection has nearly always something unread and none closes. The grace had ended 1,000 ms before: all that time it did nothing for them but reject.

Fix: connections close 250 ms after the listener where that is sooner than 250 ms before the stop. Each that closes takes its load with it; the end comes when the last run is answered.

Shown: scenario drain_closes_early.txt failed before.

--- a/pumicenotch/server/lifecycle.py
+++ b/pumicenotch/server/lifecycle.py
@@ -14,8 +14,8 @@
 EXIT_MS = 40.0  # of that margin, for the process to end once the last answers are written
 # Before the stop the listener closes: enough for what crossed its close to be answered.
 LISTENER_CLOSE_MS = 300.0
-# Before the stop connections close as soon as nothing is open on them, so that gateways that go on
-# sending leave time for the end. Those told at the listener's close have heard it by then.
+# Before the stop, or after the listener's close if that is sooner, connections close as soon as
+# nothing is open on them, so that gateways that go on sending leave time for the end.
 CONNECTIONS_CLOSE_MS = 250.0
 # After the listener's close, until all that it had accepted is among the connections.
 LISTENER_SETTLE_MS = 100.0
@@ -102,7 +102,9 @@
         self.stop_at = requested_at + max(0.0, self.shutdown_ms - STOP_MARGIN_MS)
         grace_ends_at = requested_at + self.drain_grace_ms
         listener_closes_at = min(grace_ends_at, self.stop_at - LISTENER_CLOSE_MS)
-        connections_close_at = self.stop_at - CONNECTIONS_CLOSE_MS
+        connections_close_at = min(
+            listener_closes_at + CONNECTIONS_CLOSE_MS, self.stop_at - CONNECTIONS_CLOSE_MS
+        )
         server.timers.schedule(listener_closes_at, self.close_listener, None)
         server.timers.schedule(connections_close_at, self.close_connections, None)
         server.reporter.report(server.now, draining=True)
