A message whose kind is no text is counted again, and raises nothing

A peer that sent a list or a map there had a TypeError raised outside of what guards one input; before, it was counted as configuration_unreadable. The kind is looked up only if it is text.

--- a/pumicenotch/net/configuration.py
+++ b/pumicenotch/net/configuration.py
@@ -43,6 +43,7 @@
 
 
 TICK = "tick"  # a step of the reducer's own timer, beside the kinds of messages
+UNKNOWN = "unknown"  # of a message that cannot be read
 PAGE = "page"  # a step that takes a message which was decoded in a step of its own
 # Of changes, records or digests: decoding a larger message takes as long as a slice of work.
 MAX_ITEMS_WITH_WORK = 32
@@ -50,8 +51,8 @@
 
 def kind_of(params: Any) -> str:
     """Returns the kind of a message as it came, for figures alone."""
-    is_message = isinstance(params, list | tuple) and params and params[0] in MESSAGE_TYPES
-    return str(params[0]) if is_message else "unknown"
+    kind = params[0] if isinstance(params, list | tuple) and params else None
+    return kind if isinstance(kind, str) and kind in MESSAGE_TYPES else UNKNOWN
 
 
 def peer_of(update: Update) -> events.Peer:
