Closing a connection: write the last answer, check its input and close in one step

Cause: a connection that is to close is checked for unread input 1 ms later. A request that came in that millisecond was answered at once, but its answer was only queued: the check found nothing unread, the core closed the connection, and the writer then needed one or more turns of the event loop to write the answer before it shut the write side down. What arrived meanwhile was read and dropped.

Change: an outbox checks only once its answers are written. Where the writer is idle, the queued answer is written, the input checked and the write side shut down in one step of the program, after the event or the input that completes it. The router closes by the same code.

--- a/pumicenotch/net/connection.py
+++ b/pumicenotch/net/connection.py
@@ -94,12 +94,14 @@
             data = await stream.receive(MAX_RECEIVE_BYTES)
             if len(data) <= max_bytes:
                 reader.feed(data)
-                continue
-            outbox.feeding = True
-            for index in range(0, len(data), max_bytes):
-                reader.feed(data[index : index + max_bytes])
-                await anyio.lowlevel.checkpoint()
-            outbox.feeding = False
+            else:
+                outbox.feeding = True
+                for index in range(0, len(data), max_bytes):
+                    reader.feed(data[index : index + max_bytes])
+                    await anyio.lowlevel.checkpoint()
+                outbox.feeding = False
+            outbox.fed_bytes += len(data)
+            outbox.finish_reading_if_done()
 
 
 async def discard(stream: ByteStream) -> None:
--- a/pumicenotch/net/gateway_listener.py
+++ b/pumicenotch/net/gateway_listener.py
@@ -237,7 +237,7 @@
     def _all_written(self) -> bool:
         if self.accepting or len(self.outboxes) < self.connection_count:
             return False
-        return all(outbox.ended.is_set() for outbox in self.outboxes)
+        return all(outbox.is_shut_down or outbox.ended.is_set() for outbox in self.outboxes)
 
     def _check_all_ended(self) -> None:
         if not self.accepting and not self.connection_count:
--- a/pumicenotch/net/hub.py
+++ b/pumicenotch/net/hub.py
@@ -5,6 +5,7 @@
 connection nor the process.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -48,6 +49,8 @@
         self.outboxes: dict[ConnectionKey, Outbox] = {}  # By connection.
         # Outboxes that may have unwritten data, including closed ones.
         self.unflushed: set[Outbox] = set()
+        self.finishing: deque[Outbox] = deque()  # Outboxes whose input was not checked yet.
+        self.is_finishing = False
         self.dialers: dict[str, Callable[[str, float], None]] = {}  # By party.
         self.address_changers: dict[str, Callable[[tuple[str, int]], None]] = {}  # By party.
         # Close callbacks for the listener and for dials in progress, which have no outbox.
@@ -60,6 +63,21 @@
     def deliver(self, event: object) -> None:
         """Passes an event to the core and applies the resulting effects.
 
+        Then connections whose reading is to finish do so, as far as they can at once.
+        """
+        self._step(event)
+        if self.is_finishing:  # Called below, for a connection that has finished reading.
+            return
+        self.is_finishing = True
+        try:
+            while self.finishing:
+                self.finishing.popleft().finish_reading_if_done()
+        finally:
+            self.is_finishing = False
+
+    def _step(self, event: object) -> None:
+        """Has the core handle an event, and applies the effects.
+
         An exception is logged and counted; it ends neither the connection nor the process.
         """
         try:
@@ -121,6 +139,7 @@
         outbox = self.outboxes.get(connection)
         if outbox is not None:
             outbox.check_input()
+            self.finishing.append(outbox)
 
     def _close(self, connection: ConnectionKey) -> None:
         if connection in self.closers:
--- a/pumicenotch/net/outbox.py
+++ b/pumicenotch/net/outbox.py
@@ -1,6 +1,5 @@
 """The write queue of one connection, with a limit on bytes that the peer leaves unread."""
 
-import select
 import socket
 from collections.abc import Callable, Mapping
 from contextlib import suppress
@@ -10,6 +9,8 @@
 from anyio.abc import ByteStream
 from loguru import logger
 
+from pumicenotch.net.unread_input import has_unread_input, received_byte_count
+
 # Time after a close to write the remaining data and for the peer to close its side.
 CLOSE_TIMEOUT_S = 2.0
 # Interval between checks for undelivered input. The check uses a timer instead of a turn of the
@@ -20,15 +21,6 @@
 Encoders = Mapping[type, Callable[[Any], bytes]]  # By message type.
 
 
-def has_unread_input(sock: socket.socket) -> bool:
-    """Returns whether the socket has unreceived bytes or an unreceived end of the stream."""
-    if sock.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class Outbox:
     """Encodes messages and writes them in order.
 
@@ -67,6 +59,9 @@
         self.closing = False
         self.checking_input = False
         self.feeding = False  # Whether received bytes are still being passed to the reader.
+        self.fed_bytes = 0  # Bytes that the reader has been given.
+        self.sending = False  # Whether the stream still has data to write.
+        self.is_shut_down = False  # Whether the write side is shut down.
         self.ended = anyio.Event()  # Set when writing has ended.
 
     def put(self, message: object) -> bool:
@@ -87,6 +82,35 @@
         self.checking_input = True
         self.ready.set()
 
+    def finish_reading_if_done(self) -> None:
+        """Completes `check_input` without waiting for the event loop, if that is possible.
+
+        The data is written, the input checked and the write side shut down within one step of the
+        program. On a crowded core, a turn of the event loop takes so long that a peer that sends
+        continuously always has new input in the next turn.
+        """
+        if not self.checking_input or self.feeding or self.sending or self.accepted_socket is None:
+            return
+        if self.parts and not self._write_at_once(self.accepted_socket):
+            return
+        if received_byte_count(self.accepted_socket) != self.fed_bytes:
+            return
+        self.checking_input = False
+        self.on_input_read()
+        if self.closing and not self.parts:
+            self._shut_down(self.accepted_socket)
+
+    def _write_at_once(self, sock: socket.socket) -> bool:
+        """Writes queued data as far as the kernel takes it; returns whether it took all of it."""
+        data = b"".join(self.parts)
+        try:
+            written_bytes = sock.send(data)
+        except OSError:  # The kernel takes no more, or the connection is lost.
+            return False
+        self.unwritten_bytes -= written_bytes
+        self.parts[:] = [data[written_bytes:]] if written_bytes < len(data) else []
+        return not self.parts
+
     def close(self) -> None:
         """Closes the connection once all data is written, or after `CLOSE_TIMEOUT_S`."""
         self.closing = True
@@ -117,7 +141,10 @@
                 if self.checking_input and not self.parts:
                     await self._check_input_once()
                 elif data := await self.take():
+                    self.sending = True
                     await stream.send(data)
+                    self.sending = False
+                    self.finish_reading_if_done()
             self.unwritten_bytes = 0
             self.taken_bytes = 0
             await self._end_writing(stream)
@@ -133,19 +160,26 @@
         if self.accepted_socket is None:
             await stream.aclose()
             return
+        self._shut_down(self.accepted_socket)
+
+    def _shut_down(self, sock: socket.socket) -> None:
         # The stream would shut the socket down in a later turn of the event loop. Input arriving in
         # between would be treated as read.
+        if self.is_shut_down:
+            return
+        self.is_shut_down = True
         with suppress(OSError):  # Reset by the peer, or already closed.
-            self.accepted_socket.shutdown(socket.SHUT_WR)
+            sock.shutdown(socket.SHUT_WR)
         self.on_shut_down(self)
 
     async def _check_input_once(self) -> None:
-        """Calls `on_input_read` if all received bytes are with the reader.
+        """Calls `on_input_read` if all received bytes are with the reader and all data is written.
 
-        No await separates the check and the call, so that no input arrives in between.
+        No await separates the check, the call and the shutdown of the write side, so that no input
+        arrives in between.
         """
         await anyio.sleep(CHECK_INTERVAL_S)
-        if not self.checking_input or self.feeding:
+        if not self.checking_input or self.feeding or self.parts:
             return
         if self.accepted_socket is None or not has_unread_input(self.accepted_socket):
             self.checking_input = False
--- a/tests/net/test_partial_input.py
+++ b/tests/net/test_partial_input.py
@@ -9,9 +9,10 @@
 import pytest
 from anyio.abc import ByteStream
 
-from pumicenotch.net import database, gateways, outbox, pool
+from pumicenotch.net import database, gateways, pool
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.outbox import Outbox
+from pumicenotch.net.unread_input import has_unread_input
 from pumicenotch.server.messages import RequestServed
 from tests.request_ids import rid
 
@@ -148,12 +149,12 @@
 
 def test_input_that_waits_in_the_kernel_is_unread() -> None:
     local, remote = socket.socketpair()
-    assert not outbox.has_unread_input(local)
+    assert not has_unread_input(local)
     remote.send(b"x")
-    assert outbox.has_unread_input(local)
+    assert has_unread_input(local)
     local.recv(1)
-    assert not outbox.has_unread_input(local)
+    assert not has_unread_input(local)
     remote.close()
-    assert outbox.has_unread_input(local)  # The end of the stream counts as unread.
+    assert has_unread_input(local)  # The end of the stream counts as unread.
     local.close()
-    assert not outbox.has_unread_input(local)
+    assert not has_unread_input(local)
