--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -10,7 +10,8 @@
 A fifth line, `passes: on a quiet machine`, says when an intermittent failure does not show; without it a
 listed test that passes fails the run, so that the file never outlives the fault.
 
-Listed tests are run; their failure is passed over and printed. The run fails for an entry that is malformed
+Listed tests are run; their failure is passed over and printed, with the end of its report and of the
+logs in the test's folder, which are kept. The run fails for an entry that is malformed
 or listed twice, for a test that does not exist, and for a pass that the entry does not allow.
 """
 
@@ -20,9 +21,12 @@
 
 import pytest
 
+from tests import failure_evidence
+
 FILE_NAME = "KNOWN-RED.txt"
 REQUIRED_FIELDS = ("test", "command", "seen", "issue")
 OPTIONAL_FIELD = "passes"
+EVIDENCE = "known red evidence"  # the property of a report that holds the text
 
 
 class KnownFailure(NamedTuple):
@@ -91,9 +95,15 @@
         self.by_test = {failure.test: failure for failure in failures}
         self.seen: set[str] = set()
         self.missing: list[str] = []
+        self.outcomes: dict[str, str] = {}  # by listed test, as far as this run has played it
+        self.evidence: dict[str, str] = {}
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         self.seen.add(report.nodeid)
+        if report.nodeid in self.by_test and report.when == "call":
+            properties = dict(report.user_properties)
+            self.outcomes[report.nodeid] = "failed" if EVIDENCE in properties else report.outcome
+            self.evidence[report.nodeid] = str(properties.get(EVIDENCE, ""))
 
     @pytest.hookimpl(tryfirst=True)
     def pytest_sessionfinish(self, session: pytest.Session) -> None:
@@ -112,6 +122,7 @@
         failure = self.by_test.get(item.nodeid)
         if failure is not None and report.when == "call":
             if report.failed:
+                report.user_properties.append((EVIDENCE, failure_evidence.describe(item, report)))
                 report.outcome = "skipped"
                 report.wasxfail = f"known red: {failure.seen} (issue {failure.issue})"
             elif report.passed and not failure.passes:
@@ -127,6 +138,10 @@
             terminalreporter.write_line(
                 f"KNOWN RED: {failure.test}: {failure.seen} (issue {failure.issue}{passes})"
             )
+            outcome = self.outcomes.get(failure.test, "not played")
+            terminalreporter.write_line(f"  in this run: {outcome}")
+            for line in self.evidence.get(failure.test, "").splitlines():
+                terminalreporter.write_line(f"    {line}")
 
 
 def pytest_configure(config: pytest.Config) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -11,15 +11,17 @@
 GREEN = RED.replace("test_red", "test_green")
 
 
-def run(pytester: pytest.Pytester, text: str | None) -> pytest.RunResult:
-    pytester.makepyfile(test_it=SUITE)
+def run(
+    pytester: pytest.Pytester, text: str | None, suite: str = SUITE, *arguments: str
+) -> pytest.RunResult:
+    pytester.makepyfile(test_it=suite)
     root = str(Path(known_red.__file__).parent.parent)
     pytester.makeconftest(
         f"import sys\nsys.path.insert(0, {root!r})\npytest_plugins = ['tests.known_red']\n"
     )
     if text is not None:
         (pytester.path / "KNOWN-RED.txt").write_text(text)
-    return pytester.runpytest_subprocess("-p", "no:cacheprovider")
+    return pytester.runpytest_subprocess("-p", "no:cacheprovider", *arguments)
 
 
 @pytest.mark.parametrize("text", [RED, f"# fix these first\n\n{RED}\n", RED + "passes: alone\n"])
@@ -37,6 +39,48 @@
     result.stdout.fnmatch_lines(["*test_green: a fault (issue 9; passes on a quiet machine)"])
 
 
+LOGGING_SUITE = """\
+def test_red(tmp_path):
+    (tmp_path / "servers").mkdir()
+    (tmp_path / "servers" / "n1.log").write_text("first\\n" * 99999 + "the last words\\n")
+    assert not list(range(99)), "what went wrong " + 9999 * "x"
+
+def test_green():
+    pass
+"""
+
+
+@pytest.mark.parametrize("arguments", [(), ("-n", "2")])
+def test_a_listed_failure_tells_what_it_saw(
+    pytester: pytest.Pytester, arguments: tuple[str, ...]
+) -> None:
+    """Guards against entries whose failures leave no trace."""
+    result = run(pytester, f"{RED}\n{GREEN}passes: alone\n", LOGGING_SUITE, *arguments)
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(
+        [
+            "KNOWN RED: test_it.py::test_red: *",
+            "  in this run: failed",
+            "    E *AssertionError: what went wrong*",
+            "    1 logs and settings are kept in *known-red-logs/test_it.py-test_red",
+            "    the end of servers/n1.log:",
+            "      the last words",
+            "KNOWN RED: test_it.py::test_green: *",
+            "  in this run: passed",
+        ]
+    )
+    kept = pytester.path / "known-red-logs/test_it.py-test_red/servers/n1.log"
+    assert kept.read_text().endswith("the last words\n") and kept.stat().st_size <= 256 * 1024
+    assert len(result.stdout.str()) < 9000
+
+
+def test_a_listed_test_that_is_not_chosen_is_said_to_be_not_played(
+    pytester: pytest.Pytester,
+) -> None:
+    result = run(pytester, RED, SUITE, "-k", "green")
+    result.stdout.fnmatch_lines(["KNOWN RED: test_it.py::test_red*", "  in this run: not played"])
+
+
 @pytest.mark.parametrize("text", [None, "", "\n", "# a comment\n"])
 def test_without_entries_a_failure_is_one(pytester: pytest.Pytester, text: str | None) -> None:
     result = run(pytester, text)
