--- a/pumicenotch/lab/soak/report.py
+++ b/pumicenotch/lab/soak/report.py
@@ -36,6 +36,7 @@
     shown = result.violations[:MAX_SHOWN_VIOLATIONS]
     lines = [f"  {violation.rule}: {violation.text}" for violation in shown]
     lines.append(f"  schedule: {result.schedule.describe()}")
+    lines.append(f"  log: {result.log}")
     lines.append(f"  again: pumicenotch lab soak --seed {seed} --seeds 1 --busy {busy}")
     return "\n".join(lines)
 
--- a/pumicenotch/lab/soak/run.py
+++ b/pumicenotch/lab/soak/run.py
@@ -47,6 +47,7 @@
     end_ms: float  # after the notice
     memory_mb: float
     longest_stall_ms: float  # of the runner itself
+    log: Path  # of the server; gone where the run had no folder of its own
 
 
 def server_settings(schedule: Schedule) -> dict[str, Any]:
@@ -293,6 +294,7 @@
             end_ms=self.ended_at_ms - self.judge.notice_at_ms,
             memory_mb=self.memory_mb,
             longest_stall_ms=longest_ms,
+            log=self.log,
         )
 
 
--- a/pumicenotch/lab/soak/series.py
+++ b/pumicenotch/lab/soak/series.py
@@ -1,7 +1,9 @@
 """A series of runs by seeds that follow each other, beside busy processes if asked for."""
 
+import shutil
 import subprocess
 import sys
+import tempfile
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -28,12 +30,24 @@
 
 
 def soak(first_seed: int, seeds: int, busy: int, folder: Path | None) -> Iterator[SoakResult]:
-    """Yields the result of each seed; logs stay in the folder, if one is named.
+    """Yields the result of each seed.
+
+    All logs stay in the folder, if one is named, else those of broken seeds in one for temporary
+    files.
 
     Raises:
         SoakStartError: A server did not come into service.
     """
     with busy_processes(busy):
         for seed in range(first_seed, first_seed + seeds):
-            logs = folder / f"seed-{seed}" if folder is not None else None
-            yield run_schedule(draw_schedule(seed), logs)
+            logs = _log_folder(seed, folder)
+            result = run_schedule(draw_schedule(seed), logs)
+            if folder is None and not result.violations:
+                shutil.rmtree(logs)
+            yield result
+
+
+def _log_folder(seed: int, folder: Path | None) -> Path:
+    if folder is not None:
+        return folder / f"seed-{seed}"
+    return Path(tempfile.mkdtemp(prefix=f"pumicenotch-soak-seed-{seed}-"))
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 import pytest
@@ -79,6 +80,19 @@
     assert result.rules[rule] > 0, (result.violations[:5], result.counts)
 
 
+def test_a_broken_seed_tells_its_schedule_its_violations_and_where_its_log_is(
+    tmp_path: Path,
+) -> None:
+    """Guards against a fault whose log is gone before it is read."""
+    (tmp_path / "sitecustomize.py").write_text(HOOK + FAULTS["doubled"])
+    environment = {"PYTHONPATH": str(tmp_path), "TMPDIR": str(tmp_path)}
+    status, said = command("--seed", "3", "--seeds", "1", environment=environment)
+    assert status == 1
+    assert "doubled: " in said and "schedule: SIGTERM at" in said and "again: pumicenotch" in said
+    log = Path(said.partition("  log: ")[2].splitlines()[0])
+    assert log.is_relative_to(tmp_path) and "listening on" in log.read_text()
+
+
 def test_a_server_that_does_not_start_ends_the_run_with_its_log(tmp_path: Path) -> None:
     (tmp_path / "sitecustomize.py").write_text(HOOK + "    sys.exit('no such day')\n")
     with pytest.raises(SoakStartError, match="no such day"):
@@ -181,12 +195,12 @@
     assert status == 2 and "--out" in said
 
 
-def command(*options: str) -> tuple[int, str]:
+def command(*options: str, environment: Mapping[str, str] | None = None) -> tuple[int, str]:
     result = subprocess.run(
         [sys.executable, "-m", "pumicenotch.cli", "lab", "soak", *options],
         capture_output=True,
         text=True,
-        env={**os.environ, "NO_COLOR": "1", "COLUMNS": "200"},
+        env={**os.environ, "NO_COLOR": "1", "COLUMNS": "200", **(environment or {})},
         timeout=60,
     )
     return result.returncode, result.stdout + result.stderr
