Start: bind a numeric address without a resolver's threads

Cause of the one wait without a bound before `listen`: anyio resolves even a numeric address, and libuv starts four threads for it and waits for one of them (docs/results.md, traced there). Server, router, voter, member and agent listen through one function now that binds a numeric address directly; names are resolved as before. Whether this wait made those starts late is measured next.

--- a/pumicenotch/__main__.py
+++ b/pumicenotch/__main__.py
@@ -12,7 +12,7 @@
 import resource
 import sys
 from functools import partial
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.lowlevel
@@ -26,6 +26,7 @@
 from pumicenotch.net.dialer import DialedProtocol, Dialer
 from pumicenotch.net.gateway_listener import GatewayListener
 from pumicenotch.net.hub import Hub
+from pumicenotch.net.listening import open_listener
 from pumicenotch.net.process_end import end_process
 from pumicenotch.net.registry import Registry
 from pumicenotch.net.reloads import Reloads, RunningConfiguration
@@ -75,10 +76,7 @@
     logged = False
     while True:
         try:
-            listeners = await anyio.create_tcp_listener(
-                local_host=host, local_port=port, backlog=gateway_listener.BACKLOG
-            )
-            return cast(SocketListener, listeners.listeners[0])
+            return await open_listener((host, port))
         except OSError as error:
             if error.errno != errno.EADDRINUSE or anyio.current_time() > deadline:
                 raise
--- a/pumicenotch/lab/hollow_instance.py
+++ b/pumicenotch/lab/hollow_instance.py
@@ -21,8 +21,9 @@
 from pumicenotch.membership.messages import MemberIdentity, MemberPhase, MemberState, Update
 from pumicenotch.membership.swim import PERIOD_MS
 from pumicenotch.net.fleet_member import MAX_FRAME_BYTES, REPORT_INTERVAL_S, max_fleet_connections
+from pumicenotch.net.listening import open_listener
 from pumicenotch.net.peer_frames import PeerMessage
-from pumicenotch.net.peers import PeerHub, open_listener, run_hub
+from pumicenotch.net.peers import PeerHub, run_hub
 from pumicenotch.net.resettable_timer import ResettableTimer
 
 SOCKETS = 1024  # descriptors that the platform gives a server: the fleet's part follows from it
--- a/pumicenotch/net/fleet.py
+++ b/pumicenotch/net/fleet.py
@@ -19,7 +19,8 @@
 from pumicenotch.fleet.voter.replica import VoterSetup
 from pumicenotch.net import logs
 from pumicenotch.net.fleet_member import new_member_setup
-from pumicenotch.net.peers import PeerHub, open_listener, run_hub
+from pumicenotch.net.listening import open_listener
+from pumicenotch.net.peers import PeerHub, run_hub
 from pumicenotch.net.resettable_timer import ResettableTimer
 
 if TYPE_CHECKING:  # Distribution modules are not loaded when distribution is disabled.
--- a/pumicenotch/net/fleet_member.py
+++ b/pumicenotch/net/fleet_member.py
@@ -16,7 +16,8 @@
 from pumicenotch.fleet.member.settings import FleetSettings
 from pumicenotch.membership.messages import MemberIdentity
 from pumicenotch.net.hub import Hub
-from pumicenotch.net.peers import PeerHub, open_listener, run_hub
+from pumicenotch.net.listening import open_listener
+from pumicenotch.net.peers import PeerHub, run_hub
 from pumicenotch.net.resettable_timer import ResettableTimer
 from pumicenotch.server.core import Server
 from pumicenotch.server.events import ShutdownRequested
--- a/pumicenotch/net/gateway_listener.py
+++ b/pumicenotch/net/gateway_listener.py
@@ -23,6 +23,7 @@
 )
 from pumicenotch.net.gateways import ENCODERS, MAX_READ_BYTES, GatewayReader
 from pumicenotch.net.hub import Hub
+from pumicenotch.net.listening import BACKLOG
 from pumicenotch.net.outbox import Encoders, Outbox
 from pumicenotch.server.events import (
     ConnectionEnded,
@@ -34,7 +35,6 @@
     ReadingFinished,
 )
 
-BACKLOG = 1024  # All gateways may connect at the same time after a server start.
 # How long connections are still accepted after a close request. Connection attempts within one
 # network complete sooner.
 FINAL_ACCEPT_WINDOW_S = 0.02
--- a/pumicenotch/net/peers.py
+++ b/pumicenotch/net/peers.py
@@ -10,14 +10,13 @@
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
-import anyio
 from anyio.abc import SocketAttribute, SocketListener, TaskGroup
 from loguru import logger
 
 from pumicenotch.fleet.member import effects
 from pumicenotch.fleet.member.node import MemberNode
 from pumicenotch.membership.messages import Update
-from pumicenotch.net.gateway_listener import BACKLOG, AcceptedProtocol, GatewayListener
+from pumicenotch.net.gateway_listener import AcceptedProtocol, GatewayListener
 from pumicenotch.net.hub import MAX_LOGGED_FAULTS, Hub
 from pumicenotch.net.outbound_peers import OutboundPeers
 from pumicenotch.net.peer_frames import (
@@ -258,18 +257,6 @@
         self.write(reply.connection_id, response)
 
 
-async def open_listener(address: tuple[str, int]) -> SocketListener:
-    """Opens a listener for peer connections.
-
-    Raises:
-        OSError: The address cannot be bound.
-    """
-    listeners = await anyio.create_tcp_listener(
-        local_host=address[0], local_port=address[1], backlog=BACKLOG
-    )
-    return cast(SocketListener, listeners.listeners[0])
-
-
 def run_hub(hub: PeerHub, listener: SocketListener) -> None:
     """Starts the listener, the timer and the node in the hub's task group."""
     protocol = AcceptedProtocol(ENCODERS, AcceptedPeer)
--- a/pumicenotch/route/__main__.py
+++ b/pumicenotch/route/__main__.py
@@ -8,10 +8,9 @@
 import signal
 import sys
 from functools import partial
-from typing import cast
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener
+from anyio.abc import SocketAttribute
 from loguru import logger
 
 from pumicenotch import start
@@ -23,6 +22,7 @@
 from pumicenotch.net.busy_time import report_busy_time
 from pumicenotch.net.clock import Clock
 from pumicenotch.net.hub import Hub
+from pumicenotch.net.listening import open_listener
 from pumicenotch.net.process_end import end_process
 from pumicenotch.net.signals import receive_signals
 from pumicenotch.route.decide import LISTENER, NODE_DIALER, MapRead, Router
@@ -108,11 +108,7 @@
 async def serve(config: RouterFile, core: Router, clock: Clock) -> None:
     """Runs the router until it has shut down."""
     hub = Hub(core, clock)
-    host, port = start.parse_address(config.listen)
-    listeners = await anyio.create_tcp_listener(
-        local_host=host, local_port=port, backlog=gateway_listener.BACKLOG
-    )
-    listener = cast(SocketListener, listeners.listeners[0])
+    listener = await open_listener(start.parse_address(config.listen))
 
     def address_of(node: str) -> tuple[str, int]:
         return start.parse_address(core.cells.addresses()[node])
