--- a/pumicenotch/distribution/data/changelog.py
+++ b/pumicenotch/distribution/data/changelog.py
@@ -5,6 +5,7 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable, Mapping
+from itertools import islice
 from typing import NamedTuple
 
 from pumicenotch.distribution.data.records import Change, ScopeId, scope_of
@@ -227,18 +228,17 @@
         if scope_id < start_scope or not subscription.contains(*scope_id):
             continue
         offset = start.offset if scope_id == start_scope else 0
-        remaining = scope_changes[offset:]
-        added = 0
-        for change in remaining:
+        first = len(changes)
+        for change in islice(scope_changes, offset, None):
             size += change.size
             if changes and (size > max_bytes or len(changes) >= MAX_PAGE_CHANGES):
                 break
             changes.append(change)
-            added += 1
+        added = len(changes) - first
         if added:
             end = Cursor(*scope_id, offset + added)
             digests.append(ScopeDigest(*scope_id, entry.digests[scope_id]))
-        if added < len(remaining):
+        if added < len(scope_changes) - offset:
             return _page_of(entry, start, end, False, changes, digests)
     return _page_of(entry, start, end, True, changes, digests)
 
--- a/pumicenotch/distribution/protocol/codec.py
+++ b/pumicenotch/distribution/protocol/codec.py
@@ -25,6 +25,8 @@
     "run programs that speak one version of this protocol, and see which instance sends it"
 )
 Reader = Callable[[Any], Any]
+# MessagePack encodes these without a conversion; a change is a tuple of them.
+PLAIN_TYPES = frozenset({str, bytes, int, float, bool, type(None), Change})
 
 
 def encode(message: m.Message) -> list[object]:
@@ -33,12 +35,14 @@
 
 
 def _encode_value(value: Any) -> Any:
+    if type(value) in PLAIN_TYPES:
+        return value
     if isinstance(value, Subscription):
         return value.encode()
     if isinstance(value, m.ScopeDigest):
         return [value.table, value.scope, digest_bytes(value.digest)]
     if isinstance(value, tuple):
-        return [_encode_value(item) for item in value]
+        return [item if type(item) in PLAIN_TYPES else _encode_value(item) for item in value]
     return value
 
 
