review: repeats of case 2 are written before the pause; ports that nobody else takes

Cause: case 2 wrote its repeats to a paused router, though PROTOCOL.md has nothing written to a server while the machine pauses.

Change: the repeats go out in a single write, and the pause comes after it. Ports lie below those of outgoing connections.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -58,11 +58,28 @@
 _given_ports: set[int] = set()
 
 
+def first_ephemeral_port() -> int:
+    """Returns the lowest port that the system gives to outgoing connections."""
+    try:
+        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except (OSError, ValueError):
+        return 32768
+
+
 def free_address() -> str:
-    """Returns a loopback address whose port is free now and was not returned before."""
+    """Returns a loopback address whose port is free now and was not returned before.
+
+    The port is below those of outgoing connections, where there are enough, so that none of them
+    takes it before its server listens, or while its server restarts.
+    """
+    end = first_ephemeral_port()
     while True:
+        port = random.randrange(10_000, end) if end > 12_000 else 0
         with socket.socket() as sock:
-            sock.bind((HERE, 0))
+            try:
+                sock.bind((HERE, port))
+            except OSError:
+                continue
             port = sock.getsockname()[1]
         if port not in _given_ports:
             _given_ports.add(port)
@@ -351,6 +368,16 @@
         request.written_at = time.monotonic()
         self.writer.write(pack([0, self.number, request.stage, [request.fields, request.body]]))
 
+    def send_together(self, requests: list[Request]) -> None:
+        """Sends requests in a single write."""
+        frames = b""
+        for request in requests:
+            self.number += 1
+            self.open[self.number] = request
+            request.written_at = time.monotonic()
+            frames += pack([0, self.number, request.stage, [request.fields, request.body]])
+        self.writer.write(frames)
+
     def cancel(self, request: Request) -> None:
         for number, each in list(self.open.items()):
             if each is request:
