Cells: a retry that is read late is still asked about at its former home

Cause: CellMap.homes compared the end of the former nodes' time with the time at which the router read the retry, not with the time at which it came.

Evidence: tests/test_route.py, test_a_retry_that_is_read_late..., failed before at 60, 440 and 5,000 ms of wait and passed at 0: the retry goes to the new home with no question before.

Why the change works: the time of arrival decides whom to ask, so a wait changes nothing. Maps name former nodes until no request that they must be asked about can be unread (MAX_READ_DELAY_MS), and a router answers later ones as failed.

--- a/pumicenotch/cells/map.py
+++ b/pumicenotch/cells/map.py
@@ -12,8 +12,12 @@
 
 from pumicenotch.cells.place import Node, owner, shard
 from pumicenotch.errors import InputError
+from pumicenotch.interface import MAX_CLOCK_AHEAD_MS
 
 FORMAT_VERSION = 1
+# How late after its arrival a request with an idempotency key may be read by a router and still be
+# sent on. Former nodes stay in maps for as long, because the router asks those of the arrival.
+MAX_READ_DELAY_MS = 30_000.0
 
 
 class InvalidCellMapError(InputError):
@@ -30,16 +34,30 @@
     Attributes:
         nodes: The nodes of the former cell.
         span: How many of them served the tenant; 0 for all.
-        expires_at: Until when they must be asked, in Unix ms; OPEN_ENDED while this is not known.
+        expires_at: The end of the idempotency windows of all requests that they have run, in Unix
+            ms; OPEN_ENDED while this is not known.
     """
 
     nodes: tuple[Node, ...]
     span: int
     expires_at: float = OPEN_ENDED
 
+    def may_know(self, arrived_at: float) -> bool:
+        """Returns whether the nodes must be asked about a request.
+
+        Args:
+            arrived_at: When the request came, in Unix ms, not when it was read: a request that came
+                within the window of an earlier attempt must not run again, however late it is read.
+        """
+        return self.expires_at == OPEN_ENDED or arrived_at < self.expires_at + MAX_CLOCK_AHEAD_MS
+
     def is_active(self, now: float) -> bool:
-        """Returns whether the nodes must still be asked at the Unix time `now`, in ms."""
-        return self.expires_at == OPEN_ENDED or now < self.expires_at
+        """Returns whether a request that the nodes must be asked about may still be read.
+
+        Args:
+            now: The current Unix time in ms.
+        """
+        return self.may_know(now - MAX_READ_DELAY_MS)
 
 
 class Cell(NamedTuple):
@@ -118,13 +136,13 @@
         tenant = self.tenant(name)
         return shard(name, self.cells[tenant.cell].nodes, tenant.span) if tenant is not None else ()
 
-    def homes(self, name: str, key: str, now: float) -> Homes | None:
-        """Returns the home and the former homes of an idempotency key.
+    def homes(self, name: str, key: str, arrived_at: float) -> Homes | None:
+        """Returns the home and the former homes of a request's idempotency key.
 
         Args:
             name: The tenant's name.
             key: The idempotency key.
-            now: The current Unix time in ms.
+            arrived_at: When the request came, in Unix ms.
         """
         tenant = self.tenant(name)
         if tenant is None:
@@ -133,7 +151,7 @@
         home = owner(key, shard(name, cell.nodes, tenant.span))
         former_homes: list[Node] = []
         for former in (*tenant.former, *(each._replace(span=tenant.span) for each in cell.former)):
-            if former.is_active(now) and former.nodes:
+            if former.may_know(arrived_at) and former.nodes:
                 node = owner(key, shard(name, former.nodes, former.span))
                 if node.name != home.name and all(node.name != each.name for each in former_homes):
                     former_homes.append(node)
--- a/pumicenotch/cells/moves.py
+++ b/pumicenotch/cells/moves.py
@@ -3,8 +3,8 @@
 A move is a map of the next epoch: the tenant has its new cell, and its old nodes become former nodes
 without an expiry. The map is published to the nodes first; once a node has it in its file, the node runs
 nothing new under an older one. Routers get the map only when every old and new node of the tenant has it.
-When all routers have it, a second map settles the move: from then on the former nodes are asked for one
-more window. No other state is kept: a control plane that crashes reads the newest map and the
+When all routers have it, a second map settles the move: from then on the former nodes are asked about
+requests that come within one more window. No other state is kept: a control plane that crashes reads the newest map and the
 acknowledgements again, and continues or aborts the move from there.
 """
 
@@ -25,7 +25,7 @@
 
 
 def active_formers(formers: Iterable[FormerNodes], now: float) -> tuple[FormerNodes, ...]:
-    """Returns the former nodes that must still be asked."""
+    """Returns the former nodes that a router may still have to ask."""
     return tuple(former for former in formers if former.is_active(now))
 
 
@@ -120,7 +120,8 @@
 def settle(cells: CellMap, now: float) -> CellMap:
     """Returns the next map, in which former nodes without an expiry get one.
 
-    They expire after one window plus the lease. For as long as the lease, a router without the newest map
+    It is the end of the window of the last request that they can have run, by the time when a retry
+    comes; `FormerNodes.is_active` adds the time until the retry is read. They expire after one window plus the lease. For as long as the lease, a router without the newest map
     may still send requests by its old one to a node that was forced, see `may_publish_to_routers`.
 
     The map is created once every affected node has the previous one, and every router has it or its
@@ -161,9 +162,9 @@
     TELLING_ROUTERS = auto()
     # All nodes and routers have the map; the move can be settled.
     OPEN = auto()
-    # The move is settled; former homes are still asked.
+    # The move is settled; former homes are still asked about requests that came in time.
     SETTLING = auto()
-    # Former homes are no longer asked.
+    # No request is left that former homes must be asked about.
     DONE = auto()
 
 
--- a/pumicenotch/cells/walk.py
+++ b/pumicenotch/cells/walk.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from pumicenotch.cells.fence import Role, Verdict
-from pumicenotch.cells.map import CellMap, Homes
+from pumicenotch.cells.map import MAX_READ_DELAY_MS, CellMap, Homes
 from pumicenotch.interface import Idempotency
 
 
@@ -147,6 +147,7 @@
     cells: CellMap,
     confirmed_at: float,
     now: float,
+    arrived_at: float,
     tenant: str,
     idempotency: Idempotency,
     key: str,
@@ -157,7 +158,8 @@
     Args:
         cells: The router's cell map.
         confirmed_at: When the map was last confirmed as the newest, in Unix ms.
-        now: The current Unix time in ms.
+        now: When the request is read, in Unix ms.
+        arrived_at: When the request came, in Unix ms. It decides which former homes are asked.
         tenant: The tenant's name.
         idempotency: The idempotency of the request's class.
         key: The idempotency key; "" without one.
@@ -171,9 +173,14 @@
         # A newer map may have given the tenant other nodes, on the assumption that no router still
         # uses this one.
         return RouteResult("rejected", "map_unconfirmed", RETRY_AFTER_MS)
-    homes = cells.homes(tenant, key, now) if idempotency is Idempotency.KEYED else None
     if cells.tenant(tenant) is None:
         return RouteResult("rejected", "tenant_unknown", RETRY_AFTER_MS)
+    homes = None
+    if idempotency is Idempotency.KEYED:
+        if now - arrived_at >= MAX_READ_DELAY_MS:
+            # The map may no longer name all former homes of that time. An earlier attempt may have run.
+            return RouteResult("failed", "read_too_late")
+        homes = cells.homes(tenant, key, arrived_at)
     return Route(
         idempotency, cells.tenant_epoch(tenant), homes, [] if homes is not None else candidates
     )
--- a/pumicenotch/interface.py
+++ b/pumicenotch/interface.py
@@ -63,6 +63,10 @@
     NOT_STARTED = auto()
 
 
+# How far ahead of the reader's clock the stamp of a request's arrival may be.
+MAX_CLOCK_AHEAD_MS = 1000.0
+
+
 class RequestState(Enum):
     """The progress of a request in the controller."""
 
--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -346,6 +346,7 @@
             self.cells,
             self.confirmed_at,
             unix_ms,
+            min(request.stamped_at_ms, unix_ms),
             tenant,
             request.request_class.idempotency,
             request.idempotency_key,
--- a/pumicenotch/server/request_decoder.py
+++ b/pumicenotch/server/request_decoder.py
@@ -6,15 +6,13 @@
 from itertools import count
 
 from pumicenotch.errors import InputError
-from pumicenotch.interface import Idempotency, RequestClass
+from pumicenotch.interface import MAX_CLOCK_AHEAD_MS, Idempotency, RequestClass
 from pumicenotch.server.events import RequestReceived
 from pumicenotch.server.pending_request import PendingRequest, PendingRequests
 
 MAX_BODY_BYTES = 2048  # defined by the protocol
 MAX_MEMORY_KB = 2000.0  # defined by the protocol
 MAX_WORK = 1e9  # keeps the controller's sums finite; the controller itself uses a smaller bound
-# How far in the future a send time may be. Clocks on one machine differ by far less.
-MAX_CLOCK_AHEAD_MS = 1000.0
 # The protocol's grammar of numbers. Python's float() also accepts "1_0", " 1", "1e3" and "nan".
 NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,9})?", re.ASCII)
 # Names of the fields in the gateways' protocol.
