Cells: a restarted node vouches for a key by when its retry came, not when it is read

What callers would see: a keyed request that ran at its old home before that home was killed runs again at the new one, as the old home reads the question about a retry late.

Cause: Fence.check compared the time since the node's start with the window at the time of reading. The window counts from when the requests came.

Evidence: test_a_restarted_node_that_reads_a_question_late... answered clear for 900 ms of wait before (no-word now), and clear for none. The model with a crash and time finds the old judgement seeded, and is whole with the new one.

Why it works: the time of arrival does not change with a wait. One second is added for stamps ahead of the node's clock, which servers accept. The bounds in test_cells.py move by that second, exact on both sides as before.

--- a/pumicenotch/cells/fence.py
+++ b/pumicenotch/cells/fence.py
@@ -15,6 +15,7 @@
 from enum import Enum, auto
 
 from pumicenotch.cells.map import CellMap
+from pumicenotch.interface import MAX_CLOCK_AHEAD_MS
 
 
 class Role(Enum):
@@ -34,7 +35,7 @@
     CLEAR = auto()
     # Not run: the node has seen a newer epoch of the tenant.
     OLD_MAP = auto()
-    # Unknown: the node has been up for less than the idempotency window.
+    # Unknown: the request came when the node had been up for less than the idempotency window.
     NO_WORD = auto()
 
 
@@ -73,11 +74,11 @@
         map_epoch = self.cells.tenant_epoch(tenant) if self.cells is not None else 0
         return max(self.min_epoch, map_epoch, self.epochs.get(tenant, 0))
 
-    def check(self, now: float, tenant: str, epoch: int, role: Role, known: bool) -> Verdict:
+    def check(self, arrived_at: float, tenant: str, epoch: int, role: Role, known: bool) -> Verdict:
         """Decides on a request with an idempotency key, and records its epoch.
 
         Args:
-            now: The current Unix time in ms.
+            arrived_at: When the request came, in Unix ms, not when it was read.
             tenant: The tenant's name.
             epoch: The epoch that the request was stamped with.
             role: The role that the router assigns to this node.
@@ -92,15 +93,17 @@
             self.record_epoch(tenant, epoch)
         if role is Role.HOME:
             return Verdict.RUN
-        # Runs before the last start are not in memory: for one window after a start the node cannot
-        # tell whether the key has run.
-        return Verdict.CLEAR if now - self.started_at >= self.window_ms else Verdict.NO_WORD
-
-    def rejection_reason(self, now: float, tenant: str, epoch: int, asks: bool, known: bool) -> str:
+        # Runs before the last start are not in memory: the node cannot tell whether the key has run
+        # if the request came within the window of such a run, whose stamp may be ahead of the clock.
+        vouches_from = self.started_at + self.window_ms + MAX_CLOCK_AHEAD_MS
+        return Verdict.CLEAR if arrived_at >= vouches_from else Verdict.NO_WORD
+
+    def rejection_reason(
+        self, arrived_at: float, tenant: str, epoch: int, asks: bool, known: bool
+    ) -> str:
         """Returns the reason of `check` as sent on the wire; "" if the node accepts the request."""
-        return REASONS.get(
-            self.check(now, tenant, epoch, Role.ASK if asks else Role.HOME, known), ""
-        )
+        role = Role.ASK if asks else Role.HOME
+        return REASONS.get(self.check(arrived_at, tenant, epoch, role, known), "")
 
     def admits(self, node: str, tenant: str, epoch: int | None) -> bool:
         """Returns whether a request without an idempotency key may run on this node.
--- a/pumicenotch/lab/moving.py
+++ b/pumicenotch/lab/moving.py
@@ -294,7 +294,7 @@
             fence.epochs[TENANT] = peer.epoch
         arrived_at = state.tries[letter.number - 1].arrived_at
         known = self.remembers(peer, state.now, arrived_at)
-        verdict = fence.check(state.now, TENANT, letter.epoch, letter.role, known)
+        verdict = self.fence_check(fence, state, letter, known)
         new = self.peer(state, at, epoch=fence.epochs.get(TENANT, 0))
         said = RESULT_BY_VERDICT.get(verdict, SendResult.SERVED)
         if verdict is Verdict.RUN and state.now >= arrived_at + self.limit:
@@ -308,6 +308,10 @@
         line = f"{letter.node} gets {what}: {verdict.name}{late}"
         return line, new._replace(letters=new.letters | {back})
 
+    def fence_check(self, fence: Fence, state: State, letter: Letter, known: bool) -> Verdict:
+        arrived_at = state.tries[letter.number - 1].arrived_at
+        return fence.check(arrived_at, TENANT, letter.epoch, letter.role, known)
+
     def remembers(self, peer: Peer, now: float, arrived_at: float) -> bool:
         """As `ResultCache`: what came within the window, for as long as it may be read."""
         if peer.ran_at is None:
--- a/pumicenotch/server/cell_admission.py
+++ b/pumicenotch/server/cell_admission.py
@@ -45,6 +45,7 @@
             if not is_known and not self.fence.admits(self.node, tenant, None):
                 return OUTDATED_MAP
             epoch = self.fence.newest_epoch(tenant)
+        arrived_at = min(request.stamped_at_ms, unix_ms)
         return self.fence.rejection_reason(
-            unix_ms, tenant, epoch, request.is_ownership_query, is_known
+            arrived_at, tenant, epoch, request.is_ownership_query, is_known
         )
--- a/tests/server/test_cell_admission.py
+++ b/tests/server/test_cell_admission.py
@@ -12,7 +12,7 @@
 from pumicenotch.cells.map import Cell, CellMap, Tenant
 from pumicenotch.cells.place import Node
 from pumicenotch.control import ControllerSettings
-from pumicenotch.interface import Idempotency, Outcome, RequestClass
+from pumicenotch.interface import MAX_CLOCK_AHEAD_MS, Idempotency, Outcome, RequestClass
 from pumicenotch.net.gateways import encode_rejected
 from pumicenotch.server import events
 from pumicenotch.server.core import Server
@@ -159,6 +159,18 @@
     )
 
 
+@pytest.mark.parametrize(("wait_ms", "reason"), [(0.0, "clear"), (900.0, "no-word")])
+def test_a_restarted_node_that_reads_a_question_late_does_not_vouch_for_the_key(
+    wait_ms: float, reason: str
+) -> None:
+    # A retry that came within the window of a run before the restart ran again at the new home.
+    before_move, _ = maps_before_and_after_move()
+    node = NodeHarness(before_move, uptime_ms=WINDOW_MS + MAX_CLOCK_AHEAD_MS)
+    node.now += wait_ms - 50.0 if wait_ms else 0.0
+    came_at = node.now - wait_ms
+    assert node.send(1, "put", epoch="2", ask="1", t0=str(int(came_at))) == reason
+
+
 @pytest.mark.parametrize(
     "extra_fields", [{"epoch": "-1"}, {"epoch": "x"}, {"epoch": ""}, {"epoch": "1", "ask": "yes"}]
 )
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -231,7 +231,7 @@
 
 
 def test_a_node_that_gave_a_key_up_never_runs_it_under_that_epoch_or_an_older_one() -> None:
-    fence = Fence(-WINDOW_MS, WINDOW_MS)
+    fence = Fence(-WINDOW_MS - MAX_CLOCK_AHEAD_MS, WINDOW_MS)
     assert fence.check(0.0, "t", 3, Role.HOME, False) is Verdict.RUN
     assert fence.check(1.0, "t", 4, Role.ASK, False) is Verdict.CLEAR
     assert fence.check(2.0, "t", 3, Role.HOME, False) is Verdict.OLD_MAP
@@ -245,8 +245,9 @@
 
 def test_a_node_does_not_give_keys_up_for_one_window_after_its_start() -> None:
     fence = Fence(100.0, WINDOW_MS)
-    assert fence.check(1099.0, "t", 2, Role.ASK, False) is Verdict.NO_WORD
-    assert fence.check(1100.0, "t", 2, Role.ASK, False) is Verdict.CLEAR
+    vouches_from = 1100.0 + MAX_CLOCK_AHEAD_MS  # stamps of runs before the start may be ahead
+    assert fence.check(vouches_from - 1.0, "t", 2, Role.ASK, False) is Verdict.NO_WORD
+    assert fence.check(vouches_from, "t", 2, Role.ASK, False) is Verdict.CLEAR
 
 
 def test_a_restarted_node_knows_the_epoch_of_its_map_file() -> None:
--- a/tests/test_cells_model.py
+++ b/tests/test_cells_model.py
@@ -18,7 +18,7 @@
 from pumicenotch.cells.place import Node
 from pumicenotch.cells.walk import Route, SendResult, plan_route
 from pumicenotch.lab.explore import Explorer, Found
-from pumicenotch.lab.moving import Moving
+from pumicenotch.lab.moving import Letter, Moving, State
 
 WINDOW_MS = 1000.0
 
@@ -27,7 +27,8 @@
 def one_clock() -> Iterator[None]:
     """Removes the allowance for clocks that differ: the model has one clock, and short windows."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr("pumicenotch.cells.map.MAX_CLOCK_AHEAD_MS", 0.0)
+        for module in ("map", "fence"):
+            patch.setattr(f"pumicenotch.cells.{module}.MAX_CLOCK_AHEAD_MS", 0.0)
         yield
 
 
@@ -113,6 +114,39 @@
     assert found.violation.startswith("ran twice, on A and B"), found.text()
 
 
+# A former home that has crashed, and reads the question about a request late.
+CRASH_BOUNDS: dict[str, Any] = {
+    "routers": 1,
+    "crashes": 1,
+    "losses": 0,
+    "until": 1000.0,
+    "step": 500.0,
+    "limit": 1000.0,
+}
+
+
+class JudgesStartupByTimeOfReading(Moving):
+    """Seeded bug: a restarted node vouches for a key one window after its start, by its own clock."""
+
+    def fence_check(self, fence: Fence, state: State, letter: Letter, known: bool) -> Verdict:
+        return fence.check(state.now, "t", letter.epoch, letter.role, known)
+
+
+def test_no_interleaving_runs_a_request_twice_about_which_a_restarted_node_is_asked_late() -> None:
+    # Guards against a node that vouches for a key from before its start, as it read the question late.
+    found = explore(Moving(aborted_move_maps(lease_ms=0.0)[:2], [0.0, 0.0], **CRASH_BOUNDS))
+    assert not found.violation, found.text()
+    assert found.whole and found.states > 10_000
+
+
+def test_the_model_finds_a_restarted_node_that_judges_by_the_time_of_reading() -> None:
+    model = JudgesStartupByTimeOfReading(
+        aborted_move_maps(lease_ms=0.0)[:2], [0.0, 0.0], **CRASH_BOUNDS
+    )
+    found = explore(model)
+    assert found.violation.startswith("ran twice, on A and B"), found.text()
+
+
 def test_a_window_counted_from_the_creation_of_a_map_is_too_short() -> None:
     """Guards against an expiry counted from the move's map, which nodes may get much later.
 
@@ -138,8 +172,8 @@
 class FenceWithoutStartupWindow(Fence):
     """Seeded bug: a node gives up keys that it may have run before its start."""
 
-    def check(self, now: float, tenant: str, epoch: int, role: Role, known: bool) -> Verdict:
-        verdict = super().check(now, tenant, epoch, role, known)
+    def check(self, arrived_at: float, tenant: str, epoch: int, role: Role, known: bool) -> Verdict:
+        verdict = super().check(arrived_at, tenant, epoch, role, known)
         return Verdict.CLEAR if verdict is Verdict.NO_WORD else verdict
 
 
