Cells: a retry that asks a former home never runs there in place of its original

What callers would see: a keyed request waits at its old home while its tenant moves; a retry asks that home and waits for it; the first attempt ends unrun and the retry runs at the old home. Its own window can end after routers stop asking there, so that a further retry runs again.

Cause: Controller._finish admitted the oldest waiting retry, whatever it had been sent for.

Evidence: test_a_retry_that_asks_a_former_home_never_runs_there... and the test beside it failed before: attempt 6, sent with ask=1, started on the former home.

Why it works: such a retry is replay-only. Another retry takes the place of an original that ends unrun, or the retries are rejected unrun and come again, when the home answers clear. A former home begins nothing new, so the end of its time, counted from the settling map, holds. Without cells no request is replay-only and decisions are the same.

--- a/pumicenotch/control/controller.py
+++ b/pumicenotch/control/controller.py
@@ -434,7 +434,7 @@
             self.actions.cancel_run(request.request_id)
 
     def _finish(self, request: Request, now: float) -> None:
-        """Frees all resources of a request, and admits its oldest waiting retry in its place."""
+        """Frees all resources of a request, and lets a waiting retry take its place."""
         state = request.state
         request.state = RequestState.FINISHED
         if state is RequestState.QUEUED:
@@ -449,4 +449,16 @@
         self.limit.release_memory(request, state)
         del self.deadlines.requests[request.request_id]
         if request.waiting_retries:
-            self._admit(request.promote_retry(), now)
+            self._replace_original(request, now)
+
+    def _replace_original(self, original: Request, now: float) -> None:
+        """Admits a waiting retry in place of its original, which ended without having run.
+
+        The retries are rejected if none of them may run.
+        """
+        promoted = original.promote_retry()
+        if promoted is not None:
+            self._admit(promoted, now)
+            return
+        for retry in list(original.waiting_retries):
+            self.reject(retry, now)
--- a/pumicenotch/control/request.py
+++ b/pumicenotch/control/request.py
@@ -18,6 +18,7 @@
         dependency_attempts: how often the current call was sent.
         pool: the index of the pool in which the request waits or runs.
         wait_fraction: the fraction of the usual wait that the pool allows.
+        is_replay_only: whether this retry may only be answered with the result of its original.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "estimated_work",
         "expires_at",
         "is_answered",
+        "is_replay_only",
         "is_retry",
         "memory_kb",
         "off_cores_ms",
@@ -79,10 +81,14 @@
         self.pool = 0
         self.wait_fraction = 1.0
         self.is_retry = False
+        self.is_replay_only = incoming.is_replay_only
 
-    def promote_retry(self) -> "Request":
-        """Makes the oldest waiting retry the original of the others, and returns it."""
-        original, *others = self.waiting_retries
+    def promote_retry(self) -> "Request | None":
+        """Makes the oldest retry that may run the original of the others, and returns it."""
+        original = next((retry for retry in self.waiting_retries if not retry.is_replay_only), None)
+        if original is None:
+            return None
+        others = [retry for retry in self.waiting_retries if retry is not original]
         original.state = RequestState.QUEUED
         original.original = None
         original.waiting_retries = others
--- a/pumicenotch/interface.py
+++ b/pumicenotch/interface.py
@@ -132,6 +132,8 @@
         caller_id: the caller that sent the request; 0 if unknown.
         is_marked_retry: whether the caller marked the request as a retry.
         content_digest: equal for requests with equal content; 0 if unknown.
+        is_replay_only: whether a retry may only be answered with the result of its original, and
+            never run in its place.
     """
 
     request_id: int
@@ -145,6 +147,7 @@
     caller_id: int = 0
     is_marked_retry: bool = False
     content_digest: int = 0
+    is_replay_only: bool = False
 
 
 class Actions(Protocol):
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -214,6 +214,7 @@
             caller_id=request.caller_id,
             is_marked_retry=request.is_retry,
             content_digest=request.fingerprint() if self.make_pools is not None else 0,
+            is_replay_only=request.is_ownership_query,
         )
         controller.on_request(self.now, incoming)
 
--- a/tests/server/test_cell_admission.py
+++ b/tests/server/test_cell_admission.py
@@ -145,6 +145,47 @@
     )
 
 
+def test_a_retry_that_asks_a_former_home_never_runs_there_in_place_of_its_original() -> None:
+    # Its own window would end after the router stops asking the former home: it could run again.
+    before_move, after_move = maps_before_and_after_move()
+    node = NodeHarness(before_move)
+    for rid in range(1, 5):
+        assert node.send(rid, "put", epoch="1", token=f"{rid:032x}") == "run"
+    assert node.send(5, "put", epoch="1") == "waits"
+    node.step(events.CellMapReplaced(after_move, "epoch 2"))
+    assert node.send(6, "put", epoch="2", ask="1") == "waits"
+    assert node.send(7, "put", epoch="2", ask="1") == "waits"
+    node.step(events.RequestCancelled(1, 5))
+    rejected = [message for _, message in node.written if isinstance(message, RequestRejected)]
+    assert [message.message_id for message in rejected] == [6, 7]
+    for rid in range(1, 5):
+        node.step(events.RunFinished(rid, f"{rid:016x}", Outcome.OK, b"done"))
+    assert not [message for _, message in node.written if isinstance(message, StartRun)]
+    assert node.send(8, "put", epoch="2", ask="1") == "clear", "it never ran, and never will here"
+
+
+def test_a_retry_of_the_home_still_takes_the_place_of_its_original() -> None:
+    before_move, after_move = maps_before_and_after_move()
+    node = NodeHarness(before_move)
+    for rid in range(1, 5):
+        assert node.send(rid, "put", epoch="1", token=f"{rid:032x}") == "run"
+    assert node.send(5, "put", epoch="1") == "waits"
+    node.step(events.CellMapReplaced(after_move, "epoch 2"))
+    assert node.send(6, "put", epoch="2", ask="1") == "waits"
+    assert node.send(7, "put", epoch="1") == "waits"
+    node.step(events.RequestCancelled(1, 5))
+    assert not [message for _, message in node.written if isinstance(message, RequestRejected)]
+    node.step(events.RunFinished(1, f"{1:016x}", Outcome.OK, b"done"))
+    started = [message for _, message in node.written if isinstance(message, StartRun)]
+    assert [message.name for message in started] == [f"{7:016x}"]
+    node.step(events.RunFinished(2, f"{7:016x}", Outcome.OK, b"paid"))
+    served = [message for _, message in node.written if isinstance(message, RequestServed)]
+    assert {message.message_id: message.result for message in served if message.message_id > 5} == {
+        6: b"paid",
+        7: b"paid",
+    }
+
+
 def test_node_up_for_less_than_the_window_answers_no_word() -> None:
     before_move, after_move = maps_before_and_after_move()
     assert (
