Server: a key's window counts from its stamp also where a gateway's clock is ahead

What callers would see: with a gateway up to 1 s ahead (which servers accept), a keyed retry that comes within the window and is read late runs a second time.

Cause: the window was counted from the time of reading where the stamp was in the future, while a retry that is read late is judged by when it came.

Evidence: the test beside it, with 800 ms ahead and 600 ms of wait, started a second run before; with 0 ms ahead it passed before and after.

Why it works: the entry expires at the stamp's window end. A stamp that is not ahead adds nothing: on one machine all is as before.

--- a/pumicenotch/server/controller_actions.py
+++ b/pumicenotch/server/controller_actions.py
@@ -91,9 +91,11 @@
         server = self.server
         request = server.requests.by_id[request_id]
         if request.idempotency_key:
-            server.results.add(request, server.now + ttl_ms)
+            # The window counts from the gateway's stamp, as do those of its retries.
+            expires_at = server.now + ttl_ms + request.clock_ahead_ms
+            server.results.add(request, expires_at)
             expiry = ResultExpiry(request.request_id, request.request_class.timeout_ms)
-            server.timers.schedule(server.now + ttl_ms + expiry.retry_ms, self._expire, expiry)
+            server.timers.schedule(expires_at + expiry.retry_ms, self._expire, expiry)
 
     def drop_key(self, request_id: int) -> None:
         """Removes the key of a request that has not run; retries that wait for its result fail."""
--- a/pumicenotch/server/pending_request.py
+++ b/pumicenotch/server/pending_request.py
@@ -34,6 +34,7 @@
     body_digest = b""
     estimated_work: float | None = None
     stamped_at_ms = 0.0  # Unix time of sending, stamped by the gateway
+    clock_ahead_ms = 0.0  # by how much the stamp was ahead of this server's clock
     memory_kb = 0.0
     # Time after which an answer misses the latency objective; set if requests are counted by class.
     objective_at = float("inf")
--- a/tests/server/test_cell_admission.py
+++ b/tests/server/test_cell_admission.py
@@ -145,6 +145,22 @@
     )
 
 
+@pytest.mark.parametrize("ahead_ms", [0.0, 800.0])
+def test_a_retry_that_is_read_late_is_known_although_its_gateways_clock_is_ahead(
+    ahead_ms: float,
+) -> None:
+    # The window counts from the gateway's stamp: a stamp that was ahead must not end it sooner.
+    node = NodeHarness(None)
+    first_stamp = node.now + ahead_ms
+    assert node.send(1, "put", t0=str(int(first_stamp))) == "run"
+    node.step(events.RunFinished(1, f"{1:016x}", Outcome.OK, b"done"))
+    retry_stamp = first_stamp + WINDOW_MS - 10.0
+    node.now = retry_stamp - ahead_ms + 600.0
+    assert node.send(2, "put", t0=str(int(retry_stamp)), again="1") == "waits"
+    served = [message for _, message in node.written if isinstance(message, RequestServed)]
+    assert [message.result for message in served] == [b"done"]
+
+
 def test_a_retry_that_asks_a_former_home_never_runs_there_in_place_of_its_original() -> None:
     # Its own window would end after the router stops asking the former home: it could run again.
     before_move, after_move = maps_before_and_after_move()
