Agent: a server that serves is ended by its permit, whatever problem the agent remembers

Cause: _stop_for_move took any remembered problem for 'counts as unavailable' and looked at no halt. A crash loop stays a problem for a minute while the server serves.

Evidence: the fleet's log, 'n1 leaves unasked'.

Why it works: without a permit only a server is ended that never came into service in its time, that the fleet does not count as serving by an answer not older than a request's timeout, and only if nothing is halted.

--- a/pumicenotch/fleet/agent/agent.py
+++ b/pumicenotch/fleet/agent/agent.py
@@ -82,7 +82,6 @@
     MAX_FAILED_STARTS = 2
     INITIAL_BACKOFF_MS = 250.0  # before a restart after an unexpected exit; doubles
     MAX_BACKOFF_MS = 10_000.0
-    KILL_TIMEOUT_MS = 3000.0  # between SIGTERM and SIGKILL, for a server that need not drain
     FETCH_RETRY_DELAY_MS = 5000.0
 
     INPUTS: ClassVar[Mapping[str, str]] = {
@@ -125,6 +124,8 @@
         # The fleet's last answers
         self.has_fleet_answered = False
         self.last_answered_report = 0  # the request number of the report
+        self.last_hint_at_ms = -NEVER_MS
+        self.server_status = ""  # as agreed, by the last answer since the server's start
         self.next_report_at_ms = setup.now_ms
         self.server_process_id = ""  # as the fleet knows it
         self.server_process_id_before_start = ""
@@ -162,8 +163,7 @@
         the isolation timeout.
         """
         if self.has_server:
-            is_late = self.now_ms - self.started_at_ms > self.start_timeout_ms
-            if is_late and not self.has_served and not self.problem:
+            if self._is_silent() and not self.problem:
                 timeout_s = self.start_timeout_ms / 1000.0
                 self.report_problem(f"silent: not in service {timeout_s:.0f} s after its start")
             if self.now_ms >= self.kill_at_ms:
@@ -178,6 +178,11 @@
         if (self.has_answer_since_exit() and not moves_first) or is_isolated:
             self.start_server()
 
+    def _is_silent(self) -> bool:
+        """Tells whether the server runs and has not come into service in time after its start."""
+        is_late = self.now_ms - self.started_at_ms > self.start_timeout_ms
+        return self.has_server and not self.has_served and is_late
+
     def has_answer_since_exit(self) -> bool:
         """Tells whether the fleet has answered a report that was sent after the server's exit."""
         return self.last_answered_report > self.last_outdated_request
@@ -237,10 +242,13 @@
             self.log(problem)
             self.schedule_report()
 
-    def stop_server(self, kill_after_ms: float) -> None:
-        """Stops the server, and kills it if it has not exited after the given time."""
+    def stop_server(self) -> None:
+        """Stops the server, and kills it if it has not exited after the time for a drain.
+
+        Every server gets this time: one that the fleet does not count as serving may hold requests.
+        """
         if self.has_server and self.kill_at_ms == NEVER_MS:
-            self.kill_at_ms = self.now_ms + kill_after_ms
+            self.kill_at_ms = self.now_ms + self.drain_timeout_ms
             self.effects.append(StopServer(force=False))
 
     def schedule_report(self) -> None:
@@ -334,17 +342,30 @@
         """Stops the server for a move to another version, by its permit.
 
         A server that has a permit drains and exits by itself. If the server has not started its
-        drain in time, the agent starts the permit and then stops the server. A server with a
-        problem counts as unavailable by the agent's report, and needs no permit.
+        drain in time, the agent starts the permit and then stops the server. A server that never
+        came into service gets no permit and is stopped without one.
         """
-        if self.problem and not self.problem.startswith(STORAGE_PROBLEM):
-            self.stop_server(self.KILL_TIMEOUT_MS)
+        if self._is_out_of_service():
+            self.stop_server()
         elif self.permit_started:
             if self.now_ms - self.permit_started_at_ms > self.drain_timeout_ms:
-                self.stop_server(self.KILL_TIMEOUT_MS)
+                self.stop_server()
         elif self.permit_epoch and not self.halt_reason and self._is_permit_overdue():
             self.send_request("began", self.node, self.server_process_id, self.permit_epoch)
 
+    def _is_out_of_service(self) -> bool:
+        """Tells whether the server may be stopped without a permit, as nobody counts on it.
+
+        The server has not come into service in time, the fleet has just said that it does not count
+        it as serving, and no halt is in force. A problem that the agent remembers, such as a crash
+        loop, does not matter: the server may serve again.
+        """
+        is_current = self.now_ms - self.last_hint_at_ms <= self.REQUEST_TIMEOUT_MS
+        has_answer_since_start = self.has_answer_since_exit()
+        is_counted = self.server_status == SERVING
+        is_known = is_current and has_answer_since_start
+        return self._is_silent() and is_known and not is_counted and not self.halt_reason
+
     def _is_permit_overdue(self) -> bool:
         return self.now_ms - self.permit_received_at_ms > self.PERMIT_START_TIMEOUT_MS
 
@@ -358,7 +379,7 @@
             case "began" if not self._is_answer_outdated():
                 self.permit_started = True
                 self.permit_started_at_ms = self.now_ms
-                self.stop_server(self.drain_timeout_ms)
+                self.stop_server()
 
     def _on_move_permitted(self) -> None:
         """Activates the requested version, unless a server was started after the request."""
@@ -394,6 +415,8 @@
             return
         assert self.answered_request is not None
         self.last_answered_report = self.answered_request.number
+        self.last_hint_at_ms = self.now_ms
+        self.server_status = hint.status
         is_in_place = self.versions.get(hint.next_step.slot) == hint.next_step.version
         self.next_step = NO_STEP if is_in_place else hint.next_step
         self.halt_reason = hint.halt_reason
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -2,7 +2,10 @@
 
 from typing import Any
 
+import pytest
+
 from pumicenotch.fleet.agent.agent import Agent, AgentSetup
+from pumicenotch.fleet.drains.budgets import SERVING
 from pumicenotch.fleet.member import effects
 from pumicenotch.lab.releasing import NEW, OLD
 
@@ -43,6 +46,112 @@
     return agent, agent.request[0], agent.request[2]
 
 
+def serving_agent(problem: str = "", **setup: Any) -> Agent:
+    """Returns an agent that has just started beside a server that runs."""
+    values: dict[str, Any] = {
+        "fleet": "f",
+        "node": "n0",
+        "process_id": "a",
+        "voters": ("v1",),
+        "versions": {"program": OLD},
+        "stored": (OLD, NEW),
+        "has_server": True,
+        "start_timeout_ms": 5000.0,
+        "drain_timeout_ms": 9000.0,
+        "now_ms": 0.0,
+        "seed": 1,
+        "problem": problem,
+    }
+    return Agent(AgentSetup(**values | setup))
+
+
+class AgentHarness:
+    """Steps an agent, whose reports are answered at once by `hint`; other requests stay open."""
+
+    def __init__(self, agent: Agent, **hint: Any) -> None:
+        self.agent = agent
+        self.hint: dict[str, Any] = {"life": "p0", "standing": SERVING, "hold": [], **hint}
+        self.now_ms = 0.0
+        self.effects: list[Any] = []
+        self.step("start")
+
+    def step(self, name: str, *details: Any) -> None:
+        self.effects += self.agent.step(self.now_ms, name, *details)
+        request = self.agent.request
+        if request is not None and request.verb == "agent":
+            self.step("answered", request.number, None, self.hint)
+
+    def run_until(self, time_ms: float) -> None:
+        while self.now_ms < time_ms:
+            self.now_ms += 50.0
+            self.step("time")
+
+    def stops(self) -> list[Any]:
+        return [effect for effect in self.effects if isinstance(effect, effects.StopServer)]
+
+    def requests(self) -> list[str]:
+        return [effect.verb for effect in self.effects if isinstance(effect, effects.SendRequest)]
+
+    def crash(self, process_id: str) -> None:
+        """The server crashes, is started again and comes into service."""
+        self.hint |= {"standing": "gone"}
+        self.step("ended", -9)
+        self.run_until(self.now_ms + 3000.0)
+        assert self.agent.has_server
+        self.hint |= {"standing": SERVING, "life": process_id}
+        self.run_until(self.now_ms + 1000.0)
+
+
+@pytest.mark.parametrize("halt_reason", ["", "HALT by op: wait"])
+def test_a_server_that_serves_after_a_crash_loop_is_not_stopped_without_a_permit(
+    halt_reason: str,
+) -> None:
+    # The agent took such a server for out: it ended it beyond the budget, in halts, and by SIGKILL.
+    harness = AgentHarness(serving_agent())
+    for number in range(1, 4):
+        harness.crash(f"p{number}")
+    assert harness.agent.problem.startswith("crash loop") and harness.agent.has_served
+    harness.hint |= {"due": ("program", NEW), "halted": halt_reason}
+    harness.run_until(harness.now_ms + 20_000.0)
+    assert not harness.stops() and harness.agent.has_server
+    harness.hint |= {"permit": 7, "begun": False}
+    harness.run_until(harness.now_ms + 7000.0)
+    assert not harness.stops()
+    assert ("began" in harness.requests()) == (not halt_reason), "by its permit, once it is overdue"
+
+
+def test_an_agent_whose_own_release_failed_does_not_stop_its_server_without_a_permit() -> None:
+    # A problem of the agent's own version is none of the server, which serves.
+    harness = AgentHarness(serving_agent("agent refused: it ended"), due=("program", NEW))
+    harness.run_until(20_000.0)
+    assert not harness.stops()
+
+
+@pytest.mark.parametrize(
+    ("status", "halt_reason", "is_stopped"),
+    [("gone", "", True), (SERVING, "", False), ("gone", "HALT by op: wait", False)],
+)
+def test_a_server_that_never_served_is_stopped_unless_the_fleet_counts_it_or_is_halted(
+    status: str, halt_reason: str, is_stopped: bool
+) -> None:
+    harness = AgentHarness(serving_agent(has_server=False), standing="gone")
+    harness.run_until(2000.0)
+    assert harness.agent.has_server and not harness.agent.has_served
+    # The process that the fleet knows is the previous one, so the agent does not see it serve.
+    harness.hint |= {"standing": status, "due": ("program", NEW), "halted": halt_reason}
+    harness.run_until(harness.agent.started_at_ms + 4500.0)
+    assert not harness.stops(), "it has time to start"
+    harness.run_until(harness.agent.started_at_ms + 7000.0)
+    stopped_at_ms = harness.now_ms
+    assert bool(harness.stops()) == is_stopped
+    harness.run_until(stopped_at_ms + 6500.0)
+    assert effects.StopServer(force=True) not in harness.stops(), (
+        "the kill waits for a drain's time"
+    )
+    harness.run_until(stopped_at_ms + 10_000.0)
+    assert (effects.StopServer(force=True) in harness.stops()) == is_stopped
+
+
 def test_a_permission_received_after_its_timeout_is_ignored() -> None:
     agent, number, expires_at_ms = agent_with_pending_move()
     assert effects.ActivateVersion("program", NEW) in agent.step(
