Cells: a change waits for the nodes of earlier changes that are not settled

What callers would see: with two changes made before the first is told to all its nodes, routers get both too early; a former home that never heard of the first move, and is killed, comes back and runs again what it gave up.

Cause: progress and may_publish_to_routers looked at the newest change's tenants alone.

Evidence: the test beside it got 'telling routers' before, with two nodes two epochs behind.

Why it works: former nodes without an expiry are those of unsettled changes; their tenants are waited for as well. Settled ones are not (asserted).

--- a/pumicenotch/cells/moves.py
+++ b/pumicenotch/cells/moves.py
@@ -202,6 +202,28 @@
     )
 
 
+def unsettled_tenants(cells: CellMap) -> tuple[str, ...]:
+    """Returns the tenants with former nodes that nobody has settled: some may not know of it yet."""
+    return tuple(
+        sorted(
+            name
+            for name, tenant in cells.tenants.items()
+            if any(
+                former.expires_at == OPEN_ENDED
+                for former in (*tenant.former, *cells.cells[tenant.cell].former)
+            )
+        )
+    )
+
+
+def unfinished_tenants(before: CellMap, after: CellMap) -> tuple[str, ...]:
+    """Returns the tenants whose nodes must have the new map before any router.
+
+    These are the tenants of the newest change and those of earlier ones that are not settled.
+    """
+    return tuple(sorted({*changed_tenants(before, after), *unsettled_tenants(after)}))
+
+
 def progress(
     before: CellMap, after: CellMap, nodes: dict[str, int], routers: dict[str, int], now: float
 ) -> Progress:
@@ -214,7 +236,7 @@
         routers: The epoch that each router has acknowledged.
         now: The current Unix time in ms.
     """
-    names = changed_tenants(before, after)
+    names = unfinished_tenants(before, after)
     missing = tuple(
         name for name in affected_nodes(before, after, names) if nodes.get(name, 0) < after.epoch
     )
@@ -250,7 +272,7 @@
             running one could, by an old map, run requests that the tenants' new nodes run too.
     """
     ready = set(force) | {name for name, epoch in nodes.items() if epoch >= after.epoch}
-    return set(affected_nodes(before, after, changed_tenants(before, after))) <= ready
+    return set(affected_nodes(before, after, unfinished_tenants(before, after))) <= ready
 
 
 def abort(before: CellMap, after: CellMap, now: float) -> CellMap:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -384,6 +384,28 @@
     )
 
 
+def test_a_change_waits_for_the_nodes_of_earlier_changes_that_are_not_settled() -> None:
+    # Routers got a newer map although nodes of the change before it had never heard of that one.
+    cells = {name: Cell(name, make_nodes(name.upper())) for name in "abcd"}
+    first_map = CellMap(1, cells, {"t": Tenant("a"), "u": Tenant("c")}, WINDOW_MS)
+    second_map = moves.move(first_map, ["t"], "b", 0.0)
+    third_map = moves.move(second_map, ["u"], "d", 1.0)
+    acknowledged = {"A": 1, "B": 1, "C": 3, "D": 3}
+    routers = {"r": 1}
+    progress = moves.progress(second_map, third_map, acknowledged, routers, 2.0)
+    assert progress == (moves.Stage.TELLING_NODES, ("A", "B"))
+    assert not moves.may_publish_to_routers(second_map, third_map, acknowledged)
+    acknowledged |= {"A": 3, "B": 3}
+    progress = moves.progress(second_map, third_map, acknowledged, routers, 2.0)
+    assert progress.stage is moves.Stage.TELLING_ROUTERS
+    assert moves.may_publish_to_routers(second_map, third_map, acknowledged)
+    resized = moves.resize(second_map, "c", make_nodes("C", "C2"), 1.0)
+    assert not moves.may_publish_to_routers(second_map, resized, {"C": 3, "C2": 3})
+    settled = moves.settle(third_map, 3.0)
+    fourth_map = moves.move(settled, ["u"], "c", 4.0)
+    assert moves.may_publish_to_routers(settled, fourth_map, {"C": 5, "D": 5}), "t is settled"
+
+
 def test_an_evacuated_cell_has_no_tenants_and_the_others_stay_within_their_bounds() -> None:
     first_map = make_map(**{f"t{at}": "ab"[at % 2] for at in range(40)})
     first_map = first_map._replace(
