Router: a rejection after a broken connection does not claim that the request never ran

Cause: after a broken connection the router tries another node, and passed that node's rejection on as its own.

Evidence: the new test and the stricter check in the drawn one failed before: broken, then rejected, old map, refused or no node left, were all answered as rejected.

Why it works: a route remembers that a connection broke, and ends as failed where it would have said rejected. Served stays served.

test_an_idempotent_request_tries_each_node_once asserted the fault itself (broken, then rejected, answered as rejected). It holds both ways now: rejected with its time to come back after a refused connection, failed after a broken one.

--- a/pumicenotch/cells/walk.py
+++ b/pumicenotch/cells/walk.py
@@ -83,6 +83,7 @@
         self.home = homes.home.name if homes is not None else ""
         self.candidates = candidates
         self.asked_home = ""  # the former home whose answer is outstanding
+        self.may_have_run = False  # on a node whose connection broke
         self.is_finished = False
 
     def start(self) -> Step:
@@ -102,8 +103,14 @@
         return self.finish("rejected", "no_node_left", RETRY_AFTER_MS)
 
     def finish(self, kind: str, reason: str, retry_after_ms: float = 0.0) -> RouteResult:
-        """Ends the route and returns its result."""
+        """Ends the route and returns its result.
+
+        A rejection tells the caller that the request never ran. Once it may have run on some node,
+        the request fails instead, whatever the later nodes answered.
+        """
         self.is_finished = True
+        if kind == "rejected" and self.may_have_run:
+            kind = "failed"
         return RouteResult(kind, reason, retry_after_ms)
 
     def on_result(self, result: SendResult, may_retry: bool = True) -> Step:
@@ -113,6 +120,8 @@
             result: The node's answer, or the failure to get one.
             may_retry: Whether the tenant's retry budget permits another attempt.
         """
+        if result is SendResult.BROKEN:
+            self.may_have_run = True
         if result is SendResult.SERVED:
             return self.finish("served", "served")
         if result is SendResult.FAILED:
@@ -138,9 +147,7 @@
             return self.finish("rejected", reason, RETRY_AFTER_MS)
         if self.candidates and may_retry:
             return self.next_step()
-        return self.finish(
-            "failed" if result is SendResult.BROKEN else "rejected", "no_try_left", RETRY_AFTER_MS
-        )
+        return self.finish("rejected", "no_try_left", RETRY_AFTER_MS)
 
 
 def plan_route(
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -302,7 +302,7 @@
     assert isinstance(step, RouteResult) and route.is_finished
     assert len({each.node for each in sent}) == len(sent), "no node gets the request twice"
     if step.kind == "rejected":
-        assert results[len(sent) - 1] is not SendResult.BROKEN
+        assert SendResult.BROKEN not in results[: len(sent)], "it may have run on any of the nodes"
 
 
 def test_a_former_home_without_an_answer_is_never_skipped() -> None:
@@ -321,6 +321,26 @@
         assert route.on_result(result) == RouteResult("failed", "former_home_silent")
 
 
+@pytest.mark.parametrize(
+    "result", [SendResult.REJECTED, SendResult.OLD_MAP, SendResult.REFUSED, SendResult.BROKEN]
+)
+def test_a_rejection_after_a_broken_connection_does_not_claim_that_the_request_never_ran(
+    result: SendResult,
+) -> None:
+    # TryLater says that this try never ran, and nobody knows that of a node that went silent.
+    for nodes in (["A1", "A2"], ["A1", "A2", "A3"]):
+        route = Route(Idempotency.IDEMPOTENT, 1, None, nodes)
+        route.start()
+        step = route.on_result(SendResult.BROKEN)
+        while isinstance(step, Send):
+            step = route.on_result(result)
+        assert step.kind == "failed", "whichever node it was sent to after the broken connection"
+    route = Route(Idempotency.IDEMPOTENT, 1, None, ["A1", "A2"])
+    route.start()
+    route.on_result(SendResult.BROKEN)
+    assert route.on_result(SendResult.SERVED) == RouteResult("served", "served")
+
+
 def test_a_side_effecting_request_that_may_have_run_is_not_retried() -> None:
     route = Route(Idempotency.NONE, 1, None, ["A1", "A2"])
     assert route.start() == Send("A1", Role.HOME, 1)
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -138,15 +138,22 @@
     assert not harness.core.routed_requests and not harness.core.requests.by_id
 
 
-def test_an_idempotent_request_tries_each_node_once() -> None:
+@pytest.mark.parametrize("failure", [REFUSED, BROKEN])
+def test_an_idempotent_request_tries_each_node_once(failure: ConnectionFailure) -> None:
+    # A rejection says that the request never ran, which nobody knows after a broken connection.
     harness = RouterHarness()
     message_id = harness.send()
-    first_connection = harness.establish_last()
-    harness.step(events.ConnectionDown(first_connection, BROKEN))
+    if failure is BROKEN:
+        first_connection = harness.establish_last()
+    else:
+        first_connection = harness.dialed_connections()[-1]
+    harness.step(events.ConnectionDown(first_connection, failure))
     second_connection = harness.establish_last()
     assert first_connection.rpartition("-")[2] != second_connection.rpartition("-")[2]
     harness.step(NodeAnswered(second_connection, 1, "rejected", b"", {"backoff": "900"}))
-    assert harness.answers(message_id) == [RequestRejected(message_id, None, 900.0, False)]
+    rejected = RequestRejected(message_id, None, 900.0, False)
+    answer = RequestFailed(message_id, None) if failure is BROKEN else rejected
+    assert harness.answers(message_id) == [answer]
 
 
 @pytest.mark.parametrize(
