--- a/pumicenotch/fleet/agent/agent.py
+++ b/pumicenotch/fleet/agent/agent.py
@@ -11,6 +11,7 @@
 from typing import Any, ClassVar, NamedTuple
 
 from pumicenotch.fleet.agent.hint import AgentHint, read_agent_hint
+from pumicenotch.fleet.agent.version_checks import VersionChecks
 from pumicenotch.fleet.drains.budgets import SERVING
 from pumicenotch.fleet.member.effects import (
     ActivateVersion,
@@ -86,8 +87,6 @@
     INITIAL_BACKOFF_MS = 250.0  # before a restart after an unexpected exit; doubles
     MAX_BACKOFF_MS = 10_000.0
     FETCH_RETRY_DELAY_MS = 5000.0
-    # A stored version may be damaged after a check, so an older check is repeated.
-    CHECK_VALIDITY_MS = 60_000.0
 
     INPUTS: ClassVar[Mapping[str, str]] = {
         "start": "on_start",
@@ -113,9 +112,7 @@
         self.stored = list(setup.stored)
         # The earliest time of the next fetch, by version; NEVER_MS during a fetch.
         self.next_fetch_at_ms: dict[str, float] = {}
-        self.checking_version = ""  # the version that is being compared with its hash
-        self.checked_at_ms: dict[str, float] = {}  # by version
-        self.next_check_at_ms = setup.now_ms
+        self.checks = VersionChecks()
         self.activating_step = NO_STEP  # the step whose version is being put in its slot
         # The server
         self.has_server = setup.has_server
@@ -286,32 +283,18 @@
             self.problem = ""
         self.schedule_report()
 
-    def _is_checked(self, version: str) -> bool:
-        checked_at_ms = self.checked_at_ms.get(version, -NEVER_MS)
-        return self.now_ms - checked_at_ms <= self.CHECK_VALIDITY_MS
-
     def check_version(self, version: str, is_in_use: bool) -> None:
-        """Starts to compare a stored version with its hash, before the move to it is requested.
-
-        Args:
-            version: the version of the next step.
-            is_in_use: whether the slot's process still runs. An old check is repeated only once the
-                process has ended, as its end may be far away.
-        """
-        is_due = version not in self.checked_at_ms or not (is_in_use or self._is_checked(version))
-        if is_due and not self.checking_version and self.now_ms >= self.next_check_at_ms:
-            self.checking_version = version
+        """Starts to compare a stored version with its hash, if a check is due."""
+        if self.checks.is_due(version, self.now_ms, is_in_use):
+            self.checks.start(version)
             self.effects.append(CheckVersion(version))
 
     def on_checked(self, version: str, problem: str) -> None:
         """Handles the end of a check. A version that is not as stored is not activated."""
-        self.checking_version = ""
+        self.checks.finish(version, self.now_ms, passed=not problem)
         if problem:
-            self.checked_at_ms.pop(version, None)
-            self.next_check_at_ms = self.now_ms + self.FETCH_RETRY_DELAY_MS
             self._on_storage_problem(version, problem)
             return
-        self.checked_at_ms[version] = self.now_ms
         self._allow_next_request()
         if self.problem.startswith(f"{STORAGE_PROBLEM} {version}"):
             self.problem = ""
@@ -380,7 +363,9 @@
             self._send_report()
         elif is_stored and is_restart and self.has_server:
             self._stop_for_move()
-        elif self._is_checked(version) and (not is_restart or self.has_answer_since_exit()):
+        elif self.checks.is_valid(version, self.now_ms) and (
+            not is_restart or self.has_answer_since_exit()
+        ):
             self.send_request("move", self.node, self.process_id, slot, version)
         if self.request is None and self.next_request_at_ms <= self.now_ms:
             self.next_request_at_ms = self.next_report_at_ms
@@ -480,7 +465,7 @@
         is_in_place = self.versions.get(hint.next_step.slot) == hint.next_step.version
         next_step = NO_STEP if is_in_place else hint.next_step
         if next_step != self.next_step:
-            self.checked_at_ms.clear()
+            self.checks.forget()
         self.next_step = next_step
         self.halt_reason = hint.halt_reason
         self.server_process_id = hint.process_id
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pumicenotch.fleet.agent.agent import Agent, AgentSetup
+from pumicenotch.fleet.agent.version_checks import VersionChecks
 from pumicenotch.fleet.drains.budgets import SERVING
 from pumicenotch.fleet.member import effects
 from pumicenotch.lab.releasing import NEW, OLD
@@ -42,7 +43,7 @@
         if agent.request[1] == "move":
             break
         agent.step(time_ms, "answered", agent.request[0], None, answer)
-        if agent.checking_version:
+        if agent.checks.running:
             agent.step(time_ms, "checked", NEW, "")
     assert agent.request is not None and agent.request[1] == "move"
     return agent, agent.request[0], agent.request[2]
@@ -216,7 +217,7 @@
     harness = AgentHarness(serving_agent(), due=("program", NEW))
     harness.run_until(1000.0)
     harness.step("checked", NEW, "")
-    harness.run_until(1000.0 + 2 * Agent.CHECK_VALIDITY_MS)
+    harness.run_until(1000.0 + 2 * VersionChecks.VALIDITY_MS)
     assert harness.effects.count(effects.CheckVersion(NEW)) == 1
     harness.hint |= {"standing": "gone"}
     harness.step("ended", 0)
