--- a/pumicenotch/cells/moves.py
+++ b/pumicenotch/cells/moves.py
@@ -4,8 +4,8 @@
 without an expiry. The map is published to the nodes first; once a node has it in its file, the node runs
 nothing new under an older one. Routers get the map only when every old and new node of the tenant has it.
 When all routers have it, a second map settles the move: from then on the former nodes are asked about
-requests that come within one more window. No other state is kept: a control plane that crashes reads the newest map and the
-acknowledgements again, and continues or aborts the move from there.
+requests that come within one more window. No other state is kept: a control plane that crashes reads
+the newest map and the acknowledgements again, and continues or aborts the move from there.
 """
 
 from collections.abc import Iterable, Mapping
@@ -120,9 +120,10 @@
 def settle(cells: CellMap, now: float) -> CellMap:
     """Returns the next map, in which former nodes without an expiry get one.
 
-    It is the end of the window of the last request that they can have run, by the time when a retry
-    comes; `FormerNodes.is_active` adds the time until the retry is read. They expire after one window plus the lease. For as long as the lease, a router without the newest map
-    may still send requests by its old one to a node that was forced, see `may_publish_to_routers`.
+    The expiry is the end of the window of the last request that they can have run, by the time when a
+    retry comes; `FormerNodes.is_active` adds the time until the retry is read. It is one window plus the
+    lease from now: for as long as the lease, a router without the newest map may still send requests by
+    its old one to a node that was forced, see `may_publish_to_routers`.
 
     The map is created once every affected node has the previous one, and every router has it or its
     lease has run out; see `progress`. The map changes no tenant's epoch: routers without it continue
--- a/pumicenotch/fleet/agent/agent.py
+++ b/pumicenotch/fleet/agent/agent.py
@@ -182,7 +182,7 @@
         slot, version = self.next_step
         moves_first = slot in RESTART_SLOTS and version in self.stored and not self.halt_reason
         is_isolated = self.now_ms >= self.exited_at_ms + self.ISOLATION_TIMEOUT_MS
-        if (self.has_answer_since_exit() and not moves_first) or is_isolated:
+        if (self.has_current_answer() and not moves_first) or is_isolated:
             self.start_server()
 
     def _is_silent(self) -> bool:
@@ -190,8 +190,8 @@
         is_late = self.now_ms - self.started_at_ms > self.start_timeout_ms
         return self.has_server and not self.has_served and is_late
 
-    def has_answer_since_exit(self) -> bool:
-        """Tells whether the fleet has answered a report that was sent after the server's exit."""
+    def has_current_answer(self) -> bool:
+        """Tells whether the fleet has answered a report from after the last start or exit."""
         return self.last_answered_report > self.last_outdated_request
 
     def _is_answer_outdated(self) -> bool:
@@ -364,7 +364,7 @@
         elif is_stored and is_restart and self.has_server:
             self._stop_for_move()
         elif self.checks.is_valid(version, self.now_ms) and (
-            not is_restart or self.has_answer_since_exit()
+            not is_restart or self.has_current_answer()
         ):
             self.send_request("move", self.node, self.process_id, slot, version)
         if self.request is None and self.next_request_at_ms <= self.now_ms:
@@ -404,11 +404,10 @@
         it as serving, and no halt is in force. A problem that the agent remembers, such as a crash
         loop, does not matter: the server may serve again.
         """
-        is_current = self.now_ms - self.last_hint_at_ms <= self.REQUEST_TIMEOUT_MS
-        has_answer_since_start = self.has_answer_since_exit()
-        is_counted = self.server_status == SERVING
-        is_known = is_current and has_answer_since_start
-        return self._is_silent() and is_known and not is_counted and not self.halt_reason
+        answer_age_ms = self.now_ms - self.last_hint_at_ms
+        is_status_known = self.has_current_answer() and answer_age_ms <= self.REQUEST_TIMEOUT_MS
+        is_counted = not is_status_known or self.server_status == SERVING
+        return self._is_silent() and not is_counted and not self.halt_reason
 
     def _is_permit_overdue(self) -> bool:
         return self.now_ms - self.permit_received_at_ms > self.PERMIT_START_TIMEOUT_MS
