Server: when a request came is worked out once, by the decoder

Change: PendingRequest.arrived_at_ms, set by the decoder; how far a stamp was ahead follows from it. Cell admission needs no clock any more. Values are the same to the last bit.

--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -346,7 +346,7 @@
             self.cells,
             self.confirmed_at,
             unix_ms,
-            min(request.stamped_at_ms, unix_ms),
+            request.arrived_at_ms,
             tenant,
             request.request_class.idempotency,
             request.idempotency_key,
@@ -357,7 +357,7 @@
             return
         answer_at = (
             self.now
-            - max(0.0, unix_ms - request.stamped_at_ms)
+            - (unix_ms - request.arrived_at_ms)
             + request.request_class.timeout_ms
             - self.ANSWER_MARGIN_MS
         )
--- a/pumicenotch/server/cell_admission.py
+++ b/pumicenotch/server/cell_admission.py
@@ -25,7 +25,7 @@
         self.fence = fence
         self.node = node
 
-    def rejection_reason(self, request: PendingRequest, unix_ms: float, is_known: bool) -> str:
+    def rejection_reason(self, request: PendingRequest, is_known: bool) -> str:
         """Returns the reason why the request may not run on this node; "" if it may.
 
         A caller that is not a router sends no epoch, and this node's own map decides. A request
@@ -34,7 +34,6 @@
 
         Args:
             request: The request.
-            unix_ms: The current Unix time.
             is_known: Whether this node knows the request's idempotency key.
         """
         tenant = request.tenant_name
@@ -45,7 +44,6 @@
             if not is_known and not self.fence.admits(self.node, tenant, None):
                 return OUTDATED_MAP
             epoch = self.fence.newest_epoch(tenant)
-        arrived_at = min(request.stamped_at_ms, unix_ms)
         return self.fence.rejection_reason(
-            arrived_at, tenant, epoch, request.is_ownership_query, is_known
+            request.arrived_at_ms, tenant, epoch, request.is_ownership_query, is_known
         )
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -174,7 +174,7 @@
         unix_ms = self.now + event.clock_offset_ms
         try:
             request = self.decoder.decode(event, unix_ms)
-            waited_ms = max(0.0, unix_ms - request.stamped_at_ms)
+            waited_ms = unix_ms - request.arrived_at_ms
             original_id = None
             if request.idempotency_key:
                 original_id = self.results.find_original(request, self.now - waited_ms)
@@ -185,7 +185,7 @@
         self.requests.add(request)
         if self.request_counters is not None:
             self.request_counters.on_received(self.now, request, waited_ms)
-        if self.cells is not None and self._reject_by_cell(event, request, original_id):
+        if self.cells is not None and self._reject_by_cell(request, original_id):
             return
         if self.lifecycle.exited:
             self._answer_after_exit(request, original_id)
@@ -218,12 +218,9 @@
         )
         controller.on_request(self.now, incoming)
 
-    def _reject_by_cell(
-        self, event: events.RequestReceived, request: PendingRequest, original_id: int | None
-    ) -> bool:
+    def _reject_by_cell(self, request: PendingRequest, original_id: int | None) -> bool:
         assert self.cells is not None
-        unix_ms = self.now + event.clock_offset_ms
-        reason = self.cells.rejection_reason(request, unix_ms, original_id is not None)
+        reason = self.cells.rejection_reason(request, original_id is not None)
         if not reason:
             return False
         self.counters.add(f"cells_{reason}")
--- a/pumicenotch/server/pending_request.py
+++ b/pumicenotch/server/pending_request.py
@@ -34,7 +34,8 @@
     body_digest = b""
     estimated_work: float | None = None
     stamped_at_ms = 0.0  # Unix time of sending, stamped by the gateway
-    clock_ahead_ms = 0.0  # by how much the stamp was ahead of this server's clock
+    # Unix time of arrival: that of sending, but not later than when this process read the request.
+    arrived_at_ms = 0.0
     memory_kb = 0.0
     # Time after which an answer misses the latency objective; set if requests are counted by class.
     objective_at = float("inf")
@@ -61,6 +62,11 @@
         self.class_name = class_name
         self.body = body
 
+    @property
+    def clock_ahead_ms(self) -> float:
+        """By how much the stamp was ahead of this process's clock."""
+        return self.stamped_at_ms - self.arrived_at_ms
+
     def fingerprint(self) -> int:
         """Returns a positive hash of the content; requests with equal hashes are likely retries."""
         content = b"%d %d %r " % (self.class_index, self.tenant_index, self.estimated_work)
--- a/pumicenotch/server/request_decoder.py
+++ b/pumicenotch/server/request_decoder.py
@@ -169,7 +169,7 @@
         request.stamped_at_ms = float(text_field(fields, STAMPED_AT))
         if request.stamped_at_ms > unix_ms + MAX_CLOCK_AHEAD_MS:
             raise InvalidRequestError(STAMPED_AT)
-        request.clock_ahead_ms = max(0.0, request.stamped_at_ms - unix_ms)
+        request.arrived_at_ms = min(request.stamped_at_ms, unix_ms)
         request.memory_kb = number_field(fields, MEMORY, MAX_MEMORY_KB)
         if request.memory_kb <= 0.0:
             raise InvalidRequestError(MEMORY)
