Cells: the former nodes of a tenant are gathered in one place

Change: CellMap.formers, called by homes, affected_nodes, progress and unfinished_tenants; the two functions for unsettled changes are one, without sorting what is sorted again.

--- a/pumicenotch/cells/map.py
+++ b/pumicenotch/cells/map.py
@@ -136,6 +136,14 @@
         tenant = self.tenant(name)
         return shard(name, self.cells[tenant.cell].nodes, tenant.span) if tenant is not None else ()
 
+    def formers(self, name: str) -> tuple[FormerNodes, ...]:
+        """Returns the former nodes of a tenant: of its earlier cells, and of its cell before resizes."""
+        tenant = self.tenant(name)
+        if tenant is None:
+            return ()
+        of_cell = (each._replace(span=tenant.span) for each in self.cells[tenant.cell].former)
+        return (*tenant.former, *of_cell)
+
     def homes(self, name: str, key: str, arrived_at: float) -> Homes | None:
         """Returns the home and the former homes of a request's idempotency key.
 
@@ -144,13 +152,11 @@
             key: The idempotency key.
             arrived_at: When the request came, in Unix ms.
         """
-        tenant = self.tenant(name)
-        if tenant is None:
+        if self.tenant(name) is None:
             return None
-        cell = self.cells[tenant.cell]
-        home = owner(key, shard(name, cell.nodes, tenant.span))
+        home = owner(key, self.nodes(name))
         former_homes: list[Node] = []
-        for former in (*tenant.former, *(each._replace(span=tenant.span) for each in cell.former)):
+        for former in self.formers(name):
             if former.may_know(arrived_at) and former.nodes:
                 node = owner(key, shard(name, former.nodes, former.span))
                 if node.name != home.name and all(node.name != each.name for each in former_homes):
--- a/pumicenotch/cells/moves.py
+++ b/pumicenotch/cells/moves.py
@@ -185,13 +185,7 @@
     """Returns the nodes that must have the new map before any router: the tenants' old and new ones."""
     found = {
         node.name for name in names for cells in (before, after) for node in cells.nodes(name)
-    } | {
-        node.name
-        for name in names
-        if (tenant := after.tenant(name)) is not None
-        for former in (*tenant.former, *after.cells[tenant.cell].former)
-        for node in former.nodes
-    }
+    } | {node.name for name in names for former in after.formers(name) for node in former.nodes}
     return tuple(sorted(found))
 
 
@@ -203,26 +197,18 @@
     )
 
 
-def unsettled_tenants(cells: CellMap) -> tuple[str, ...]:
-    """Returns the tenants with former nodes that nobody has settled: some may not know of it yet."""
-    return tuple(
-        sorted(
-            name
-            for name, tenant in cells.tenants.items()
-            if any(
-                former.expires_at == OPEN_ENDED
-                for former in (*tenant.former, *cells.cells[tenant.cell].former)
-            )
-        )
-    )
-
-
-def unfinished_tenants(before: CellMap, after: CellMap) -> tuple[str, ...]:
+def unfinished_tenants(before: CellMap, after: CellMap) -> set[str]:
     """Returns the tenants whose nodes must have the new map before any router.
 
-    These are the tenants of the newest change and those of earlier ones that are not settled.
+    These are the tenants of the newest change, and those of earlier ones that are not settled: some
+    of their former nodes may not know of it yet.
     """
-    return tuple(sorted({*changed_tenants(before, after), *unsettled_tenants(after)}))
+    unsettled = {
+        name
+        for name in after.tenants
+        if any(former.expires_at == OPEN_ENDED for former in after.formers(name))
+    }
+    return unsettled | set(changed_tenants(before, after))
 
 
 def progress(
@@ -247,12 +233,7 @@
     behind = tuple(sorted(name for name, epoch in routers.items() if epoch < after.epoch))
     if behind:
         return Progress(Stage.TELLING_ROUTERS, behind)
-    formers = [
-        former
-        for name in names
-        if (tenant := after.tenant(name)) is not None
-        for former in (*tenant.former, *after.cells[tenant.cell].former)
-    ]
+    formers = [former for name in names for former in after.formers(name)]
     if any(former.expires_at == OPEN_ENDED for former in formers):
         return Progress(Stage.OPEN, ())
     return Progress(
