--- a/pumicenotch/config/files.py
+++ b/pumicenotch/config/files.py
@@ -5,13 +5,18 @@
 from pathlib import Path
 
 from pumicenotch.cells.map import CellMap, InvalidCellMapError, load
+from pumicenotch.errors import PumicenotchError
 
 MayReplace = Callable[[], bool]
 
 
-class NotReplacedError(Exception):
+class NotReplacedError(PumicenotchError):
     """A file was left as it was, because its replacement was no longer allowed."""
 
+    def __init__(self, path: Path) -> None:
+        remedy = "decide again whether to write it"
+        super().__init__("the time to replace it has passed", place=str(path), remedy=remedy)
+
 
 def always() -> bool:
     """Allows a file to be replaced at any time."""
@@ -39,7 +44,7 @@
         os.fsync(file.fileno())
     if not may_replace():
         temporary.unlink()
-        raise NotReplacedError(str(path))
+        raise NotReplacedError(path)
     temporary.replace(path)
 
 
--- a/pumicenotch/fleet/agent/agent.py
+++ b/pumicenotch/fleet/agent/agent.py
@@ -279,8 +279,7 @@
         self.next_fetch_at_ms.pop(version, None)
         if version not in self.stored:
             self.stored.append(version)
-        if self.problem.startswith(f"{STORAGE_PROBLEM} {version}"):
-            self.problem = ""
+        self._clear_storage_problem(version)
         self.schedule_report()
 
     def check_version(self, version: str, is_in_use: bool) -> None:
@@ -295,7 +294,10 @@
         if problem:
             self._on_storage_problem(version, problem)
             return
+        self._clear_storage_problem(version)
         self._allow_next_request()
+
+    def _clear_storage_problem(self, version: str) -> None:
         if self.problem.startswith(f"{STORAGE_PROBLEM} {version}"):
             self.problem = ""
 
--- a/pumicenotch/lab/releasing_model.py
+++ b/pumicenotch/lab/releasing_model.py
@@ -55,9 +55,8 @@
 
 
 class Releasing:
-    uses_expired = (
-        False  # seeded bug: agents judge a permission when it comes, not when they use it
-    )
+    # Seeded bug: agents judge a permission when it comes, not when they use it.
+    uses_expired = False
     NAMES = ("a1", "a2", "b1")
     WAVES: tuple[tuple[str, ...], ...] = (("a1",), ("b1",), ("a2",))
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -13,21 +13,7 @@
 
 def agent_with_pending_move() -> tuple[Agent, int, float]:
     """Returns an agent whose server exited by permit, and the number and deadline of its move."""
-    agent = Agent(
-        AgentSetup(
-            fleet="f",
-            node="n0",
-            process_id="a",
-            voters=("v1",),
-            versions={"program": OLD},
-            stored=(OLD, NEW),
-            has_server=True,
-            start_timeout_ms=1e4,
-            drain_timeout_ms=1e4,
-            now_ms=0.0,
-            seed=1,
-        )
-    )
+    agent = serving_agent(start_timeout_ms=1e4, drain_timeout_ms=1e4)
     answer = {
         "due": ("program", NEW),
         "life": "L",
@@ -71,12 +57,11 @@
 class AgentHarness:
     """Steps an agent, whose reports are answered at once by `hint`; other requests stay open."""
 
-    def __init__(self, agent: Agent, **hint: Any) -> None:
+    def __init__(self, agent: Agent, now_ms: float = 0.0, **hint: Any) -> None:
         self.agent = agent
         self.hint: dict[str, Any] = {"life": "p0", "standing": SERVING, "hold": [], **hint}
-        self.now_ms = 0.0
+        self.now_ms = now_ms
         self.effects: list[Any] = []
-        self.step("start")
 
     def step(self, name: str, *details: Any) -> None:
         self.effects += self.agent.step(self.now_ms, name, *details)
@@ -95,6 +80,10 @@
     def requests(self) -> list[str]:
         return [effect.verb for effect in self.effects if isinstance(effect, effects.SendRequest)]
 
+    def start(self) -> "AgentHarness":
+        self.step("start")
+        return self
+
     def crash(self, process_id: str) -> None:
         """The server crashes, is started again and comes into service."""
         self.hint |= {"standing": "gone"}
@@ -110,7 +99,7 @@
     halt_reason: str,
 ) -> None:
     # The agent took such a server for out: it ended it beyond the budget, in halts, and by SIGKILL.
-    harness = AgentHarness(serving_agent())
+    harness = AgentHarness(serving_agent()).start()
     for number in range(1, 4):
         harness.crash(f"p{number}")
     assert harness.agent.problem.startswith("crash loop") and harness.agent.has_served
@@ -125,7 +114,7 @@
 
 def test_an_agent_whose_own_release_failed_does_not_stop_its_server_without_a_permit() -> None:
     # A problem of the agent's own version is none of the server, which serves.
-    harness = AgentHarness(serving_agent("agent refused: it ended"), due=("program", NEW))
+    harness = AgentHarness(serving_agent("agent refused: it ended"), due=("program", NEW)).start()
     harness.run_until(20_000.0)
     assert not harness.stops()
 
@@ -137,7 +126,7 @@
 def test_a_server_that_never_served_is_stopped_unless_the_fleet_counts_it_or_is_halted(
     status: str, halt_reason: str, is_stopped: bool
 ) -> None:
-    harness = AgentHarness(serving_agent(has_server=False), standing="gone")
+    harness = AgentHarness(serving_agent(has_server=False), standing="gone").start()
     harness.run_until(2000.0)
     assert harness.agent.has_server and not harness.agent.has_served
     # The process that the fleet knows is the previous one, so the agent does not see it serve.
@@ -167,7 +156,7 @@
 
 def test_a_move_is_requested_only_once_the_version_has_been_checked() -> None:
     # The check of a large version took seconds after the permission, whose 0.7 s were over by then.
-    harness = AgentHarness(serving_agent(), due=("program", NEW), permit=7, begun=True)
+    harness = AgentHarness(serving_agent(), due=("program", NEW), permit=7, begun=True).start()
     harness.run_until(100.0)
     assert effects.CheckVersion(NEW) in harness.effects, "while the server still drains"
     harness.hint |= {"standing": "gone"}
@@ -193,9 +182,8 @@
     agent.step(expires_at_ms - 1.0, "answered", number, None, {"value": 9})
     agent.step(expires_at_ms + 10.0, "expired", "program")
     assert agent.versions == {"program": OLD} and not agent.has_server
-    harness = AgentHarness.__new__(AgentHarness)
-    harness.agent, harness.effects, harness.now_ms = agent, [], expires_at_ms + 10.0
-    harness.hint = {"due": ("program", NEW), "standing": "gone", "halted": halt_reason}
+    hint: dict[str, Any] = {"due": ("program", NEW), "standing": "gone", "halted": halt_reason}
+    harness = AgentHarness(agent, expires_at_ms + 10.0, **hint)
     harness.run_until(harness.now_ms + 1500.0)
     assert ("move" in harness.requests()) == (not halt_reason)
     assert (effects.StartServer() in harness.effects) == bool(halt_reason)
@@ -203,7 +191,7 @@
 
 
 def test_a_version_that_is_not_as_stored_is_never_moved_to_and_the_server_comes_back() -> None:
-    harness = AgentHarness(serving_agent(), due=("program", NEW), permit=7, begun=True)
+    harness = AgentHarness(serving_agent(), due=("program", NEW), permit=7, begun=True).start()
     harness.hint |= {"standing": "gone"}
     harness.step("ended", 0)
     harness.run_until(500.0)
@@ -214,7 +202,7 @@
 
 
 def test_an_old_check_is_repeated_before_a_move_but_not_while_the_server_waits_to_drain() -> None:
-    harness = AgentHarness(serving_agent(), due=("program", NEW))
+    harness = AgentHarness(serving_agent(), due=("program", NEW)).start()
     harness.run_until(1000.0)
     harness.step("checked", NEW, "")
     harness.run_until(1000.0 + 2 * VersionChecks.VALIDITY_MS)
--- a/tests/server/test_cell_admission.py
+++ b/tests/server/test_cell_admission.py
@@ -161,14 +161,20 @@
     assert [message.result for message in served] == [b"done"]
 
 
-def test_a_retry_that_asks_a_former_home_never_runs_there_in_place_of_its_original() -> None:
-    # Its own window would end after the router stops asking the former home: it could run again.
+def former_home_with_a_queued_request() -> NodeHarness:
+    """Returns a node that four requests keep busy, with a fifth in its queue, after a move."""
     before_move, after_move = maps_before_and_after_move()
     node = NodeHarness(before_move)
     for rid in range(1, 5):
         assert node.send(rid, "put", epoch="1", token=f"{rid:032x}") == "run"
     assert node.send(5, "put", epoch="1") == "waits"
     node.step(events.CellMapReplaced(after_move, "epoch 2"))
+    return node
+
+
+def test_a_retry_that_asks_a_former_home_never_runs_there_in_place_of_its_original() -> None:
+    # Its own window would end after the router stops asking the former home: it could run again.
+    node = former_home_with_a_queued_request()
     assert node.send(6, "put", epoch="2", ask="1") == "waits"
     assert node.send(7, "put", epoch="2", ask="1") == "waits"
     node.step(events.RequestCancelled(1, 5))
@@ -181,12 +187,7 @@
 
 
 def test_a_retry_of_the_home_still_takes_the_place_of_its_original() -> None:
-    before_move, after_move = maps_before_and_after_move()
-    node = NodeHarness(before_move)
-    for rid in range(1, 5):
-        assert node.send(rid, "put", epoch="1", token=f"{rid:032x}") == "run"
-    assert node.send(5, "put", epoch="1") == "waits"
-    node.step(events.CellMapReplaced(after_move, "epoch 2"))
+    node = former_home_with_a_queued_request()
     assert node.send(6, "put", epoch="2", ask="1") == "waits"
     assert node.send(7, "put", epoch="1") == "waits"
     node.step(events.RequestCancelled(1, 5))
