--- a/pumicenotch/control/controller.py
+++ b/pumicenotch/control/controller.py
@@ -45,6 +45,9 @@
     MIN_START_FRACTION = 0.8
     # The mean fraction of a run's estimated time that follows its dependency call.
     REMAINING_RUN_FRACTION = 0.5
+    # A run that may have lost the reply to its call has this multiple of its estimated time to show
+    # that it continues.
+    UNCERTAIN_RUN_FACTOR = 2.0
     # Callers are asked not to retry above this backoff, which corresponds to one rejection in
     # twenty. Fewer rejections occur at random.
     MAX_BACKOFF_TO_RETRY = 0.1
@@ -138,6 +141,7 @@
         if request is None or request.state is not RequestState.RUNNING:
             return
         self.estimates.on_dependency_needed(request)
+        request.reply_uncertain_at = None
         self.occupancy.suspend_for_call(request, now)
         request.dependency_attempts = 0
         self.calls.enqueue(now, request)
@@ -167,6 +171,28 @@
                 self.fail(request, now)
         self._use_free_capacity(now)
 
+    def on_reply_uncertain(self, now: float, request_id: int) -> None:
+        """Handles a run that may have lost the reply to its dependency call.
+
+        The reply must not be sent twice: a run that has received it would take the second copy for
+        the reply to its next call. A class with a degraded result skips the call, which has no
+        effect on a run that has continued. Any other run fails if it shows no sign of continuing;
+        a run that waits for a call ends when its request is answered.
+        """
+        request = self.deadlines.requests.get(request_id)
+        if request is None or request.is_answered or request.state is not RequestState.RUNNING:
+            return
+        if request.request_class.degraded_weight > 0.0:
+            self.actions.skip_dependency(request_id)
+            return
+        request.reply_uncertain_at = now
+        run_ms = self.UNCERTAIN_RUN_FACTOR * self.estimates.run_ms(request, now)
+        self.timers.schedule(now + run_ms, self._fail_if_reply_uncertain, request)
+
+    def _fail_if_reply_uncertain(self, now: float, request: Request) -> None:
+        if request.reply_uncertain_at is not None and not request.is_answered:
+            self.fail(request, now)
+
     def on_cancel(self, now: float, request_id: int) -> None:
         """Releases a request whose caller no longer waits for an answer."""
         request = self.deadlines.requests.get(request_id)
--- a/pumicenotch/control/request.py
+++ b/pumicenotch/control/request.py
@@ -16,6 +16,8 @@
         off_cores_ms: the time that the run has spent in dependency calls. While a call is queued or
             open, this is the time of the earlier calls minus the start time of the current one.
         dependency_attempts: how often the current call was sent.
+        reply_uncertain_at: since when it is not known whether the run has received the reply to its
+            last dependency call; None if that is known.
         pool: the index of the pool in which the request waits or runs.
         wait_fraction: the fraction of the usual wait that the pool allows.
         is_replay_only: whether this retry may only be answered with the result of its original.
@@ -38,6 +40,7 @@
         "off_cores_ms",
         "original",
         "pool",
+        "reply_uncertain_at",
         "request_class",
         "request_id",
         "sort_key",
@@ -78,6 +81,7 @@
         self.off_cores_ms = 0.0
         self.dependency_called_at = 0.0
         self.dependency_attempts = 0
+        self.reply_uncertain_at: float | None = None
         self.pool = 0
         self.wait_fraction = 1.0
         self.is_retry = False
--- a/pumicenotch/server/backend_side.py
+++ b/pumicenotch/server/backend_side.py
@@ -104,8 +104,14 @@
         if self.worker_pool.on_poll_reply(event.cookie):
             self.gauges = event.gauges
             if self.controller is not None:
+                self._report_uncertain_replies(self.controller)
                 self.controller.on_tick(self.now, event.gauges)
 
+    def _report_uncertain_replies(self, controller: AdmissionController) -> None:
+        for request in self.worker_pool.take_uncertain_replies():
+            self.counters.add("supplies_uncertain")
+            controller.on_reply_uncertain(self.now, request.request_id)
+
     def on_run_blocked(self, event: events.RunBlocked) -> None:
         """Passes the dependency call that a run needs to the controller."""
         request = self._accept_notice(event.serial, event.name)
@@ -127,11 +133,13 @@
         self.finish_run(request, event.outcome or Outcome.ERROR, event.result)
 
     def _accept_notice(self, serial: int, name: str) -> PendingRequest | None:
-        return self.requests.by_name.get(name) if self.worker_pool.accept_notice(serial) else None
+        if not self.worker_pool.accept_notice(self.now, serial):
+            return None
+        return self.requests.by_name.get(name)
 
     def on_notice_skipped(self, event: events.NoticeSkipped) -> None:
         """Records the serial of a notice that concerns no run."""
-        self.worker_pool.accept_notice(event.serial)
+        self.worker_pool.accept_notice(self.now, event.serial)
 
     def on_command_unknown(self, event: events.CommandUnknown) -> None:
         """Finishes a run whose start the pool rejected as unknown.
--- a/pumicenotch/server/core.py
+++ b/pumicenotch/server/core.py
@@ -131,7 +131,7 @@
         self.effects += [ChangeAddress(party, address) for party, address in addresses.items()]
         if worker_pool_client.CONNECTION in addresses:
             self.worker_pool.backoff.reset()
-            self.worker_pool.reconnect()
+            self.worker_pool.replace_connection(self.now)
         if database_client.PARTY in addresses:
             self.database.on_address_changed(self.now)
         if registry_reporter.CONNECTION in addresses:
--- a/pumicenotch/server/worker_pool_client.py
+++ b/pumicenotch/server/worker_pool_client.py
@@ -1,7 +1,8 @@
 """The connection to the worker pool, with resending of lost commands and notices.
 
-Commands that may have been lost are resent on a new connection. Notices have serials, by which the
-pool resends those that were lost.
+Commands that may have been lost are resent on a new connection, except replies to dependency calls.
+They name no call: a run that has received its reply and waits for its next call would take a second
+copy for that call's reply. Notices have serials, by which the pool resends those that were lost.
 """
 
 from collections import deque
@@ -9,7 +10,7 @@
 
 from pumicenotch.server.backoff import Backoff
 from pumicenotch.server.effects import Close, Dial, Effect, Write
-from pumicenotch.server.messages import BindPool, PollPool, PoolCommand
+from pumicenotch.server.messages import BindPool, PollPool, PoolCommand, SupplyReply
 from pumicenotch.server.pending_request import PendingRequest
 
 CONNECTION = "pool"
@@ -17,6 +18,9 @@
 # dead. The pool normally answers in a millisecond; this is a thousand times as long. If all
 # processes of the machine stall together, one needless connection is made.
 ANSWER_TIMEOUT_MS = 1000.0
+# Time without an answer to the last poll on a connection that is replaced. Its address has changed,
+# so its silence tells nothing about the pool.
+REPLACEMENT_TIMEOUT_MS = 200.0
 
 
 class UnacknowledgedCommand(NamedTuple):
@@ -29,12 +33,28 @@
             later notice makes the command obsolete.
         request: The request of the run.
         command: The command.
+        was_written: Whether the command was written to a connection.
     """
 
     poll_number: int
     notice_serial: int
     request: PendingRequest
     command: PoolCommand
+    was_written: bool
+
+    @property
+    def is_obsolete(self) -> bool:
+        """Whether a notice about the run has been read since the command was sent."""
+        return self.notice_serial != self.request.last_notice_serial
+
+    @property
+    def may_be_resent(self) -> bool:
+        """Whether a second copy has no effect if the pool has read the first one.
+
+        A copy of `SupplyReply` is taken for the reply to the next call of the run. `SkipDependency`
+        names its call, and the other commands change nothing in a run that has carried them out.
+        """
+        return not (self.was_written and isinstance(self.command, SupplyReply))
 
 
 class WorkerPoolClient:
@@ -42,7 +62,10 @@
 
     The answer to a poll acknowledges all commands sent before the poll. On a new connection, the
     pool first sends the missed notices and then answers a poll. Then unacknowledged commands are
-    resent, except those that a notice about their run has made obsolete.
+    resent, except those that a notice about their run has made obsolete. Replies whose arrival is
+    uncertain are not resent; `take_uncertain_replies` returns their requests.
+
+    A connection that still works is replaced only once its commands are acknowledged.
 
     Args:
         effects: Receives dials, commands and closes.
@@ -58,12 +81,15 @@
         self.poll_number = 0
         self.awaiting_reply_since: float | None = None  # time of an unanswered bind or poll
         self.accepts_commands = False  # set by the first answered poll
+        # Whether the connection is replaced when the current poll is answered.
+        self.replacing = False
         self.unacknowledged: deque[UnacknowledgedCommand] = deque()
+        self._uncertain_replies: list[PendingRequest] = []
 
     def send(self, request: PendingRequest, command: PoolCommand) -> None:
         """Sends a command about the request's run, at once or when the connection is usable."""
         unacknowledged = UnacknowledgedCommand(
-            self.poll_number, request.last_notice_serial, request, command
+            self.poll_number, request.last_notice_serial, request, command, self.accepts_commands
         )
         self.unacknowledged.append(unacknowledged)
         if self.accepts_commands:
@@ -76,14 +102,29 @@
         self.effects.append(Write(CONNECTION, PollPool(str(self.poll_number))))
 
     def has_timed_out(self, now: float) -> bool:
-        """Returns whether an open connection has not answered for ANSWER_TIMEOUT_MS."""
+        """Returns whether an open connection has not answered for too long."""
+        timeout_ms = REPLACEMENT_TIMEOUT_MS if self.replacing else ANSWER_TIMEOUT_MS
         return (
-            self.awaiting_reply_since is not None
-            and now - self.awaiting_reply_since > ANSWER_TIMEOUT_MS
+            self.awaiting_reply_since is not None and now - self.awaiting_reply_since > timeout_ms
         )
 
+    def replace_connection(self, now: float) -> None:
+        """Replaces the connection once the pool has acknowledged the commands sent on it.
+
+        Until then commands are queued for the next connection. Without such commands, or without a
+        usable connection, the replacement starts at once.
+        """
+        if self.replacing:
+            return
+        if not self.accepts_commands or not self.unacknowledged:
+            self.reconnect()
+            return
+        self.accepts_commands = False
+        self.replacing = True
+        self.poll(now)
+
     def reconnect(self) -> None:
-        """Replaces the connection, or the current dial."""
+        """Replaces the connection, or the current dial, at once."""
         self.effects.append(Close(CONNECTION))
         self._redial()
 
@@ -111,22 +152,32 @@
         if cookie != str(self.poll_number):
             return False
         self.awaiting_reply_since = None
-        if self.accepts_commands:
+        if self.accepts_commands or self.replacing:
             while self.unacknowledged and self.unacknowledged[0].poll_number < self.poll_number:
                 self.unacknowledged.popleft()
+            if self.replacing:
+                self.reconnect()
             return True
         self.accepts_commands = True
-        resent = [
-            unacknowledged
-            for unacknowledged in self.unacknowledged
-            if unacknowledged.notice_serial == unacknowledged.request.last_notice_serial
-        ]
-        self.unacknowledged.clear()
-        for unacknowledged in resent:
-            self.send(unacknowledged.request, unacknowledged.command)
+        self._resend()
         return True
 
-    def accept_notice(self, serial: int) -> bool:
+    def _resend(self) -> None:
+        needed = [command for command in self.unacknowledged if not command.is_obsolete]
+        self.unacknowledged.clear()
+        for unacknowledged in needed:
+            if unacknowledged.may_be_resent:
+                self.send(unacknowledged.request, unacknowledged.command)
+            else:
+                self._uncertain_replies.append(unacknowledged.request)
+
+    def take_uncertain_replies(self) -> list[PendingRequest]:
+        """Returns, once, the requests whose runs may or may not have received their last reply."""
+        requests = self._uncertain_replies
+        self._uncertain_replies = []
+        return requests
+
+    def accept_notice(self, now: float, serial: int) -> bool:
         """Returns whether the notice is to be handled: false for duplicates and after a gap.
 
         A gap means that a notice arrived malformed. A new connection makes the pool resend it with
@@ -135,14 +186,18 @@
         """
         if serial <= self.last_serial:
             return False
-        if serial > self.last_serial + 1 and self.gap_after_serial != self.last_serial:
-            self.gap_after_serial = self.last_serial
-            self.reconnect()
-            return False
+        if serial > self.last_serial + 1:
+            if self.replacing:
+                return False
+            if self.gap_after_serial != self.last_serial:
+                self.gap_after_serial = self.last_serial
+                self.replace_connection(now)
+                return False
         self.last_serial = serial
         return True
 
     def _redial(self) -> None:
         self.accepts_commands = False
+        self.replacing = False
         self.awaiting_reply_since = None
         self.effects.append(Dial(CONNECTION, self.backoff.next_delay_ms()))
