--- a/pumicenotch/control/__init__.py
+++ b/pumicenotch/control/__init__.py
@@ -9,7 +9,7 @@
 from pumicenotch.control.controller import AdmissionController
 from pumicenotch.control.request import Request
 from pumicenotch.control.settings import ControllerSettings
-from pumicenotch.control.timers import SAMPLE_INTERVAL_MS, TICK_INTERVAL_MS, TimerQueue
+from pumicenotch.control.timers import SAMPLE_INTERVAL_MS, TICK_INTERVAL_MS, Timer, TimerQueue
 
 __all__ = [
     "SAMPLE_INTERVAL_MS",
@@ -17,5 +17,6 @@
     "AdmissionController",
     "ControllerSettings",
     "Request",
+    "Timer",
     "TimerQueue",
 ]
--- a/pumicenotch/control/answer_deadlines.py
+++ b/pumicenotch/control/answer_deadlines.py
@@ -35,7 +35,14 @@
         """Adds a request that was read, and schedules its last possible answer."""
         self.requests[request.request_id] = request
         answer_by = min(request.expires_at, self.stops_at) - self.SAFETY_MARGIN_MS
-        self.timers.schedule(answer_by, self.on_expiry, request)
+        request.timers.append(self.timers.schedule(answer_by, self.on_expiry, request))
+
+    def remove(self, request: Request) -> None:
+        """Removes a request that is over, with all timers that end with it."""
+        del self.requests[request.request_id]
+        for timer in request.timers:
+            timer.cancel()
+        request.timers.clear()
 
     def start_draining(self, now: float, stops_at: float) -> None:
         """Moves the last possible answer of every request to before `stops_at`.
@@ -44,5 +51,6 @@
         """
         self.last_arrival_at = now + self.drain_grace_ms
         self.stops_at = stops_at
+        answer_by = stops_at - self.SAFETY_MARGIN_MS
         for request in self.requests.values():
-            self.timers.schedule(stops_at - self.SAFETY_MARGIN_MS, self.on_expiry, request)
+            request.timers.append(self.timers.schedule(answer_by, self.on_expiry, request))
--- a/pumicenotch/control/controller.py
+++ b/pumicenotch/control/controller.py
@@ -131,6 +131,10 @@
         self._finish(request, now)
         self._use_free_capacity(now)
 
+    def on_run_unknown(self, request_id: int) -> None:
+        """Forgets the key of a request whose run never started, as the pool does not know it."""
+        self.keys.forget(request_id)
+
     def on_dependency_needed(self, now: float, request_id: int) -> None:
         """Takes a run off the cores and queues its dependency call.
 
@@ -147,7 +151,9 @@
         self.calls.enqueue(now, request)
         if request.request_class.degraded_weight > 0.0:
             remaining_ms = self.REMAINING_RUN_FRACTION * self.estimates.run_ms(request, now)
-            self.timers.schedule(request.deadline - remaining_ms, self._skip_waiting_call, request)
+            skip_at = request.deadline - remaining_ms
+            timer = self.timers.schedule(skip_at, self._skip_waiting_call, request)
+            request.timers.append(timer)
         self._use_free_capacity(now)
 
     def on_dependency_finished(self, now: float, request_id: int, outcome: Outcome) -> None:
@@ -187,7 +193,8 @@
             return
         request.reply_uncertain_at = now
         run_ms = self.UNCERTAIN_RUN_FACTOR * self.estimates.run_ms(request, now)
-        self.timers.schedule(now + run_ms, self._fail_if_reply_uncertain, request)
+        timer = self.timers.schedule(now + run_ms, self._fail_if_reply_uncertain, request)
+        request.timers.append(timer)
 
     def _fail_if_reply_uncertain(self, now: float, request: Request) -> None:
         if request.reply_uncertain_at is not None and not request.is_answered:
@@ -294,7 +301,8 @@
         """Queues a request, or rejects it if its wait and run would take too long."""
         wait_ms = self.admission.try_enqueue(request, now, self.pools)
         if wait_ms is None:
-            self.timers.schedule(request.deadline, self.on_objective_missed, request)
+            timer = self.timers.schedule(request.deadline, self.on_objective_missed, request)
+            request.timers.append(timer)
         else:
             self._reject_for_load(request, wait_ms, now)
 
@@ -466,14 +474,14 @@
         if state is RequestState.QUEUED:
             self.scheduler.remove(request)
             if request.request_class.idempotency is Idempotency.KEYED:
-                self.keys.drop(request, now)
+                self.keys.drop(request)
         elif state is RequestState.AWAITING_ORIGINAL and request.original is not None:
             request.original.waiting_retries.remove(request)
         elif state in (RequestState.RUNNING, RequestState.AWAITING_DEPENDENCY):
             self.scheduler.queues[request.tenant_index].running -= 1
             self.occupancy.finish(request, state, now)
         self.limit.release_memory(request, state)
-        del self.deadlines.requests[request.request_id]
+        self.deadlines.remove(request)
         if request.waiting_retries:
             self._replace_original(request, now)
 
--- a/pumicenotch/control/dependency_calls.py
+++ b/pumicenotch/control/dependency_calls.py
@@ -187,7 +187,7 @@
         """Queues the call of a run again after a backoff with jitter."""
         jitter = self._random_uniform(0.5, 1.5)
         backoff_ms = jitter * max(TICK_INTERVAL_MS, 0.5 * self.mean_call_ms)
-        self._timers.schedule(now + backoff_ms, self.enqueue, request)
+        request.timers.append(self._timers.schedule(now + backoff_ms, self.enqueue, request))
 
     def is_too_late(self, request: Request, now: float) -> bool:
         """Returns whether a call that starts now would probably end after the deadline.
--- a/pumicenotch/control/request.py
+++ b/pumicenotch/control/request.py
@@ -1,5 +1,6 @@
 """The state of a request in the controller."""
 
+from pumicenotch.control.timers import Timer
 from pumicenotch.interface import IncomingRequest, RequestClass, RequestState
 
 
@@ -20,6 +21,7 @@
             last dependency call; None if that is known.
         pool: the index of the pool in which the request waits or runs.
         wait_fraction: the fraction of the usual wait that the pool allows.
+        timers: the timers that end with the request.
         is_replay_only: whether this retry may only be answered with the result of its original.
     """
 
@@ -47,6 +49,7 @@
         "started_at",
         "state",
         "tenant_index",
+        "timers",
         "wait_fraction",
         "waiting_retries",
     )
@@ -83,6 +86,7 @@
         self.dependency_attempts = 0
         self.reply_uncertain_at: float | None = None
         self.pool = 0
+        self.timers: list[Timer] = []
         self.wait_fraction = 1.0
         self.is_retry = False
         self.is_replay_only = incoming.is_replay_only
--- a/pumicenotch/lab/plain.py
+++ b/pumicenotch/lab/plain.py
@@ -19,7 +19,8 @@
             self.reject(request, now)
         else:
             self.scheduler.enqueue(request)
-            self.timers.schedule(request.deadline, self.on_objective_missed, request)
+            timer = self.timers.schedule(request.deadline, self.on_objective_missed, request)
+            request.timers.append(timer)
 
     def start_runs(self, now: float) -> None:
         """Start the first of all queued requests while there is a slot."""
--- a/pumicenotch/route/decide.py
+++ b/pumicenotch/route/decide.py
@@ -21,7 +21,7 @@
     Step,
     plan_route,
 )
-from pumicenotch.control import TimerQueue
+from pumicenotch.control import Timer, TimerQueue
 from pumicenotch.interface import Idempotency
 from pumicenotch.pools.retry_budget import RetryBudget
 from pumicenotch.server import events
@@ -117,6 +117,7 @@
         message_id: The message ID of the current attempt.
         sent_at: When the current attempt began.
         written: Whether the current attempt has been written, so that it may have arrived.
+        time_limit: The timer that fails the request, cancelled when it is over.
     """
 
     def __init__(self, request: PendingRequest, fields: Mapping[str, str], route: Route) -> None:
@@ -125,6 +126,7 @@
         self.message_id = 0
         self.sent_at = 0.0
         self.written = False
+        self.time_limit: Timer | None = None
 
 
 class Router(GatewaySide):
@@ -362,7 +364,7 @@
             - self.ANSWER_MARGIN_MS
         )
         routed = self.routed_requests[request.request_id] = RoutedRequest(request, fields, route)
-        self.timers.schedule(answer_at, self.fail_at_limit, routed)
+        routed.time_limit = self.timers.schedule(answer_at, self.fail_at_limit, routed)
         if not request.is_retry:
             self.budget.deposit(tenant)
         self.take_step(routed, route.start())
@@ -383,8 +385,7 @@
 
         An answer that still arrives from the node is counted as stale.
         """
-        routed = self.routed_requests.pop(request.request_id, None)
-        self.requests.remove(request)
+        routed = self.remove_routed(request)
         if routed is not None and routed.connection is not None:
             connection = routed.connection
             if connection.open.pop(routed.message_id, None) is not None and connection.up:
@@ -410,8 +411,15 @@
                 self.reject_request(request, outcome.retry_after_ms, False)
             case _:
                 self.fail_request(request)
-        self.routed_requests.pop(request.request_id, None)
+        self.remove_routed(request)
+
+    def remove_routed(self, request: PendingRequest) -> RoutedRequest | None:
+        """Removes a request that is over, with its timer; returns its route if it had one."""
+        routed = self.routed_requests.pop(request.request_id, None)
         self.requests.remove(request)
+        if routed is not None and routed.time_limit is not None:
+            routed.time_limit.cancel()
+        return routed
 
     def fail_at_limit(self, now: float, routed: RoutedRequest) -> None:
         """Fails a request at its time limit."""
--- a/pumicenotch/server/backend_side.py
+++ b/pumicenotch/server/backend_side.py
@@ -154,6 +154,8 @@
         if request is not None and request.started and event.starts_run:
             self.finish_run(request, Outcome.NOT_STARTED, b"")
             self.results.drop(request.request_id, never_ran=True)
+            if self.controller is not None:
+                self.controller.on_run_unknown(request.request_id)
 
     def finish_run(self, request: PendingRequest, outcome: Outcome, result: bytes) -> None:
         """Answers a request whose run has ended, and all retries that wait for its result."""
--- a/pumicenotch/server/controller_actions.py
+++ b/pumicenotch/server/controller_actions.py
@@ -95,7 +95,7 @@
             expires_at = server.now + ttl_ms + request.clock_ahead_ms
             server.results.add(request, expires_at)
             expiry = ResultExpiry(request.request_id, request.request_class.timeout_ms)
-            server.timers.schedule(expires_at + expiry.retry_ms, self._expire, expiry)
+            self._schedule_expiry(expires_at + expiry.retry_ms, expiry)
 
     def drop_key(self, request_id: int) -> None:
         """Removes the key of a request that has not run; retries that wait for its result fail."""
@@ -143,4 +143,8 @@
 
     def _expire(self, now: float, expiry: ResultExpiry) -> None:
         if not self.server.results.expire(expiry.original_id):
-            self.server.timers.schedule(now + expiry.retry_ms, self._expire, expiry)
+            self._schedule_expiry(now + expiry.retry_ms, expiry)
+
+    def _schedule_expiry(self, expires_at: float, expiry: ResultExpiry) -> None:
+        timer = self.server.timers.schedule(expires_at, self._expire, expiry)
+        self.server.results.by_original_id[expiry.original_id].expiry_timer = timer
--- a/pumicenotch/server/result_cache.py
+++ b/pumicenotch/server/result_cache.py
@@ -1,5 +1,6 @@
 """Cache of results by idempotency key, from which retries of a request are answered."""
 
+from pumicenotch.control import Timer
 from pumicenotch.interface import Outcome
 from pumicenotch.server.pending_request import PendingRequest
 from pumicenotch.server.request_decoder import InvalidRequestError
@@ -17,6 +18,7 @@
         self.result = b""
         # None until the run has ended; OK while the result is kept, ERROR after it was dropped.
         self.outcome: Outcome | None = None
+        self.expiry_timer: Timer | None = None  # cancelled when the entry is removed
         self.waiting_retries: list[PendingRequest] = []  # retries to answer when the run has ended
 
     @property
@@ -121,6 +123,8 @@
         return waiting_retries
 
     def _remove(self, entry: CachedResult) -> None:
+        if entry.expiry_timer is not None:
+            entry.expiry_timer.cancel()
         del self.by_key[entry.idempotency_key], self.by_original_id[entry.original_id]
         self.total_bytes -= len(entry.result)
 
