--- a/pumicenotch/net/connection.py
+++ b/pumicenotch/net/connection.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 import anyio
-import anyio.lowlevel
 from anyio.abc import ByteStream, TaskGroup
 
 from pumicenotch.net.outbox import Outbox
@@ -28,9 +27,6 @@
     errno.ENOMEM,
 )
 MAX_READ_BYTES = 64 * 1024  # Bytes passed to the reader of a dialed connection at once.
-# Limit of one receive. It exceeds uvloop's buffer of 256,000 bytes, so that no received bytes stay
-# in anyio's queue, where a close would not see them.
-MAX_RECEIVE_BYTES = 1024 * 1024
 
 
 class Reader(Protocol):
@@ -83,23 +79,15 @@
 ) -> None:
     """Feeds the reader until the peer shuts down its write side.
 
-    The reader gets at most `max_bytes` at once. Other tasks run between the chunks of a larger
-    receive.
+    The reader gets at most `max_bytes` at once, and other tasks run in between.
 
     Raises:
         ValueError: The received bytes violate the protocol.
     """
     with suppress(anyio.EndOfStream):
         while True:
-            data = await stream.receive(MAX_RECEIVE_BYTES)
-            if len(data) <= max_bytes:
-                reader.feed(data)
-            else:
-                outbox.feeding = True
-                for index in range(0, len(data), max_bytes):
-                    reader.feed(data[index : index + max_bytes])
-                    await anyio.lowlevel.checkpoint()
-                outbox.feeding = False
+            data = await stream.receive(max_bytes)
+            reader.feed(data)
             outbox.fed_bytes += len(data)
             outbox.finish_reading_if_done()
 
@@ -111,4 +99,4 @@
     """
     with suppress(anyio.EndOfStream):
         while True:
-            await stream.receive(MAX_RECEIVE_BYTES)
+            await stream.receive()
--- a/pumicenotch/net/dialer.py
+++ b/pumicenotch/net/dialer.py
@@ -9,8 +9,10 @@
 import anyio
 from anyio.abc import ByteStream, TaskGroup
 
+from pumicenotch.net.bounded_stream import BoundedStream
 from pumicenotch.net.connection import (
     LOST_ERRORS,
+    MAX_READ_BYTES,
     Reader,
     is_resource_exhausted,
     read_messages,
@@ -85,7 +87,7 @@
             await anyio.sleep(delay_ms / 1000.0)
             try:
                 with anyio.move_on_after(DIAL_TIMEOUT_S):
-                    stream = await anyio.connect_tcp(*self.address)
+                    stream = await BoundedStream.connect(*self.address, MAX_READ_BYTES)
             except Exception as error:  # noqa: BLE001 - an invalid address raises other types than OSError
                 failure = ConnectionFailure(FailureReach.REFUSED, str(error.__cause__ or error))
                 if is_resource_exhausted(error):
--- a/pumicenotch/net/gateway_listener.py
+++ b/pumicenotch/net/gateway_listener.py
@@ -11,8 +11,9 @@
 from typing import Any, NamedTuple
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, TaskGroup
 
+from pumicenotch.net.bounded_stream import BoundedStream
 from pumicenotch.net.connection import (
     LOST_ERRORS,
     Reader,
@@ -174,7 +175,7 @@
         try:
             sock.setblocking(False)
             try:
-                stream = await SocketStream.from_socket(sock)
+                stream = await BoundedStream.accept(sock, MAX_READ_BYTES)
             except (OSError, ValueError) as error:  # Reset by the peer after the accept.
                 sock.close()
                 self.hub.deliver(ProblemFound("accepts_reset", f"accept: {error}"))
@@ -185,7 +186,7 @@
             self._check_all_ended()
 
     async def _run_accepted(
-        self, sock: socket.socket, stream: SocketStream, group: TaskGroup
+        self, sock: socket.socket, stream: BoundedStream, group: TaskGroup
     ) -> None:
         connection_id = next(self.next_ids)
         outbox = Outbox(
@@ -215,7 +216,7 @@
             self.hub.remove(connection_id, outbox)
             self.hub.deliver(ConnectionReset(connection_id))
 
-    async def _read(self, stream: SocketStream, connection_id: int, outbox: Outbox) -> None:
+    async def _read(self, stream: BoundedStream, connection_id: int, outbox: Outbox) -> None:
         """Reads until the peer shuts down its write side or sends an invalid message."""
         try:
             reader = self.protocol.make_reader(self.hub, connection_id)
--- a/pumicenotch/net/registry.py
+++ b/pumicenotch/net/registry.py
@@ -9,6 +9,7 @@
 import h11
 from anyio.abc import ByteStream
 
+from pumicenotch.net.bounded_stream import BoundedStream
 from pumicenotch.net.connection import is_resource_exhausted
 from pumicenotch.net.hub import Hub
 from pumicenotch.net.outbox import Encoders, Outbox
@@ -69,7 +70,7 @@
         try:
             with anyio.fail_after(REPORT_TIMEOUT_S) as self.scope:
                 if self.stream is None:
-                    self.stream = await anyio.connect_tcp(*self.address)
+                    self.stream = await BoundedStream.connect(*self.address, MAX_READ_BYTES)
                     self.http = h11.Connection(h11.CLIENT)
                 reach = FailureReach.BROKEN
                 status = await self._exchange(self.stream, state)
