--- a/pumicenotch/net/connection.py
+++ b/pumicenotch/net/connection.py
@@ -12,6 +12,7 @@
 from anyio.abc import ByteStream, TaskGroup
 
 from pumicenotch.net.outbox import Outbox
+from pumicenotch.net.unread_input import is_reset
 
 # Errors of a connection that the peer closed or reset.
 LOST_ERRORS = (
@@ -83,10 +84,14 @@
 
     Raises:
         ValueError: The received bytes violate the protocol.
+        anyio.BrokenResourceError: The connection is lost. What an accepted connection received
+            before its reset is dropped, because nobody waits for an answer.
     """
     with suppress(anyio.EndOfStream):
         while True:
             data = await stream.receive(max_bytes)
+            if outbox.accepted_socket is not None and is_reset(outbox.accepted_socket):
+                raise anyio.BrokenResourceError
             reader.feed(data)
             outbox.fed_bytes += len(data)
             outbox.finish_reading_if_done()
--- a/tests/net/test_crossing_events.py
+++ b/tests/net/test_crossing_events.py
@@ -417,3 +417,37 @@
         assert database.line().startswith(b"Q ")
         pool.finish("aa", b"x")
         assert result(next_responses(last_gateway)[0]) == b"x"
+
+
+# Guards against requests that run although their client had reset its connection before they were read.
+def test_input_that_is_unread_at_a_reset_is_dropped(tmp_path: Path) -> None:
+    """The notifications before the request fill several reads, so the reset is known before it."""
+    with Program(tmp_path) as program:
+        pool, leaving, other = program.bind(), Gateway(program.address), Gateway(program.address)
+        leaving.send(msgpack.packb([0, 1, "alive", [{}]]))
+        assert leaving.answer()[:2] == [1, 1]
+        leaving.sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+        )  # A reset drops unsent bytes.
+        with program.suspended():
+            leaving.send(6000 * msgpack.packb([2, "x", []]))
+            leaving.task(2, "aa", b"")
+            leaving.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            leaving.close()
+            other.task(1, "bb", b"")
+        assert pool.command("spawn")["call"] == "bb"
+        pool.finish("bb", b"two")
+        assert result(other.answer()) == b"two"
+        assert "runs=1 " in program.end()[1] + " "
+
+
+def test_input_that_is_unread_at_a_half_close_is_answered(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        pool, gateway = program.bind(), Gateway(program.address)
+        with program.suspended():
+            gateway.send(6000 * msgpack.packb([2, "x", []]))
+            gateway.task(2, "aa", b"")
+            gateway.sock.shutdown(socket.SHUT_WR)
+        assert pool.command("spawn")["call"] == "aa"
+        pool.finish("aa", b"one")
+        assert result(gateway.answer()) == b"one"
