--- a/benchmarks/capacity/markdown.py
+++ b/benchmarks/capacity/markdown.py
@@ -30,7 +30,12 @@
 
 
 def signed(part: float) -> str:
-    return f"{100.0 * part:+.0f}%"
+    """Returns a fraction as a signed percentage; one that rounds to nothing has no sign.
+
+    The sign of such a figure is rounding noise, which differs between kinds of machine.
+    """
+    percentage = round(100.0 * part)
+    return f"{percentage:+d}%" if percentage else "0%"
 
 
 def table(head: str, lines: Iterable[Iterable[str]]) -> str:
