--- a/pumicenotch/net/connection.py
+++ b/pumicenotch/net/connection.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import ByteStream, TaskGroup
 
 from pumicenotch.net.outbox import Outbox
@@ -33,8 +34,11 @@
 class Reader(Protocol):
     """Decodes the bytes of one connection into events."""
 
-    def feed(self, data: bytes) -> None:
-        """Decodes received bytes.
+    def feed(self, data: bytes) -> bool:
+        """Decodes received bytes, up to one turn's share.
+
+        Returns:
+            Whether `feed(b"")` may decode more in a later turn of the event loop.
 
         Raises:
             ValueError: The bytes violate the protocol.
@@ -90,13 +94,24 @@
     with suppress(anyio.EndOfStream):
         while True:
             data = await stream.receive(max_bytes)
-            if outbox.accepted_socket is not None and is_reset(outbox.accepted_socket):
-                raise anyio.BrokenResourceError
-            reader.feed(data)
+            await _feed_in_turns(reader, data, outbox)
             outbox.fed_bytes += len(data)
             outbox.finish_reading_if_done()
 
 
+async def _feed_in_turns(reader: Reader, data: bytes, outbox: Outbox) -> None:
+    outbox.feeding = True
+    is_unfinished = True
+    while is_unfinished:
+        if outbox.accepted_socket is not None and is_reset(outbox.accepted_socket):
+            raise anyio.BrokenResourceError
+        is_unfinished = reader.feed(data)
+        data = b""
+        if is_unfinished:
+            await anyio.lowlevel.checkpoint()
+    outbox.feeding = False
+
+
 async def discard(stream: ByteStream) -> None:
     """Discards received bytes until the peer shuts down its write side.
 
--- a/pumicenotch/net/database.py
+++ b/pumicenotch/net/database.py
@@ -48,7 +48,7 @@
         self.connection = connection
         self.data = b""
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> bool:
         """Decodes received bytes.
 
         Raises:
@@ -66,6 +66,7 @@
         self.data = self.data[replies_end:]
         if len(self.data) > MAX_HEAD_BYTES and b"\r\n" not in self.data[:MAX_HEAD_BYTES]:
             raise ValueError("reply line is too long")
+        return False
 
     def _read_reply(self, start: int, line_end: int) -> int | None:
         """Delivers a reply; returns its end, or None if its body is incomplete."""
--- a/pumicenotch/net/gateways.py
+++ b/pumicenotch/net/gateways.py
@@ -27,6 +27,12 @@
 # the other connections.
 MAX_READ_BYTES = 8 * 1024
 MAX_ITEMS = 64  # Items in one array or map.
+# Frames decoded in one turn of the event loop, so that a connection with very many small frames
+# does not delay the others. A connection may have this number of requests open.
+MAX_FRAMES_PER_TURN = 32
+# A longer incomplete frame is not decoded from its first byte again with each piece that arrives.
+MAX_REPEATED_BYTES = 512
+FINDER_BUFFER_BYTES = 1024  # At first; it grows with the incomplete frame.
 MAX_ERROR_LENGTH = 200
 # Message types, the first item of a frame.
 RESPONSE = 1
@@ -96,6 +102,20 @@
 }
 
 
+def new_unpacker(buffer_bytes: int = MAX_READ_BYTES + MAX_FRAME_BYTES) -> msgpack.Unpacker:
+    """Returns a decoder that refuses what no valid frame has, as soon as its head says so."""
+    return msgpack.Unpacker(
+        read_size=buffer_bytes,
+        max_buffer_size=MAX_READ_BYTES + MAX_FRAME_BYTES,
+        max_str_len=MAX_FRAME_BYTES,
+        max_bin_len=MAX_FRAME_BYTES,
+        max_array_len=MAX_ITEMS,
+        max_map_len=MAX_ITEMS,
+        max_ext_len=0,
+        unicode_errors="surrogateescape",
+    )
+
+
 class GatewayReader:
     """Decodes one gateway's frames into events.
 
@@ -108,37 +128,61 @@
         self.deliver = hub.deliver
         self.unix_offset = hub.clock.unix_offset
         self.connection_id = connection_id
-        # Bytes of an incomplete frame. A connection keeps no other decoding state between reads.
-        self.incomplete = b""
+        self.undecoded = b""
+        # Looks for the end of a long incomplete frame without decoding its items. A connection
+        # keeps no other decoding state between reads.
+        self.end_finder: msgpack.Unpacker | None = None
 
-    def feed(self, data: bytes) -> None:
-        """Decodes received bytes.
+    def feed(self, data: bytes) -> bool:
+        """Decodes received bytes, up to `MAX_FRAMES_PER_TURN` frames.
+
+        Returns:
+            Whether further frames may be complete, which `feed(b"")` decodes.
 
         Raises:
             ValueError: The bytes are not MessagePack-RPC, or a frame exceeds a limit.
         """
-        data = self.incomplete + data
-        frames_end = 0
-        unpacker = msgpack.Unpacker(
-            read_size=MAX_READ_BYTES + MAX_FRAME_BYTES,
-            max_buffer_size=MAX_READ_BYTES + MAX_FRAME_BYTES,
-            max_str_len=MAX_FRAME_BYTES,
-            max_bin_len=MAX_FRAME_BYTES,
-            max_array_len=MAX_ITEMS,
-            max_map_len=MAX_ITEMS,
-            max_ext_len=0,
-            unicode_errors="surrogateescape",
-        )
+        self.undecoded += data
         try:
-            unpacker.feed(data)
-            for frame in unpacker:
-                frames_end = unpacker.tell()
-                self._read_frame(frame)
+            if self.end_finder is not None and not self._finds_end(self.end_finder, data):
+                is_complete = False
+            else:
+                is_complete = self._decode_frames()
         except (msgpack.UnpackException, ValueError, TypeError) as error:
             raise ValueError(f"{type(error).__name__} {error}"[:MAX_ERROR_LENGTH]) from None
-        self.incomplete = data[frames_end:]
-        if len(self.incomplete) > MAX_FRAME_BYTES:
+        if not is_complete and len(self.undecoded) > MAX_FRAME_BYTES:
             raise ValueError(f"frame exceeds the limit of {MAX_FRAME_BYTES} bytes")
+        return is_complete
+
+    def _decode_frames(self) -> bool:
+        """Decodes one turn's frames; returns whether the rest may hold complete ones."""
+        self.end_finder = None
+        unpacker = new_unpacker()
+        unpacker.feed(self.undecoded)
+        frames_end = 0
+        frame_count = 0
+        for frame in unpacker:
+            frames_end = unpacker.tell()
+            frame_count += 1
+            self._read_frame(frame)
+            if frame_count == MAX_FRAMES_PER_TURN:
+                break
+        self.undecoded = self.undecoded[frames_end:]
+        if frame_count == MAX_FRAMES_PER_TURN:
+            return bool(self.undecoded)
+        if len(self.undecoded) > MAX_REPEATED_BYTES:
+            self.end_finder = new_unpacker(FINDER_BUFFER_BYTES)
+            self._finds_end(self.end_finder, self.undecoded)
+        return False
+
+    @staticmethod
+    def _finds_end(end_finder: msgpack.Unpacker, data: bytes) -> bool:
+        try:
+            end_finder.feed(data)
+            end_finder.skip()
+        except msgpack.OutOfData:
+            return False
+        return True
 
     def _read_frame(self, frame: Any) -> None:
         match frame:
--- a/pumicenotch/net/outbox.py
+++ b/pumicenotch/net/outbox.py
@@ -58,6 +58,7 @@
         self.scope = anyio.CancelScope()
         self.closing = False
         self.checking_input = False
+        self.feeding = False  # Whether received bytes are still being passed to the reader.
         self.fed_bytes = 0  # Bytes that the reader has been given.
         self.sending = False  # Whether the stream still has data to write.
         self.is_shut_down = False  # Whether the write side is shut down.
@@ -88,7 +89,7 @@
         program. On a crowded core, a turn of the event loop takes so long that a peer that sends
         continuously always has new input in the next turn.
         """
-        if not self.checking_input or self.sending or self.accepted_socket is None:
+        if not self.checking_input or self.feeding or self.sending or self.accepted_socket is None:
             return
         if self.parts and not self._write_at_once(self.accepted_socket):
             return
@@ -178,7 +179,7 @@
         arrives in between.
         """
         await anyio.sleep(CHECK_INTERVAL_S)
-        if not self.checking_input or self.parts:
+        if not self.checking_input or self.feeding or self.parts:
             return
         if self.accepted_socket is None or not has_unread_input(self.accepted_socket):
             self.checking_input = False
--- a/pumicenotch/net/peer_protocol.py
+++ b/pumicenotch/net/peer_protocol.py
@@ -38,7 +38,7 @@
         self.decoder = FrameDecoder(hub.max_frame_bytes)
         self.sender: Sender | None = None
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> bool:
         """Decodes received bytes and handles the complete frames.
 
         Raises:
@@ -49,6 +49,7 @@
                 self.on_first_frame(frame.content)
             else:
                 self.on_frame(self.sender, frame.content, frame.size_bytes)
+        return False
 
     def on_first_frame(self, content: Any) -> None:
         """Checks the hello, which must be the first frame."""
@@ -92,7 +93,7 @@
         self.connection = connection
         self.decoder = FrameDecoder(hub.max_frame_bytes)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> bool:
         """Decodes received bytes and handles the complete frames.
 
         Raises:
@@ -100,6 +101,7 @@
         """
         for frame in self.decoder.decode(data):
             self.on_frame(frame.content)
+        return False
 
     def on_frame(self, content: Any) -> None:
         """Handles a response, or the refusal of this process's hello."""
--- a/pumicenotch/net/pool.py
+++ b/pumicenotch/net/pool.py
@@ -133,7 +133,7 @@
         self.deliver = deliver
         self.incomplete = b""  # Bytes of a line whose end has not been received.
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> bool:
         """Decodes received bytes; raises ValueError for a line over `MAX_LINE_BYTES`."""
         *lines, self.incomplete = (self.incomplete + data).split(b"\n")
         for line in lines:
@@ -141,6 +141,7 @@
                 self._read_line(line)
         if len(self.incomplete) > MAX_LINE_BYTES:
             raise ValueError(f"line exceeds the limit of {MAX_LINE_BYTES} bytes")
+        return False
 
     def _read_line(self, line: bytes) -> None:
         """Delivers one notice.
--- a/pumicenotch/route/nodes.py
+++ b/pumicenotch/route/nodes.py
@@ -51,7 +51,7 @@
             unicode_errors="surrogateescape",
         )
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> bool:
         """Decodes received bytes. Raises ValueError on a violation of the protocol."""
         try:
             self.unpacker.feed(data)
@@ -59,6 +59,7 @@
                 self.on_frame(frame)
         except (msgpack.UnpackException, ValueError, TypeError) as error:
             raise ValueError(f"{type(error).__name__} {error}"[:200]) from None
+        return False
 
     def on_frame(self, frame: Any) -> None:
         """Delivers one message. Raises ValueError if the message is unknown."""
